--- /dev/null
+++ b/cmd/wirehost/main.go
@@ -0,0 +1,21 @@
+// Command wirehost serves the decision module on the simulator's wire: standard input to standard output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/wire"
+	"github.com/swifthall/swifthall/policy"
+)
+
+func main() {
+	host := wire.NewHost(os.Stderr, func(t gate.Terms, seed uint64) gate.Decider {
+		return policy.New(t, seed)
+	})
+	if err := host.Serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,200 @@
+// Package gate is the interface between the decision module and whatever carries its operations: the
+// terms a door works under, the events it is told, and the actions it answers with. It knows no wire.
+// Times are milliseconds with fractions; operations, backends, customers, profiles, plans, zones and
+// cells are small dense indices that the carrier hands out.
+package gate
+
+// Decider is one door's decisions. Decide is called with the clock and the events of one batch, in
+// order, and returns the actions to carry out in order; the slice is valid until the next call.
+type Decider interface {
+	Decide(now float64, events []Event) []Action
+}
+
+// Semantics says how often an operation may run.
+type Semantics uint8
+
+const (
+	Replayable Semantics = iota // may run again
+	Tokened                     // carries a mark by which a group of backends discards a repeat
+	SingleUse                   // must never run twice
+)
+
+// Scope is the group of backends that together discard repeats of a tokened operation.
+type Scope uint8
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Result tells how a transmission, probe or count ended.
+type Result uint8
+
+const (
+	Finished    Result = iota // answered well
+	Errored                   // answered with an error; may have run
+	Full                      // turned away unseen
+	TimedOut                  // no answer in time; may have run
+	Unreachable               // no connection
+	Reset                     // connection broken; may have run
+	Cancelled                 // cancelled; may have run
+	Skipped                   // never sent
+)
+
+// NeverRan reports whether the result proves that the operation did not run.
+func (r Result) NeverRan() bool { return r == Full || r == Unreachable || r == Skipped }
+
+// Profile is a kind of operation.
+type Profile struct {
+	Contract  float64 // answers within this time earn the full gain, ms
+	Semantics Semantics
+	Scope     Scope
+	Window    float64 // how long a tokened repeat is remembered, ms
+	LateValue float64 // fraction of the gain earned after the contract time
+	Gain      float64
+}
+
+// Plan is what a customer has bought; quotas hold over all doors together.
+type Plan struct {
+	Rate         float64 // units per ms; 0 means no such quota
+	Depth        float64 // most units the quota's store holds
+	AtOnce       int     // most transmissions out at once; 0 means no such quota
+	CeilingRate  float64 // units per ms; 0 means no ceiling
+	CeilingDepth float64 // most units the ceiling's store holds
+	Price        float64 // multiplies the gain
+}
+
+// Terms are what a door is told at its start.
+type Terms struct {
+	Doors, Number    int
+	Profiles         []Profile
+	Plans            []Plan
+	MaxTransmissions int
+	SecondCopies     bool    // two transmissions of one operation may be out together
+	MayCancel        bool    // Cancel is allowed
+	MaxRetryAfter    float64 // longest advice a client follows, ms; 0 where none may be given
+	MeterPeriod      float64 // period over which the meter totals use, ms; 0 means no meter
+	MustAsk          bool    // changes of the fleet list come only after Track
+	ColdFrom         float64 // a backend starts with this share of its capacity or more
+	ColdFor          float64 // and is warm no later than this, ms
+	FallMultiple     float64 // sent more than this multiple of its present capacity
+	FallWindow       float64 // for this long, a cold backend falls over, ms
+}
+
+// Event is one of the event types below.
+type Event any
+
+// Operation arrives; it is owed exactly one final answer within TTL.
+type Operation struct {
+	Op, Profile, Plan, Customer int
+	TTL                         float64 // ms
+	Units                       float64 // drawn from the customer's quota
+	Spread                      int     // doors through which the customer's operations come
+}
+
+// Ended reports how one transmission ended.
+type Ended struct {
+	Op, Transmission, Backend int
+	Result                    Result
+	Latency                   float64 // ms
+	Over                      bool    // the operation has its final answer
+	Use                       float64 // metered use as a share of the rate; negative when not told
+}
+
+// Streaming reports that the answer has begun and belongs to the client from here on.
+type Streaming struct{ Op, Transmission int }
+
+// Vanished reports that the client left; nothing is owed any more.
+type Vanished struct{ Op int }
+
+// Woken reports a due Wake.
+type Woken struct{}
+
+// Status of a backend on the list.
+type Status uint8
+
+const (
+	Up Status = iota
+	Draining
+	Gone
+)
+
+// Entry is a line of the fleet list.
+type Entry struct {
+	Backend, Zone, Cell int
+	Status              Status
+	Since               float64 // clock of the latest start, ms; 0 means long ago
+	Size                float64 // figure for comparison with other backends; 1 where nothing is known
+}
+
+// Fleet is news of the list; a complete one replaces all that was known.
+type Fleet struct {
+	Complete, Failed bool
+	Entries          []Entry
+}
+
+// Probed, Heard and Counted answer Probe, another door's Tell, and Count.
+type Probed struct {
+	Backend int
+	Result  Result
+	Latency float64
+}
+
+type Heard struct {
+	From int
+	Text string
+}
+
+type Counted struct {
+	Name   uint64
+	Result Result
+	Total  float64
+}
+
+// Action is one of the action types below.
+type Action any
+
+// Send starts a transmission; they are numbered from 0 for each operation.
+type Send struct {
+	Op, Backend int
+	Cap         float64 // time-out, ms; 0 means until the client gives up
+}
+
+// Cancel stops waiting for one transmission.
+type Cancel struct{ Op, Transmission int }
+
+// Reject is a final answer: trying again is harmless, best after RetryAfter.
+type Reject struct {
+	Op         int
+	RetryAfter float64 // ms; 0 gives no advice
+}
+
+// Scrap is a final answer that promises nothing.
+type Scrap struct{ Op int }
+
+// Wake asks for a Woken at the given clock.
+type Wake struct{ At float64 }
+
+// Probe tests a backend; Tell writes to another door (-1 for all); Count adds to a shared number.
+type Probe struct{ Backend int }
+
+type Tell struct {
+	To   int
+	Text string
+}
+
+type Count struct {
+	Name uint64
+	Add  float64
+	Keep float64 // ms
+}
+
+// Track subscribes to changes of the fleet list.
+type Track struct{}
+
+// Forget tells the carrier that a customer's index is free again.
+type Forget struct{ Customer int }
+
+// Log adds a line to the report.
+type Log struct{ Text string }
--- /dev/null
+++ b/internal/wire/door.go
@@ -0,0 +1,242 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/swifthall/swifthall/gate"
+)
+
+// index hands out small dense indices for ids and takes them back.
+type index struct {
+	of   map[string]int
+	ids  []string
+	free []int
+}
+
+func newIndex() index { return index{of: map[string]int{}} }
+
+func (x *index) add(id string) int {
+	if i, ok := x.of[id]; ok {
+		return i
+	}
+	var i int
+	if n := len(x.free); n > 0 {
+		i, x.free = x.free[n-1], x.free[:n-1]
+		x.ids[i] = id
+	} else {
+		i = len(x.ids)
+		x.ids = append(x.ids, id)
+	}
+	x.of[id] = i
+	return i
+}
+
+func (x *index) drop(i int) {
+	delete(x.of, x.ids[i])
+	x.ids[i] = ""
+	x.free = append(x.free, i)
+}
+
+// door holds the ids of one instance; only the decider knows what they mean.
+type door struct {
+	decider                                gate.Decider
+	pending                                []gate.Event
+	profiles, plans                        map[string]int
+	ops, backends, customers, zones, cells index
+	out                                    []int  // transmissions outstanding, by operation
+	over                                   []bool // final answer known, by operation
+	closing                                []int  // operations that may be droppable at the end of the batch
+}
+
+func newDoor(profiles, plans map[string]int) *door {
+	return &door{profiles: profiles, plans: plans, ops: newIndex(), backends: newIndex(),
+		customers: newIndex(), zones: newIndex(), cells: newIndex()}
+}
+
+// endBatch frees the indices of operations that are over with nothing outstanding.
+func (d *door) endBatch() {
+	d.pending = d.pending[:0]
+	for _, op := range d.closing {
+		if d.ops.ids[op] != "" && d.over[op] && d.out[op] == 0 {
+			d.ops.drop(op)
+		}
+	}
+	d.closing = d.closing[:0]
+}
+
+func (d *door) end(op int) {
+	d.over[op] = true
+	d.closing = append(d.closing, op)
+}
+
+var results = map[string]gate.Result{
+	"done": gate.Finished, "err": gate.Errored, "busy": gate.Full, "etimedout": gate.TimedOut,
+	"econnrefused": gate.Unreachable, "econnreset": gate.Reset, "ecanceled": gate.Cancelled,
+	"skipped": gate.Skipped,
+}
+
+var statuses = map[string]gate.Status{"U": gate.Up, "L": gate.Draining, "D": gate.Gone}
+
+// events translates each event of the wire; nil means that there is nothing to pass on.
+var events = map[string]func(*door, *fields) gate.Event{
+	"UPDATE":     (*door).fleet,
+	"SUBMIT":     (*door).submit,
+	"DONE":       (*door).done,
+	"FIRST_BYTE": (*door).streaming,
+	"VANISHED":   (*door).vanished,
+	"BELL":       func(*door, *fields) gate.Event { return gate.Woken{} },
+	"PROBE_DONE": func(d *door, f *fields) gate.Event {
+		return gate.Probed{Backend: d.backend(f), Result: choice(f, "outcome", results),
+			Latency: maybe[float64](f, "latency") * msPerSecond}
+	},
+	"HEARD": func(_ *door, f *fields) gate.Event {
+		return gate.Heard{From: need[int](f, "src"), Text: maybe[string](f, "contents")}
+	},
+	"TOTAL": func(_ *door, f *fields) gate.Event {
+		return gate.Counted{Name: need[uint64](f, "cname"), Result: choice(f, "outcome", results),
+			Total: maybe[float64](f, "total")}
+	},
+}
+
+func (d *door) backend(f *fields) int {
+	id := need[string](f, "backend")
+	i, ok := d.backends.of[id]
+	if !ok {
+		f.fail("backend", "%q was never listed", id)
+	}
+	return i
+}
+
+// op finds an operation; known is false for one already dropped.
+func (d *door) op(f *fields) (i int, known bool) {
+	i, known = d.ops.of[need[string](f, "op_id")]
+	return i, known
+}
+
+func (d *door) fleet(f *fields) gate.Event {
+	ev := gate.Fleet{}
+	switch how := need[string](f, "how"); how {
+	case "Partial":
+	case "Complete", "Persisted":
+		ev.Complete = true
+	case "Error":
+		return gate.Fleet{Failed: true}
+	default:
+		f.fail("how", "unknown word %q", how)
+	}
+	for _, raw := range maybe[[]map[string]json.RawMessage](f, "nodes_list") {
+		ef := fields{m: raw}
+		e := gate.Entry{Backend: d.backends.add(need[string](&ef, "backend")),
+			Zone:   d.zones.add(maybe[string](&ef, "dc")),
+			Cell:   d.cells.add(fmt.Sprint(maybe[int64](&ef, "stripe"))),
+			Status: choice(&ef, "status", statuses),
+			Since:  maybe[float64](&ef, "online_since") * msPerSecond,
+			Size:   maybe[float64](&ef, "units")}
+		if ef.fault != nil && f.fault == nil {
+			f.fault = fmt.Errorf("nodes_list: %w", ef.fault)
+		}
+		ev.Entries = append(ev.Entries, e)
+	}
+	return ev
+}
+
+func (d *door) submit(f *fields) gate.Event {
+	id := need[string](f, "op_id")
+	ev := gate.Operation{TTL: need[float64](f, "ttl") * msPerSecond, Units: need[float64](f, "cost_units"),
+		Spread: need[int](f, "spread"), Profile: choice(f, "kind", d.profiles),
+		Plan: choice(f, "tier", d.plans)}
+	customer := need[string](f, "customer")
+	if f.fault != nil {
+		return nil
+	}
+	ev.Op, ev.Customer = d.ops.add(id), d.customers.add(customer)
+	for len(d.out) <= ev.Op {
+		d.out, d.over = append(d.out, 0), append(d.over, false)
+	}
+	d.out[ev.Op], d.over[ev.Op] = 0, false
+	return ev
+}
+
+func (d *door) done(f *fields) gate.Event {
+	op, known := d.op(f)
+	ev := gate.Ended{Op: op, Transmission: need[int](f, "send_no"), Backend: d.backend(f),
+		Result: choice(f, "outcome", results), Latency: need[float64](f, "latency") * msPerSecond,
+		Over: maybe[bool](f, "over"), Use: (maybe[float64](f, "fleet_use") - 1) / 100}
+	if !known {
+		f.fail("op_id", "unknown operation")
+	}
+	if f.fault != nil {
+		return nil
+	}
+	d.out[op]--
+	if ev.Over {
+		d.over[op] = true
+	}
+	d.closing = append(d.closing, op)
+	return ev
+}
+
+func (d *door) streaming(f *fields) gate.Event {
+	op, known := d.op(f)
+	ev := gate.Streaming{Op: op, Transmission: need[int](f, "send_no")}
+	if !known {
+		return nil
+	}
+	return ev
+}
+
+func (d *door) vanished(f *fields) gate.Event {
+	op, known := d.op(f)
+	if !known {
+		return nil
+	}
+	d.end(op)
+	return gate.Vanished{Op: op}
+}
+
+// action words one action for the wire; nil where it concerns only the indices kept here.
+func (d *door) action(a gate.Action) map[string]any {
+	switch a := a.(type) {
+	case gate.Send:
+		d.out[a.Op]++
+		body := map[string]any{"op_id": d.ops.ids[a.Op], "backend": d.backends.ids[a.Backend]}
+		if a.Cap > 0 {
+			body["cap"] = a.Cap / msPerSecond
+		}
+		return map[string]any{"SUBMIT_TO": body}
+	case gate.Cancel:
+		return map[string]any{"ABANDON": map[string]any{"op_id": d.ops.ids[a.Op], "send_no": a.Transmission}}
+	case gate.Reject:
+		d.end(a.Op)
+		body := map[string]any{"op_id": d.ops.ids[a.Op]}
+		if a.RetryAfter > 0 {
+			body["not_before_for"] = a.RetryAfter / msPerSecond
+		}
+		return map[string]any{"REFUSE": body}
+	case gate.Scrap:
+		d.end(a.Op)
+		return map[string]any{"LOSE": map[string]any{"op_id": d.ops.ids[a.Op]}}
+	case gate.Wake:
+		return map[string]any{"SCHEDULE": map[string]any{"when": a.At / msPerSecond, "cookie": 0}}
+	case gate.Probe:
+		return map[string]any{"SOUND_OUT": map[string]any{"backend": d.backends.ids[a.Backend]}}
+	case gate.Tell:
+		body := map[string]any{"contents": a.Text}
+		if a.To >= 0 {
+			body["target"] = a.To
+		}
+		return map[string]any{"WRITE_PEER": body}
+	case gate.Count:
+		return map[string]any{"INCR": map[string]any{"cname": a.Name, "qty": a.Add,
+			"keep_for": a.Keep / msPerSecond}}
+	case gate.Track:
+		return map[string]any{"TRACK": map[string]any{"enable": true}}
+	case gate.Forget:
+		d.customers.drop(a.Customer)
+		return nil
+	case gate.Log:
+		return map[string]any{"DEBUG": map[string]any{"body_text": a.Text}}
+	}
+	panic(fmt.Sprintf("no word for action %T", a))
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,692 @@
+// Package policy decides for one door of an admission gateway: which operations are held, sent, sent
+// again, rejected or scrapped, and to which backend they go.
+//
+// A carrier calls New once with the door's terms and seed, then Decide for each batch of events, with the
+// clock, and carries out the actions in order. Events, actions and terms are in package gate; the plain
+// state types are in state.go. The same events always give the same actions.
+//
+// To read it: Decide takes the events in, each changing what is wanted of an operation (held, out, ended);
+// tick lets time act; settle emits the difference between what is wanted and what is. The ordinary path
+// is arrive (quota, then hold), release (hold over) and pick (draw of a backend). docs/design.md tells
+// what comes from the paper and the design page, and when each exception acts.
+package policy
+
+import (
+	"math"
+	"slices"
+
+	"github.com/swifthall/swifthall/gate"
+)
+
+const (
+	// The delay controller.
+	alpha       = 0.35 // finish intervals of hold for each operation of backlog; rejects near the contract time
+	marginShare = 0.2  // share of the contract time that latency may exceed its low by without any hold
+	smoothing   = 0.06 // weight of a new latency; some 16 samples, a second or two of one profile's traffic
+	lowDrift    = 60e3 // ms in which the low moves most of the way up to a lastingly heavier mix
+	firstGuess  = 0.1  // latency before any sample, as a share of the contract time
+	tickEvery   = 20.0 // ms between looks at what waits; small beside every contract time
+
+	// Quotas.
+	demandSpan  = 4e3  // ms over which demand is averaged; a few operations of a middling customer
+	priorDemand = 0.25 // share of the rate's worth of evidence that the even slice counts for
+	heardFor    = 15e3 // ms that a word of others' use is believed
+	meterLate   = 700  // ms from a meter period's end to its figure, where nothing better is known
+	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page)
+	debtShare   = 0.5  // share of its depth that a charge may put a bucket in debt
+
+	// Health of backends.
+	silentRate = 0.1  // a broken backend answers at this share of the expected rate
+	failNats   = 3.0  // evidence in one failed transmission: some 20 times likelier of a broken backend
+	judgeAt    = 6.0  // nats that end the test: one false verdict in some 400 stretches of work
+	priorNats  = 3.0  // nats at which a backend is as likely broken as well; its odds are halved there
+	trialFirst = 1e3  // ms from the verdict to the first trial
+	trialMost  = 8e3  // ms between trials at most
+	paceWeight = 0.1  // weight of a new latency in a backend's pace; some 10 samples
+	mostJudged = 0.5  // share of the listed backends that may stand judged; more is the fleet's trouble
+	rescueAt   = 1.5  // expected latencies after which an operation on a judged backend is sent elsewhere
+	fullRest   = 100. // ms a backend that turned work away is left alone
+
+	// The guards that the rules need.
+	coldShare = 0.5  // share of a cold backend's budget that the doors use; the rest is for chance
+	workSpan  = 10e3 // ms over which work sent to a backend is averaged
+	roomPower = 2.0  // how fast thought room falls with own work out; 1 would fill backends too unevenly
+	lastLook  = 25.0 // ms before the client's wait ends at which a held operation gets its answer; over a tick
+)
+
+// New returns the decisions of a door that has just started and knows nothing.
+func New(t gate.Terms, seed uint64) *Door {
+	return &Door{terms: t, dice: newDice(seed), ask: t.MustAsk, lat: make([]latency, len(t.Profiles)),
+		out: make([]int, len(t.Profiles)), born: -1}
+}
+
+// Decide takes in one batch and returns what is to be done.
+func (d *Door) Decide(now float64, events []gate.Event) []gate.Action {
+	d.now, d.actions = now, d.actions[:0]
+	if d.born < 0 {
+		d.born, d.ticked = now, now
+	}
+	for _, e := range events {
+		switch e := e.(type) {
+		case gate.Fleet:
+			d.list(e)
+		case gate.Operation:
+			d.arrive(e)
+		case gate.Ended:
+			d.ended(e)
+		case gate.Streaming:
+			d.ops[e.Op].streaming = true
+		case gate.Woken:
+			d.bell = false // not judged by the clock: a carrier may round the time asked for
+		case gate.Vanished:
+			d.ops[e.Op].want, d.ops[e.Op].given = answered, answered
+			d.touch(e.Op)
+		}
+	}
+	d.tick()
+	d.settle()
+	return d.actions
+}
+
+// ---- The fleet list ----
+
+// list keeps up with the fleet. A backend that drains, is gone or is missing gets nothing new at once;
+// held operations choose their backend only when released.
+func (d *Door) list(e gate.Fleet) {
+	f := &d.fleet
+	if e.Failed {
+		d.ask = d.terms.MustAsk
+		return
+	}
+	if e.Complete {
+		for b := range f.up {
+			f.up[b] = false
+		}
+	}
+	for _, n := range e.Entries {
+		f.grow(n.Backend + 1)
+		b := n.Backend
+		f.up[b], f.zone[b], f.cell[b] = n.Status == gate.Up, n.Zone, n.Cell
+		if n.Size > 0 {
+			f.size[b] = n.Size
+		}
+		if n.Since != f.since[b] { // a new process: nothing held against the old one counts
+			f.since[b], f.doubt[b], f.judged[b], f.pace[b], f.fullUntil[b] = n.Since, 0, false, 1, 0
+		}
+	}
+}
+
+// ---- Arrival: quota first, then the hold ----
+
+func (d *Door) arrive(e gate.Operation) {
+	for len(d.ops) <= e.Op {
+		d.ops = append(d.ops, operation{})
+	}
+	for len(d.buckets) <= e.Customer {
+		d.buckets = append(d.buckets, bucket{})
+	}
+	o := &d.ops[e.Op]
+	*o = operation{profile: e.Profile, plan: e.Plan, customer: e.Customer, units: e.Units,
+		came: d.now, until: d.now + e.TTL, sends: o.sends[:0]}
+	d.live = append(d.live, e.Op)
+	k := d.fill(e.Customer, e.Plan, e.Spread)
+	k.demand += o.units / demandSpan
+	k.open++
+	if wait := d.shortfall(k, o); wait > 0 {
+		d.reject(e.Op, wait)
+		return
+	}
+	d.draw(k, o)
+	if hold := d.hold(o); d.tooLong(o, hold) {
+		d.reject(e.Op, hold)
+	} else {
+		o.held, o.due = true, d.now+hold
+		d.touch(e.Op)
+	}
+}
+
+// fill brings a customer's bucket up to the clock. The ceiling's slice starts empty: a door that has just
+// started does not know what its former life sent, and slices that only fill add up to the ceiling.
+func (d *Door) fill(customer, plan, spread int) *bucket {
+	k, p := &d.buckets[customer], &d.terms.Plans[plan]
+	if !k.known || k.plan != plan || k.spread != spread {
+		*k = bucket{known: true, plan: plan, spread: max(1, spread), level: p.Depth, filled: d.now,
+			heard: math.Inf(-1), open: k.open, out: k.out}
+	}
+	dt := d.now - k.filled
+	k.filled = d.now
+	k.level = min(p.Depth, k.level+p.Rate*dt)
+	k.ceiling = min(p.CeilingDepth/float64(k.spread), k.ceiling+p.CeilingRate*dt/float64(k.spread))
+	k.demand *= math.Exp(-dt / demandSpan)
+	return k
+}
+
+// part is this door's part of the customer's recent demand: local demand over local demand plus the use
+// heard of others, drawn to the even slice by a little prior weight, and wholly when nothing is heard.
+func (d *Door) part(k *bucket) float64 {
+	even := 1 / float64(k.spread)
+	if d.now-k.heard > heardFor {
+		return even
+	}
+	prior := priorDemand * d.terms.Plans[k.plan].Rate
+	return min(1, (k.demand+prior*even)/(k.demand+k.others+prior))
+}
+
+// shortfall tells how long the customer's quota or ceiling keeps the operation out, in ms; 0 lets it in.
+// The bucket is written in units of the whole quota: a charge of units/part against a fill at the whole
+// rate is the design's charge of units against a fill at rate x part.
+func (d *Door) shortfall(k *bucket, o *operation) (wait float64) {
+	p := &d.terms.Plans[k.plan]
+	if p.Rate > 0 && k.level < o.units {
+		wait = (o.units - k.level) / p.Rate
+	}
+	if p.CeilingRate > 0 && k.ceiling < o.units {
+		wait = max(wait, (o.units-k.ceiling)*float64(k.spread)/p.CeilingRate)
+	}
+	return wait
+}
+
+// draw takes an operation's units; refund gives them back where it was never sent.
+func (d *Door) draw(k *bucket, o *operation) {
+	p := &d.terms.Plans[k.plan]
+	o.drawn = true
+	o.charge = min(o.units/d.part(k), max(o.units, k.level+debtShare*p.Depth))
+	k.level -= o.charge
+	k.ceiling -= o.units
+}
+
+func (d *Door) refund(o *operation) {
+	if o.drawn && len(o.sends) == 0 {
+		k := &d.buckets[o.customer]
+		o.drawn = false
+		k.level += o.charge
+		k.ceiling += o.units
+	}
+}
+
+// hear takes in the meter's word on a customer. What this door sent in the period that the figure speaks
+// of is taken off; the rest is the others'.
+func (d *Door) hear(k *bucket, use float64) {
+	p := &d.terms.Plans[k.plan]
+	if use < 0 || p.Rate == 0 || d.terms.MeterPeriod == 0 {
+		return
+	}
+	own := 0.0
+	if sum := k.sent.at(d.period(d.now-meterLate) - 1); sum != nil {
+		own = *sum / d.terms.MeterPeriod
+	}
+	o := max(0, use*p.Rate-own)
+	if d.now-k.heard > heardFor {
+		k.others = o
+	} else {
+		k.others += (o - k.others) * min(1, (d.now-k.heard)/d.terms.MeterPeriod)
+	}
+	k.heard = d.now
+}
+
+func (d *Door) period(at float64) int64 { return int64(at / max(1, d.terms.MeterPeriod)) }
+
+// hold is alpha x the backlog estimate of the operation's profile: operations in flight times the
+// fraction by which recent latency exceeds its recent low, above a margin set from the contract time.
+// Alpha counts in the intervals at which this door's work finishes, so the hold is the time in which the
+// backlog drains, whatever the traffic.
+func (d *Door) hold(o *operation) float64 {
+	l := &d.lat[o.profile]
+	contract := d.terms.Profiles[o.profile].Contract
+	recent := d.recent(o.profile)
+	low := l.low
+	if l.samples == 0 {
+		low = firstGuess * contract
+	}
+	excess := max(0, recent-low-marginShare*contract) / low
+	inFlight := float64(d.out[o.profile])
+	interval := recent / max(1, inFlight)
+	return alpha * inFlight * excess * interval
+}
+
+// recent is a profile's recent latency. Silence gives no sample, so when most of what is out with
+// backends in good standing is older than the samples say, that age counts; one silent backend cannot
+// make a middle age, and a judged one is left out.
+func (d *Door) recent(profile int) float64 {
+	l := &d.lat[profile]
+	recent := l.recent
+	if l.samples == 0 {
+		recent = firstGuess * d.terms.Profiles[profile].Contract
+	}
+	var ages []float64
+	for _, i := range d.live {
+		o := &d.ops[i]
+		if o.profile != profile {
+			continue
+		}
+		for j := range o.sends {
+			if s := &o.sends[j]; s.out() && !d.fleet.judged[s.backend] {
+				ages = append(ages, d.now-s.at)
+			}
+		}
+	}
+	if len(ages) > 2 {
+		slices.Sort(ages)
+		recent = max(recent, ages[len(ages)/2])
+	}
+	return recent
+}
+
+// tooLong tells whether a hold eats the time left: the answer would come after the contract time, or
+// after the client has gone.
+func (d *Door) tooLong(o *operation, hold float64) bool {
+	left := min(o.until, o.came+d.terms.Profiles[o.profile].Contract) - d.now
+	return hold > 0 && hold+d.recent(o.profile) > left
+}
+
+// ---- Release and choice of backend ----
+
+// release looks at a held operation: it goes out when its hold is over and a backend has room.
+func (d *Door) release(i int) {
+	o := &d.ops[i]
+	if d.now >= o.until-lastLook {
+		d.giveUp(i, 0)
+		return
+	}
+	hold := d.hold(o)
+	if len(o.sends) == 0 { // a shorter hold counts from now on, a longer one does not
+		o.due = min(o.due, o.came+hold)
+	}
+	if o.due > d.now || d.crowded(o) {
+		return
+	}
+	if b := d.pick(o); b >= 0 {
+		d.send(i, b)
+	}
+}
+
+// crowded holds an operation whose customer has its part of the transmissions allowed at once out.
+func (d *Door) crowded(o *operation) bool {
+	p, k := &d.terms.Plans[o.plan], &d.buckets[o.customer]
+	return p.AtOnce > 0 && k.out >= max(1, int(math.Round(float64(p.AtOnce)*d.part(k))))
+}
+
+// pick draws a backend with odds in step with thought room. A judged backend whose trial is due comes
+// first, for an operation that can be sent again elsewhere.
+func (d *Door) pick(o *operation) int {
+	f := &d.fleet
+	fresh := len(o.sends) == 0
+	odds := make([]float64, len(f.up))
+	sum := 0.0
+	for b := range f.up {
+		if !d.allowed(o, b) {
+			continue
+		}
+		if f.judged[b] {
+			if fresh && d.canRepeat(o) && f.out[b] == 0 && d.now >= f.trialAt[b] {
+				f.trialAt[b] = d.now + f.trialGap[b]
+				f.trialGap[b] = min(trialMost, 2*f.trialGap[b])
+				return b
+			}
+			continue
+		}
+		odds[b] = d.room(b)
+		for j := range o.sends { // another backend than one that already had it, where there is one
+			if o.sends[j].backend == b {
+				odds[b] *= 1e-3
+			}
+		}
+		sum += odds[b]
+	}
+	if sum == 0 {
+		return -1
+	}
+	x := d.dice.roll() * sum
+	last := -1
+	for b, w := range odds {
+		if w > 0 {
+			last = b
+			if x -= w; x < 0 {
+				break
+			}
+		}
+	}
+	return last
+}
+
+// room is what a backend is thought to have free: its size and pace, less for own work out, and weighed
+// by the chance that it works at all.
+func (d *Door) room(b int) float64 {
+	f := &d.fleet
+	if d.now < f.fullUntil[b] {
+		return 0
+	}
+	well := 1 / (1 + math.Exp(f.doubt[b]-priorNats))
+	return well * d.warmth(b) * f.size[b] / f.pace[b] / math.Pow(1+float64(f.out[b]), roomPower)
+}
+
+// allowed holds the rules for where an operation may go: listed, not yet told to drain, within the cold
+// budget, and for a tokened operation that may have run within its group and window.
+func (d *Door) allowed(o *operation, b int) bool {
+	f, p := &d.fleet, &d.terms.Profiles[o.profile]
+	if !f.up[b] || !d.coldRoom(o, b) {
+		return false
+	}
+	for j := range o.sends {
+		s := &o.sends[j]
+		if s.proven {
+			continue
+		}
+		switch {
+		case p.Semantics == gate.SingleUse:
+			return false
+		case p.Semantics == gate.Replayable:
+		case d.now >= s.at+p.Window-tickEvery:
+			return false
+		case p.Scope == gate.ScopeZone && f.zone[b] != f.zone[s.backend]:
+			return false
+		case p.Scope == gate.ScopeCell && f.cell[b] != f.cell[s.backend]:
+			return false
+		}
+	}
+	return true
+}
+
+// canRepeat tells whether an operation that may have run may go anywhere at all once more.
+func (d *Door) canRepeat(o *operation) bool {
+	p := &d.terms.Profiles[o.profile]
+	return p.Semantics == gate.Replayable || p.Semantics == gate.Tokened && p.Scope == gate.ScopeAll
+}
+
+// warmth is the share of its capacity that a backend has at least.
+func (d *Door) warmth(b int) float64 {
+	since := d.fleet.since[b]
+	if since == 0 || d.terms.ColdFor == 0 {
+		return 1
+	}
+	age := max(0, d.now-since) / d.terms.ColdFor
+	return min(1, d.terms.ColdFrom+(1-d.terms.ColdFrom)*age)
+}
+
+// coldRoom keeps the work sent to a cold backend under this door's share of what would push it over.
+// Its capacity is judged from the work that warm backends of like size take, which is at most theirs.
+// One operation in a window is always let through: how else would it warm.
+func (d *Door) coldRoom(o *operation, b int) bool {
+	warm := d.warmth(b)
+	if warm >= 1 {
+		return true
+	}
+	f := &d.fleet
+	spent := 0.0
+	for _, w := range f.recent[b] {
+		if w.at > d.now-d.terms.FallWindow {
+			spent += w.ms
+		}
+	}
+	if spent == 0 && f.out[b] == 0 && d.now > d.born+d.terms.FallWindow {
+		return true
+	}
+	budget := coldShare * d.terms.FallMultiple * warm * d.warmRate(b) * d.terms.FallWindow
+	return spent+d.workOf(o.profile) <= budget
+}
+
+// warmRate is the work that warm backends take from this door, for a backend of b's size.
+func (d *Door) warmRate(b int) float64 {
+	f := &d.fleet
+	work, size := 0.0, 0.0
+	for c := range f.up {
+		if f.up[c] && !f.judged[c] && d.warmth(c) >= 1 {
+			work += f.work[c] * math.Exp((f.workAt[c]-d.now)/workSpan) / workSpan
+			size += f.size[c]
+		}
+	}
+	if size == 0 {
+		return 0
+	}
+	return work / size * f.size[b]
+}
+
+// workOf is the work thought to be in an operation of a profile: its low latency.
+func (d *Door) workOf(profile int) float64 {
+	if l := &d.lat[profile]; l.samples > 0 {
+		return l.low
+	}
+	return firstGuess * d.terms.Profiles[profile].Contract
+}
+
+// send wants an operation out at a backend.
+func (d *Door) send(i, b int) {
+	o, f := &d.ops[i], &d.fleet
+	k := &d.buckets[o.customer]
+	if len(o.sends) == 0 && d.terms.MeterPeriod > 0 {
+		*k.sent.at(d.period(d.now)) += o.units
+	}
+	o.held = false
+	o.sends = append(o.sends, transmission{backend: b, at: d.now, wanted: true})
+	o.out++
+	k.out++
+	f.out[b]++
+	d.out[o.profile]++
+	work := d.workOf(o.profile)
+	f.work[b] = f.work[b]*math.Exp((f.workAt[b]-d.now)/workSpan) + work
+	f.workAt[b] = d.now
+	if d.warmth(b) < 1 {
+		f.recent[b] = append(f.recent[b], workBit{d.now, work})
+	} else {
+		f.recent[b] = f.recent[b][:0]
+	}
+	d.touch(i)
+}
+
+// ---- Outcomes ----
+
+func (d *Door) ended(e gate.Ended) {
+	o, f := &d.ops[e.Op], &d.fleet
+	s := &o.sends[e.Transmission]
+	k := &d.buckets[o.customer]
+	s.ended, s.proven = true, e.Result.NeverRan()
+	o.out--
+	k.out--
+	f.out[s.backend]--
+	d.out[o.profile]--
+	d.fill(o.customer, o.plan, k.spread)
+	d.hear(k, e.Use)
+	d.judge(o, s, e)
+	if e.Over {
+		o.want, o.given = answered, answered
+	}
+	d.touch(e.Op)
+	if o.want != undecided || o.out > 0 {
+		return
+	}
+	if len(o.sends) < d.terms.MaxTransmissions && d.now < o.until-lastLook && d.again(o) {
+		o.held, o.due = true, d.now
+		return
+	}
+	d.giveUp(e.Op, d.hold(o))
+}
+
+// again tells whether any listed backend may get the operation once more.
+func (d *Door) again(o *operation) bool {
+	for b := range d.fleet.up {
+		if d.fleet.up[b] && d.allowed(o, b) {
+			return true
+		}
+	}
+	return false
+}
+
+// giveUp ends an operation at once: a rejection where trying again is harmless, else a scrapping.
+func (d *Door) giveUp(i int, retryAfter float64) {
+	o := &d.ops[i]
+	for j := range o.sends {
+		if !o.sends[j].proven && !d.canRepeat(o) {
+			o.want, o.held = scrapped, false
+			d.touch(i)
+			return
+		}
+	}
+	d.reject(i, retryAfter)
+}
+
+func (d *Door) reject(i int, retryAfter float64) {
+	o := &d.ops[i]
+	d.refund(o)
+	o.want, o.held, o.retryAfter = rejected, false, min(retryAfter, d.terms.MaxRetryAfter)
+	d.touch(i)
+}
+
+// judge is the sequential test. A backend that works answers at the expected rate; a broken one fails, or
+// answers at a small share of it. Answers take evidence away, failures and silence (in tick) add it.
+func (d *Door) judge(o *operation, s *transmission, e gate.Ended) {
+	f, b := &d.fleet, s.backend
+	switch e.Result {
+	case gate.Finished:
+		f.doubt[b] = max(0, f.doubt[b]+math.Log(silentRate))
+		if f.judged[b] && f.doubt[b] < priorNats {
+			f.judged[b] = false
+		}
+		expected := d.recent(o.profile)
+		f.pace[b] += paceWeight * (e.Latency/expected - f.pace[b])
+		f.pace[b] = max(f.pace[b], 0.1)
+		d.sample(o.profile, e.Latency)
+	case gate.Full:
+		f.fullUntil[b] = d.now + fullRest
+	case gate.Errored, gate.Unreachable, gate.Reset:
+		d.doubt(b, failNats)
+	}
+}
+
+// doubt adds evidence against a backend. Where too many would stand judged at once the trouble is the
+// fleet's, and judging more would only crowd the rest.
+func (d *Door) doubt(b int, nats float64) {
+	f := &d.fleet
+	f.doubt[b] = min(f.doubt[b]+nats, judgeAt)
+	if f.doubt[b] < judgeAt || f.judged[b] {
+		return
+	}
+	listed, judged := 0, 1
+	for c := range f.up {
+		if f.up[c] {
+			listed++
+			if f.judged[c] {
+				judged++
+			}
+		}
+	}
+	if float64(judged) <= mostJudged*float64(listed) {
+		f.judged[b], f.trialGap[b], f.trialAt[b] = true, trialFirst, d.now+trialFirst
+	}
+}
+
+// sample takes a finished latency into its profile's figures. The low follows at once downwards and
+// drifts up slowly, so that a mix turned heavy for good does not hold for ever.
+func (d *Door) sample(profile int, ms float64) {
+	l := &d.lat[profile]
+	l.samples++
+	l.recent += max(smoothing, 1/float64(l.samples)) * (ms - l.recent)
+	if l.samples == 1 {
+		l.low = l.recent
+	}
+	l.low += (l.recent - l.low) * (1 - math.Exp((l.lowAt-d.now)/lowDrift))
+	l.low, l.lowAt = min(l.low, l.recent), d.now
+}
+
+// ---- Time ----
+
+// tick lets time act on what is out and held.
+func (d *Door) tick() {
+	dt := d.now - d.ticked
+	d.ticked = d.now
+	expected := make([]float64, len(d.lat))
+	for p := range d.lat {
+		expected[p] = max(1, d.recent(p))
+	}
+	keep := d.live[:0]
+	for _, i := range d.live {
+		o := &d.ops[i]
+		for j := range o.sends {
+			if s := &o.sends[j]; s.out() {
+				slow := max(1, d.fleet.pace[s.backend]) / d.warmth(s.backend)
+				d.doubt(s.backend, (1-silentRate)*dt/(expected[o.profile]*slow))
+			}
+		}
+		if o.want == undecided && o.held {
+			d.release(i)
+		} else if o.want == undecided {
+			d.rescue(i, expected[o.profile])
+		}
+		if o.want == undecided || o.out > 0 {
+			keep = append(keep, i)
+		} else {
+			d.buckets[o.customer].open--
+		}
+	}
+	d.live = keep
+	for c := range d.buckets {
+		k := &d.buckets[c]
+		if k.known && k.open == 0 && d.now-k.filled > idleDrop {
+			*k = bucket{}
+			d.forgets = append(d.forgets, c)
+		}
+	}
+}
+
+// rescue sends a second copy of an operation that waits at a judged backend: silence, a stall or a lost
+// zone. It never acts on slowness that the whole fleet shares, since expected latency grows with it.
+func (d *Door) rescue(i int, expected float64) {
+	o := &d.ops[i]
+	if o.streaming || o.out != 1 || len(o.sends) >= d.terms.MaxTransmissions || !d.terms.SecondCopies {
+		return
+	}
+	s := &o.sends[len(o.sends)-1]
+	if s.out() && d.fleet.judged[s.backend] && d.now-s.at > rescueAt*expected {
+		if b := d.pick(o); b >= 0 && b != s.backend {
+			d.send(i, b)
+		}
+	}
+}
+
+// ---- The difference between what is wanted and what is ----
+
+func (d *Door) touch(i int) {
+	if o := &d.ops[i]; !o.queued {
+		o.queued = true
+		d.changed = append(d.changed, i)
+	}
+}
+
+// settle emits, for all that changed, the difference between the wanted state and the present one.
+func (d *Door) settle() {
+	if d.ask {
+		d.ask = false
+		d.actions = append(d.actions, gate.Track{})
+	}
+	for _, i := range d.changed {
+		o := &d.ops[i]
+		o.queued = false
+		for j := range o.sends {
+			s := &o.sends[j]
+			s.wanted = s.wanted && o.want == undecided
+			if s.wanted && !s.sent {
+				s.sent = true
+				d.actions = append(d.actions, gate.Send{Op: i, Backend: s.backend})
+			}
+			if !s.wanted && s.out() && !s.dropped && d.terms.MayCancel {
+				s.dropped = true
+				d.actions = append(d.actions, gate.Cancel{Op: i, Transmission: j})
+			}
+		}
+		if o.given == undecided && o.want != undecided {
+			if o.given = o.want; o.want == rejected {
+				d.actions = append(d.actions, gate.Reject{Op: i, RetryAfter: o.retryAfter})
+			} else {
+				d.actions = append(d.actions, gate.Scrap{Op: i})
+			}
+		}
+	}
+	d.changed = d.changed[:0]
+	for _, c := range d.forgets {
+		d.actions = append(d.actions, gate.Forget{Customer: c})
+	}
+	d.forgets = d.forgets[:0]
+	if len(d.live) > 0 && !d.bell {
+		d.bell = true
+		d.actions = append(d.actions, gate.Wake{At: d.now + tickEvery})
+	}
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,155 @@
+package policy
+
+import "github.com/swifthall/swifthall/gate"
+
+// verdict is the final answer that an operation is wanted to have.
+type verdict uint8
+
+const (
+	undecided verdict = iota
+	rejected
+	scrapped
+	answered // the client has its answer, or has left
+)
+
+// transmission is one sending of an operation. wanted against the other two is the difference to emit.
+type transmission struct {
+	backend int
+	at      float64
+	wanted  bool // it should be out
+	sent    bool // its Send was emitted
+	ended   bool // its outcome came
+	dropped bool // its Cancel was emitted
+	proven  bool // it is known never to have run
+}
+
+func (t *transmission) out() bool { return t.sent && !t.ended }
+
+// operation is all that is known of one operation. Its slot is free while it is over with nothing out.
+type operation struct {
+	profile, plan, customer int
+	units, charge           float64
+	came, until             float64 // arrival and end of the client's wait, ms
+	held                    bool    // waiting for release
+	due                     float64 // earliest next attempt to release, ms
+	drawn                   bool    // quota and ceiling are charged
+	streaming               bool
+	want, given             verdict
+	retryAfter              float64
+	out                     int
+	sends                   []transmission
+	queued                  bool // listed as changed in this batch
+}
+
+// bucket is a customer's state at this door.
+type bucket struct {
+	known        bool
+	plan, spread int
+	level        float64 // what the customer's quota is thought to hold, units
+	ceiling      float64 // what this door's slice of the ceiling holds, units
+	filled       float64 // clock of the last fill, ms
+	demand       float64 // units asked here lately, units/ms
+	others       float64 // use by other doors as heard, units/ms
+	heard        float64 // clock when others was last heard, ms
+	sent         ring    // units first sent here, by meter period
+	out          int     // transmissions out
+	open         int     // operations not over
+}
+
+// ring holds sums for the latest slots of a numbered sequence.
+type ring struct {
+	last int64
+	sums [ringSlots]float64
+}
+
+const ringSlots = 16
+
+// at returns the sum of slot n, or nil where it is too old.
+func (r *ring) at(n int64) *float64 {
+	if n <= r.last-ringSlots {
+		return nil
+	}
+	for ; r.last < n; r.last++ {
+		if n-r.last > ringSlots {
+			*r = ring{last: n - ringSlots}
+		}
+		r.sums[(r.last+1)%ringSlots] = 0
+	}
+	return &r.sums[n%ringSlots]
+}
+
+// fleet holds the figures about backends in parallel arrays under the carrier's dense index.
+type fleet struct {
+	up         []bool
+	zone, cell []int
+	since      []float64 // latest start, ms; 0 means long ago
+	size       []float64
+	out        []int       // own transmissions out
+	doubt      []float64   // evidence that the backend does not work, nats
+	judged     []bool      // the sequential test has ended against it
+	pace       []float64   // its latency over the fleet's
+	fullUntil  []float64   // turned work away; left alone until then
+	trialAt    []float64   // earliest next trial of a judged backend
+	trialGap   []float64   // time to the trial after that
+	work       []float64   // work sent lately, decaying, ms of work
+	workAt     []float64   // clock of that figure
+	recent     [][]workBit // work sent while it was cold, for the cold budget
+}
+
+type workBit struct{ at, ms float64 }
+
+func (f *fleet) grow(n int) {
+	for len(f.up) < n {
+		f.up, f.zone, f.cell = append(f.up, false), append(f.zone, 0), append(f.cell, 0)
+		f.since, f.size, f.out = append(f.since, 0), append(f.size, 1), append(f.out, 0)
+		f.doubt, f.judged = append(f.doubt, 0), append(f.judged, false)
+		f.pace, f.fullUntil = append(f.pace, 1), append(f.fullUntil, 0)
+		f.trialAt, f.trialGap = append(f.trialAt, 0), append(f.trialGap, 0)
+		f.work, f.workAt = append(f.work, 0), append(f.workAt, 0)
+		f.recent = append(f.recent, nil)
+	}
+}
+
+// latency holds what a profile's finished transmissions showed.
+type latency struct {
+	recent, low float64 // smoothed latency and its recent low, ms
+	lowAt       float64 // clock of the last drift of the low, ms
+	samples     int
+}
+
+// dice is a permuted congruential generator (PCG-XSH-RR 64/32).
+type dice struct{ state uint64 }
+
+func newDice(seed uint64) dice {
+	d := dice{seed + 1442695040888963407}
+	d.roll()
+	return d
+}
+
+// roll returns a number in [0, 1).
+func (d *dice) roll() float64 {
+	s := d.state
+	d.state = s*6364136223846793005 + 1442695040888963407
+	x, r := uint32((s>>18^s)>>27), uint(s>>59)
+	return float64(x>>r|x<<(-r&31)) / (1 << 32)
+}
+
+// Door decides for one door.
+type Door struct {
+	terms   gate.Terms
+	now     float64
+	born    float64
+	dice    dice
+	ops     []operation
+	live    []int // operations that may still need attention, in order of arrival
+	buckets []bucket
+	fleet   fleet
+	lat     []latency
+	out     []int // transmissions out, by profile
+	bell    bool  // a Wake is pending
+	ticked  float64
+	changed []int
+	ask     bool // the list must be asked for
+	forgets []int
+	actions []gate.Action
+}
