Hold falls with operations in flight; module tests

Cause: alpha's finish interval was taken from the latest latency, so the operations in flight cancelled and a wave of rejections left the estimate high with no sample to lower it (seen in the first incidents: 79% rejected at 209 ms median). The interval is now averaged over 5 s.

--- /dev/null
+++ b/policy/helper_test.go
@@ -0,0 +1,65 @@
+package policy
+
+import "github.com/swifthall/swifthall/gate"
+
+// Profiles and plans of the test door, by index.
+const (
+	replayable = iota
+	tokenedInZone
+	tokenedAnywhere
+	singleUse
+)
+
+const (
+	plain = iota
+	capped
+)
+
+func terms() gate.Terms {
+	return gate.Terms{
+		Doors: 3,
+		Profiles: []gate.Profile{
+			{Contract: 1000},
+			{Contract: 1000, Semantics: gate.Tokened, Scope: gate.ScopeZone, Window: 4000},
+			{Contract: 1000, Semantics: gate.Tokened, Window: 4000},
+			{Contract: 1000, Semantics: gate.SingleUse},
+		},
+		Plans: []gate.Plan{
+			{Rate: 0.002, Depth: 12},
+			{Rate: 0.002, Depth: 12, AtOnce: 3, CeilingRate: 0.003, CeilingDepth: 30},
+		},
+		MaxTransmissions: 4, SecondCopies: true, MayCancel: true, MaxRetryAfter: 500, MeterPeriod: 1000,
+		ColdFrom: 0.2, ColdFor: 10e3, FallMultiple: 2, FallWindow: 2000,
+	}
+}
+
+// door returns a door at clock 100 s with n warm backends, every second one in zone 1.
+func door(n int) *Door {
+	d := New(terms(), 1)
+	d.now, d.born, d.ticked = 100e3, 0, 100e3
+	var e gate.Fleet
+	for b := range n {
+		e.Entries = append(e.Entries, gate.Entry{Backend: b, Zone: b % 2, Cell: b, Size: 1})
+	}
+	d.list(e)
+	d.buckets = make([]bucket, 1)
+	for p := range d.lat {
+		d.lat[p] = latency{recent: 100, low: 100, rate: 0.05, lowAt: d.now, samples: 100}
+	}
+	return d
+}
+
+// arriving is an operation of one unit from customer 0, which uses all three doors.
+func arriving(op, profile, plan int) gate.Operation {
+	return gate.Operation{Op: op, Profile: profile, Plan: plan, TTL: 3000, Units: 1, Spread: 3}
+}
+
+// sentOnce returns a door of four backends with operation 0 out at the given one.
+func sentOnce(profile, backend int) *Door {
+	d := door(4)
+	d.arrive(arriving(0, profile, plain))
+	d.send(0, backend)
+	d.settle()
+	d.actions = d.actions[:0]
+	return d
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,6 +23,7 @@
 	alpha       = 0.35 // finish intervals of hold for each operation of backlog; rejects near the contract time
 	marginShare = 0.2  // share of the contract time that latency may exceed its low by without any hold
 	smoothing   = 0.06 // weight of a new latency; some 16 samples, a second or two of one profile's traffic
+	finishSpan  = 5e3  // ms over which the rate of finishing is averaged; outlasts one wave of rejections
 	lowDrift    = 60e3 // ms in which the low moves most of the way up to a lastingly heavier mix
 	firstGuess  = 0.1  // latency before any sample, as a share of the contract time
 	tickEvery   = 20.0 // ms between looks at what waits; small beside every contract time
@@ -228,8 +229,10 @@
 
 // hold is alpha x the backlog estimate of the operation's profile: operations in flight times the
 // fraction by which recent latency exceeds its recent low, above a margin set from the contract time.
-// Alpha counts in the intervals at which this door's work finishes, so the hold is the time in which the
-// backlog drains, whatever the traffic.
+// Alpha counts in the mean intervals at which this door finishes operations of the profile, so the hold is
+// the time in which the backlog drains, whatever the traffic. The interval is averaged over seconds: taken
+// from the latest latency it would cancel the operations in flight, and once all were rejected, no sample
+// would ever lower the estimate again.
 func (d *Door) hold(o *operation) float64 {
 	l := &d.lat[o.profile]
 	contract := d.terms.Profiles[o.profile].Contract
@@ -239,9 +242,15 @@
 		low = firstGuess * contract
 	}
 	excess := max(0, recent-low-marginShare*contract) / low
-	inFlight := float64(d.out[o.profile])
-	interval := recent / max(1, inFlight)
-	return alpha * inFlight * excess * interval
+	return alpha * float64(d.out[o.profile]) * excess * d.interval(o.profile)
+}
+
+// interval is the mean time between finished operations of a profile, ms.
+func (d *Door) interval(profile int) float64 {
+	l := &d.lat[profile]
+	known := 1 - math.Exp((d.born-d.now)/finishSpan)
+	rate := l.rate * math.Exp((l.lowAt-d.now)/finishSpan) / max(known, 1e-3)
+	return 1 / max(rate, 1/finishSpan)
 }
 
 // recent is a profile's recent latency. Silence gives no sample, so when most of what is out with
@@ -583,6 +592,7 @@
 	if l.samples == 1 {
 		l.low = l.recent
 	}
+	l.rate = l.rate*math.Exp((l.lowAt-d.now)/finishSpan) + 1/finishSpan
 	l.low += (l.recent - l.low) * (1 - math.Exp((l.lowAt-d.now)/lowDrift))
 	l.low, l.lowAt = min(l.low, l.recent), d.now
 }
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,198 @@
+package policy
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/swifthall/swifthall/gate"
+)
+
+func TestHoldGrowsWithBacklogAboveTheMargin(t *testing.T) {
+	d := door(4)
+	o := &operation{profile: replayable}
+	d.out[replayable] = 5
+	d.lat[replayable].recent = 250 // within the margin
+	assert.Zero(t, d.hold(o))
+	d.lat[replayable].recent = 500
+	little := d.hold(o)
+	assert.Positive(t, little)
+	d.lat[replayable].recent = 700
+	assert.Greater(t, d.hold(o), little)
+}
+
+func TestNothingInFlightMeansNoHold(t *testing.T) {
+	d := door(4)
+	d.lat[replayable].recent = 5000 // all was rejected since; no sample will lower it
+	assert.Zero(t, d.hold(&operation{profile: replayable}))
+}
+
+func TestHoldThatEatsTheTimeLeftIsRejectedWithAdvice(t *testing.T) {
+	d := door(4)
+	d.out[replayable], d.lat[replayable].recent = 5, 950
+	d.arrive(arriving(0, replayable, plain))
+	assert.Equal(t, rejected, d.ops[0].want)
+	assert.Positive(t, d.ops[0].retryAfter)
+	assert.LessOrEqual(t, d.ops[0].retryAfter, 500.0)
+	assert.Equal(t, 12.0, d.buckets[0].level, "units of an operation never sent are given back")
+}
+
+func TestLowFollowsALastinglyHeavierMix(t *testing.T) {
+	d := door(1)
+	for range 600 {
+		d.now += 1000
+		d.sample(replayable, 400)
+	}
+	assert.Greater(t, d.lat[replayable].low, 300.0)
+}
+
+func TestSilenceOfTheFleetRaisesTheEstimate(t *testing.T) {
+	d := door(4)
+	for i := range 4 {
+		d.arrive(arriving(i, replayable, plain))
+		d.send(i, i)
+	}
+	d.settle()
+	d.now += 800
+	assert.InDelta(t, 800, d.recent(replayable), 1)
+}
+
+func TestOneSilentBackendDoesNotRaiseTheEstimate(t *testing.T) {
+	d := door(4)
+	for i := range 4 {
+		d.arrive(arriving(i, replayable, plain))
+		d.send(i, 0)
+	}
+	d.settle()
+	d.fleet.judged[0] = true
+	d.now += 800
+	assert.InDelta(t, 100, d.recent(replayable), 1)
+}
+
+func TestPartIsEvenUntilOthersAreHeard(t *testing.T) {
+	d := door(1)
+	k := d.fill(0, plain, 3)
+	k.demand = 0.001
+	assert.InDelta(t, 1.0/3, d.part(k), 1e-9)
+	d.hear(k, 0)
+	alone := d.part(k)
+	assert.Greater(t, alone, 0.5)
+	k.others = 0.003
+	assert.Less(t, d.part(k), alone)
+}
+
+func TestBeyondQuotaIsRejectedAtOnce(t *testing.T) {
+	d := door(1)
+	d.fill(0, plain, 3).level = 0.5
+	d.arrive(arriving(0, replayable, plain))
+	assert.Equal(t, rejected, d.ops[0].want)
+	assert.InDelta(t, 250, d.ops[0].retryAfter, 1)
+}
+
+func TestCeilingSliceStartsEmptyAndFillsByTheSlice(t *testing.T) {
+	d := door(1)
+	assert.Zero(t, d.fill(0, capped, 3).ceiling)
+	d.now += 2000
+	assert.InDelta(t, 2, d.fill(0, capped, 3).ceiling, 1e-9)
+	d.now += 1e6
+	assert.InDelta(t, 10, d.fill(0, capped, 3).ceiling, 1e-9)
+}
+
+func TestSingleUseThatMayHaveRunIsScrapped(t *testing.T) {
+	d := sentOnce(singleUse, 0)
+	d.ended(gate.Ended{Result: gate.Reset, Use: -1})
+	assert.Equal(t, scrapped, d.ops[0].want)
+}
+
+func TestSingleUseThatNeverRanIsSentAgain(t *testing.T) {
+	d := sentOnce(singleUse, 0)
+	d.ended(gate.Ended{Result: gate.Full, Use: -1})
+	assert.True(t, d.ops[0].held)
+}
+
+func TestTokenedStaysInItsGroupAndWindow(t *testing.T) {
+	d := sentOnce(tokenedInZone, 0)
+	o := &d.ops[0]
+	assert.True(t, d.allowed(o, 2))
+	assert.False(t, d.allowed(o, 1), "another zone")
+	d.now += 4000
+	assert.False(t, d.allowed(o, 2), "past the window")
+}
+
+func TestTokenedOfOneZoneIsNotRejectedOnceItMayHaveRun(t *testing.T) {
+	d := sentOnce(tokenedInZone, 0)
+	d.fleet.up = make([]bool, 4)
+	d.ended(gate.Ended{Result: gate.Reset, Use: -1})
+	assert.Equal(t, scrapped, d.ops[0].want)
+}
+
+func TestDrainingBackendGetsNothingNew(t *testing.T) {
+	d := door(2)
+	d.list(gate.Fleet{Entries: []gate.Entry{{Backend: 0, Status: gate.Draining}}})
+	for range 20 {
+		assert.Equal(t, 1, d.pick(&operation{profile: replayable}))
+	}
+}
+
+func TestColdBackendGetsLittle(t *testing.T) {
+	d := door(2)
+	d.fleet.work[1], d.fleet.workAt[1] = workSpan*0.5, d.now // half a core's worth
+	d.list(gate.Fleet{Entries: []gate.Entry{{Backend: 0, Size: 1, Since: d.now}}})
+	sent := 0
+	for i := range 100 {
+		d.arrive(arriving(i, replayable, plain))
+		if d.coldRoom(&d.ops[i], 0) {
+			d.send(i, 0)
+			sent++
+		}
+	}
+	// 0.5 of multiple 2 x warmth 0.2 x 0.5 x 2 s is 200 ms of work: two operations.
+	assert.Equal(t, 2, sent)
+}
+
+func TestSilenceIsJudgedAndAnswersClear(t *testing.T) {
+	d := sentOnce(replayable, 0)
+	d.now += 1000
+	d.lat[replayable].recent = 100
+	d.tick()
+	assert.True(t, d.fleet.judged[0])
+	o := &d.ops[0]
+	d.judge(o, &o.sends[0], gate.Ended{Result: gate.Finished, Latency: 100})
+	d.judge(o, &o.sends[0], gate.Ended{Result: gate.Finished, Latency: 100})
+	assert.False(t, d.fleet.judged[0])
+}
+
+func TestAWholeFleetIsNeverJudged(t *testing.T) {
+	d := door(4)
+	for b := range 4 {
+		d.doubt(b, judgeAt)
+	}
+	assert.Equal(t, []bool{true, true, false, false}, d.fleet.judged)
+}
+
+func TestHeldOperationIsAnsweredBeforeTheWaitEnds(t *testing.T) {
+	d := door(0) // nowhere to send
+	d.arrive(arriving(0, replayable, plain))
+	d.now = d.ops[0].until - tickEvery
+	d.tick()
+	assert.Equal(t, rejected, d.ops[0].want)
+}
+
+func TestWakeIsAskedForAgainWhateverTheClockSays(t *testing.T) {
+	d := door(0)
+	d.arrive(arriving(0, replayable, plain))
+	d.Decide(d.now, nil)
+	acts := d.Decide(d.now+tickEvery-0.0001, []gate.Event{gate.Woken{}})
+	assert.Contains(t, acts, gate.Wake{At: d.now + tickEvery})
+}
+
+func TestAtOnceQuotaHolds(t *testing.T) {
+	d := door(4)
+	d.fill(0, capped, 3).ceiling = 10
+	d.arrive(arriving(0, replayable, capped))
+	d.arrive(arriving(1, replayable, capped))
+	d.release(0)
+	d.release(1)
+	assert.Len(t, d.ops[0].sends, 1)
+	assert.True(t, d.ops[1].held)
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -113,7 +113,8 @@
 // latency holds what a profile's finished transmissions showed.
 type latency struct {
 	recent, low float64 // smoothed latency and its recent low, ms
-	lowAt       float64 // clock of the last drift of the low, ms
+	rate        float64 // finished operations, averaged, per ms
+	lowAt       float64 // clock of the last sample, ms
 	samples     int
 }
 
