Pressure: steep hold from an estimate that sees what is in flight; units drawn when sent

Causes found by tracing the estimate: a low taken from the first lucky samples (3 ms); the median age of the few old operations left after a wave; latency seen only after it has passed; holds fixed at arrival, all ending together. Changes: low after 16 samples; overdue operations as excess samples; drain of what is in flight by Little's law; holds that follow the estimate. alpha 0.35 -> 6, margin 0.2 -> 0.15 of the contract time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -13,18 +13,19 @@
 
 import (
 	"math"
-	"slices"
 
 	"github.com/swifthall/swifthall/gate"
 )
 
 const (
 	// The delay controller.
-	alpha       = 0.35 // finish intervals of hold for each operation of backlog; rejects near the contract time
-	marginShare = 0.2  // share of the contract time that latency may exceed its low by without any hold
+	alpha       = 6    // finish intervals of hold for each operation of backlog; rejects near the contract time
+	marginShare = 0.15 // share of the contract time that latency may exceed its low by without any hold
 	smoothing   = 0.06 // weight of a new latency; some 16 samples, a second or two of one profile's traffic
-	finishSpan  = 5e3  // ms over which the rate of finishing is averaged; outlasts one wave of rejections
-	lowDrift    = 60e3 // ms in which the low moves most of the way up to a lastingly heavier mix
+	lowAfter    = 16   // samples after which the smoothed latency may set a low; those that smoothing remembers
+	finishSpan  = 5e3  // ms over which the rate of finishing is averaged; some dozens of operations of a profile
+	leastKnown  = 0.1  // least share of finishSpan that a rate is taken to be averaged over, after a start
+	lowDrift    = 60e3 // ms in which a low or a best rate gives way to a lastingly heavier mix
 	firstGuess  = 0.1  // latency before any sample, as a share of the contract time
 	tickEvery   = 20.0 // ms between looks at what waits; small beside every contract time
 
@@ -81,6 +82,7 @@
 			d.bell = false // not judged by the clock: a carrier may round the time asked for
 		case gate.Vanished:
 			d.ops[e.Op].want, d.ops[e.Op].given = answered, answered
+			d.unpromise(&d.ops[e.Op])
 			d.touch(e.Op)
 		}
 	}
@@ -137,11 +139,11 @@
 		d.reject(e.Op, wait)
 		return
 	}
-	d.draw(k, o)
+	d.promise(k, o)
 	if hold := d.hold(o); d.tooLong(o, hold) {
 		d.reject(e.Op, hold)
 	} else {
-		o.held, o.due = true, d.now+hold
+		o.held = true
 		d.touch(e.Op)
 	}
 }
@@ -152,7 +154,8 @@
 	k, p := &d.buckets[customer], &d.terms.Plans[plan]
 	if !k.known || k.plan != plan || k.spread != spread {
 		*k = bucket{known: true, plan: plan, spread: max(1, spread), level: p.Depth, filled: d.now,
-			heard: math.Inf(-1), open: k.open, out: k.out}
+			heard: math.Inf(-1), open: k.open, out: k.out, promised: k.promised,
+			promisedUnits: k.promisedUnits}
 	}
 	dt := d.now - k.filled
 	k.filled = d.now
@@ -178,30 +181,40 @@
 // rate is the design's charge of units against a fill at rate x part.
 func (d *Door) shortfall(k *bucket, o *operation) (wait float64) {
 	p := &d.terms.Plans[k.plan]
-	if p.Rate > 0 && k.level < o.units {
-		wait = (o.units - k.level) / p.Rate
+	if short := o.units + k.promised - k.level; p.Rate > 0 && short > 0 {
+		wait = short / p.Rate
 	}
-	if p.CeilingRate > 0 && k.ceiling < o.units {
-		wait = max(wait, (o.units-k.ceiling)*float64(k.spread)/p.CeilingRate)
+	if short := o.units + k.promisedUnits - k.ceiling; p.CeilingRate > 0 && short > 0 {
+		wait = max(wait, short*float64(k.spread)/p.CeilingRate)
 	}
 	return wait
 }
 
-// draw takes an operation's units; refund gives them back where it was never sent.
-func (d *Door) draw(k *bucket, o *operation) {
-	p := &d.terms.Plans[k.plan]
-	o.drawn = true
-	o.charge = min(o.units/d.part(k), max(o.units, k.level+debtShare*p.Depth))
-	k.level -= o.charge
-	k.ceiling -= o.units
+// promise sets an operation's units aside while it is held, and draw takes them when it is first sent. Taken
+// at arrival they would fill up again during the hold, and a long hold's end would pass the ceiling.
+func (d *Door) promise(k *bucket, o *operation) {
+	o.promised = true
+	o.charge = min(o.units/d.part(k), max(o.units, k.level-k.promised+debtShare*d.terms.Plans[k.plan].Depth))
+	k.promised += o.charge
+	k.promisedUnits += o.units
 }
 
-func (d *Door) refund(o *operation) {
-	if o.drawn && len(o.sends) == 0 {
-		k := &d.buckets[o.customer]
-		o.drawn = false
-		k.level += o.charge
-		k.ceiling += o.units
+// unpromise ends a promise, kept or not.
+func (d *Door) unpromise(o *operation) {
+	if k := &d.buckets[o.customer]; o.promised {
+		o.promised = false
+		k.promised -= o.charge
+		k.promisedUnits -= o.units
+	}
+}
+
+func (d *Door) draw(o *operation) {
+	k := d.fill(o.customer, o.plan, d.buckets[o.customer].spread)
+	d.unpromise(o)
+	k.level -= o.charge
+	k.ceiling -= o.units
+	if d.terms.MeterPeriod > 0 {
+		*k.sent.at(d.period(d.now)) += o.units
 	}
 }
 
@@ -229,40 +242,48 @@
 
 // hold is alpha x the backlog estimate of the operation's profile: operations in flight times the
 // fraction by which recent latency exceeds its recent low, above a margin set from the contract time.
-// Alpha counts in the mean intervals at which this door finishes operations of the profile, so the hold is
-// the time in which the backlog drains, whatever the traffic. The interval is averaged over seconds: taken
-// from the latest latency it would cancel the operations in flight, and once all were rejected, no sample
-// would ever lower the estimate again.
+// Alpha counts in the intervals at which this door finishes operations of the profile at its recent best, so
+// the hold is the time in which the backlog drains, whatever the traffic. An interval taken from the latest
+// latency or rate would grow as operations in flight fall and cancel them: once all were rejected, no
+// sample would ever lower the estimate again.
 func (d *Door) hold(o *operation) float64 {
-	l := &d.lat[o.profile]
 	contract := d.terms.Profiles[o.profile].Contract
-	recent := d.recent(o.profile)
-	low := l.low
-	if l.samples == 0 {
-		low = firstGuess * contract
+	low := d.low(o.profile)
+	excess := max(0, d.recent(o.profile)-low-marginShare*contract) / low
+	return alpha * excess * d.drain(o.profile)
+}
+
+// low is a profile's recent low, or a guess until the smoothed latency means something: the first few
+// samples alone can be far under any true low, and would make all that follows look like backlog.
+func (d *Door) low(profile int) float64 {
+	if l := &d.lat[profile]; l.low > 0 {
+		return l.low
 	}
-	excess := max(0, recent-low-marginShare*contract) / low
-	return alpha * float64(d.out[o.profile]) * excess * d.interval(o.profile)
+	return firstGuess * d.terms.Profiles[profile].Contract
 }
 
-// interval is the mean time between finished operations of a profile, ms.
-func (d *Door) interval(profile int) float64 {
-	l := &d.lat[profile]
-	known := 1 - math.Exp((d.born-d.now)/finishSpan)
-	rate := l.rate * math.Exp((l.lowAt-d.now)/finishSpan) / max(known, 1e-3)
-	return 1 / max(rate, 1/finishSpan)
+// drain is the time in which a profile's operations in flight finish at the recent best rate, ms; with too
+// few samples to know a rate, the low.
+func (d *Door) drain(profile int) float64 {
+	if l := &d.lat[profile]; l.samples >= lowAfter {
+		return float64(d.out[profile]) / l.best
+	}
+	return d.low(profile)
 }
 
-// recent is a profile's recent latency. Silence gives no sample, so when most of what is out with
-// backends in good standing is older than the samples say, that age counts; one silent backend cannot
-// make a middle age, and a judged one is left out.
+// recent is a profile's recent latency. Silence gives no sample, so what is out longer than that adds its
+// excess, as one sample among those that the smoothing remembers. What waits at a judged backend is left
+// out, so that one silent backend does not look like a pressed fleet; and no operation counts for more
+// than its contract time, since the few old ones that remain after a wave say little about the next.
+// A latency is seen only once it has passed: what is in flight will take its drain at least (Little's law),
+// and without that a surge is let in whole before its first slow answer.
 func (d *Door) recent(profile int) float64 {
-	l := &d.lat[profile]
+	l, contract := &d.lat[profile], d.terms.Profiles[profile].Contract
 	recent := l.recent
 	if l.samples == 0 {
-		recent = firstGuess * d.terms.Profiles[profile].Contract
+		recent = d.low(profile)
 	}
-	var ages []float64
+	overdue := 0.0
 	for _, i := range d.live {
 		o := &d.ops[i]
 		if o.profile != profile {
@@ -270,22 +291,18 @@
 		}
 		for j := range o.sends {
 			if s := &o.sends[j]; s.out() && !d.fleet.judged[s.backend] {
-				ages = append(ages, d.now-s.at)
+				overdue += max(0, min(d.now-s.at, contract)-recent)
 			}
 		}
 	}
-	if len(ages) > 2 {
-		slices.Sort(ages)
-		recent = max(recent, ages[len(ages)/2])
-	}
-	return recent
+	return max(recent+smoothing*overdue, d.drain(profile))
 }
 
 // tooLong tells whether a hold eats the time left: the answer would come after the contract time, or
-// after the client has gone.
+// after the client has gone. Behind the hold the operation waits for what is in flight to drain.
 func (d *Door) tooLong(o *operation, hold float64) bool {
 	left := min(o.until, o.came+d.terms.Profiles[o.profile].Contract) - d.now
-	return hold > 0 && hold+d.recent(o.profile) > left
+	return hold > 0 && hold+max(d.low(o.profile), d.drain(o.profile)) > left
 }
 
 // ---- Release and choice of backend ----
@@ -297,11 +314,17 @@
 		d.giveUp(i, 0)
 		return
 	}
-	hold := d.hold(o)
-	if len(o.sends) == 0 { // a shorter hold counts from now on, a longer one does not
-		o.due = min(o.due, o.came+hold)
+	// The hold follows the estimate while it lasts. Fixed at arrival, holds given in a quiet moment would
+	// all end in the same later one, and put out a wave that no estimate had seen.
+	if len(o.sends) == 0 {
+		if rest := o.came + d.hold(o) - d.now; d.tooLong(o, rest) {
+			d.giveUp(i, rest)
+			return
+		} else if rest > 0 {
+			return
+		}
 	}
-	if o.due > d.now || d.crowded(o) {
+	if d.crowded(o) {
 		return
 	}
 	if b := d.pick(o); b >= 0 {
@@ -431,7 +454,7 @@
 		return true
 	}
 	budget := coldShare * d.terms.FallMultiple * warm * d.warmRate(b) * d.terms.FallWindow
-	return spent+d.workOf(o.profile) <= budget
+	return spent+d.low(o.profile) <= budget
 }
 
 // warmRate is the work that warm backends take from this door, for a backend of b's size.
@@ -450,20 +473,12 @@
 	return work / size * f.size[b]
 }
 
-// workOf is the work thought to be in an operation of a profile: its low latency.
-func (d *Door) workOf(profile int) float64 {
-	if l := &d.lat[profile]; l.samples > 0 {
-		return l.low
-	}
-	return firstGuess * d.terms.Profiles[profile].Contract
-}
-
 // send wants an operation out at a backend.
 func (d *Door) send(i, b int) {
 	o, f := &d.ops[i], &d.fleet
 	k := &d.buckets[o.customer]
-	if len(o.sends) == 0 && d.terms.MeterPeriod > 0 {
-		*k.sent.at(d.period(d.now)) += o.units
+	if len(o.sends) == 0 {
+		d.draw(o)
 	}
 	o.held = false
 	o.sends = append(o.sends, transmission{backend: b, at: d.now, wanted: true})
@@ -471,7 +486,7 @@
 	k.out++
 	f.out[b]++
 	d.out[o.profile]++
-	work := d.workOf(o.profile)
+	work := d.low(o.profile)
 	f.work[b] = f.work[b]*math.Exp((f.workAt[b]-d.now)/workSpan) + work
 	f.workAt[b] = d.now
 	if d.warmth(b) < 1 {
@@ -504,7 +519,7 @@
 		return
 	}
 	if len(o.sends) < d.terms.MaxTransmissions && d.now < o.until-lastLook && d.again(o) {
-		o.held, o.due = true, d.now
+		o.held = true
 		return
 	}
 	d.giveUp(e.Op, d.hold(o))
@@ -535,7 +550,7 @@
 
 func (d *Door) reject(i int, retryAfter float64) {
 	o := &d.ops[i]
-	d.refund(o)
+	d.unpromise(o)
 	o.want, o.held, o.retryAfter = rejected, false, min(retryAfter, d.terms.MaxRetryAfter)
 	d.touch(i)
 }
@@ -553,7 +568,7 @@
 		expected := d.recent(o.profile)
 		f.pace[b] += paceWeight * (e.Latency/expected - f.pace[b])
 		f.pace[b] = max(f.pace[b], 0.1)
-		d.sample(o.profile, e.Latency)
+		d.sample(o.profile, min(e.Latency, d.terms.Profiles[o.profile].Contract))
 	case gate.Full:
 		f.fullUntil[b] = d.now + fullRest
 	case gate.Errored, gate.Unreachable, gate.Reset:
@@ -589,12 +604,17 @@
 	l := &d.lat[profile]
 	l.samples++
 	l.recent += max(smoothing, 1/float64(l.samples)) * (ms - l.recent)
-	if l.samples == 1 {
+	l.rate = l.rate*math.Exp((l.lowAt-d.now)/finishSpan) + 1/finishSpan
+	known := max(1-math.Exp((d.born-d.now)/finishSpan), leastKnown)
+	drift := 1 - math.Exp((l.lowAt-d.now)/lowDrift)
+	l.best = max(l.rate/known, l.best*(1-drift))
+	if l.low += (l.recent - l.low) * drift; l.samples <= lowAfter || l.low > l.recent {
 		l.low = l.recent
 	}
-	l.rate = l.rate*math.Exp((l.lowAt-d.now)/finishSpan) + 1/finishSpan
-	l.low += (l.recent - l.low) * (1 - math.Exp((l.lowAt-d.now)/lowDrift))
-	l.low, l.lowAt = min(l.low, l.recent), d.now
+	if l.samples < lowAfter {
+		l.low = 0
+	}
+	l.lowAt = d.now
 }
 
 // ---- Time ----
--- a/policy/state.go
+++ b/policy/state.go
@@ -31,8 +31,7 @@
 	units, charge           float64
 	came, until             float64 // arrival and end of the client's wait, ms
 	held                    bool    // waiting for release
-	due                     float64 // earliest next attempt to release, ms
-	drawn                   bool    // quota and ceiling are charged
+	promised                bool    // its units are set aside
 	streaming               bool
 	want, given             verdict
 	retryAfter              float64
@@ -43,17 +42,19 @@
 
 // bucket is a customer's state at this door.
 type bucket struct {
-	known        bool
-	plan, spread int
-	level        float64 // what the customer's quota is thought to hold, units
-	ceiling      float64 // what this door's slice of the ceiling holds, units
-	filled       float64 // clock of the last fill, ms
-	demand       float64 // units asked here lately, units/ms
-	others       float64 // use by other doors as heard, units/ms
-	heard        float64 // clock when others was last heard, ms
-	sent         ring    // units first sent here, by meter period
-	out          int     // transmissions out
-	open         int     // operations not over
+	known         bool
+	plan, spread  int
+	level         float64 // what the customer's quota is thought to hold, units
+	ceiling       float64 // what this door's slice of the ceiling holds, units
+	promised      float64 // charges of held operations, units
+	promisedUnits float64 // units of held operations
+	filled        float64 // clock of the last fill, ms
+	demand        float64 // units asked here lately, units/ms
+	others        float64 // use by other doors as heard, units/ms
+	heard         float64 // clock when others was last heard, ms
+	sent          ring    // units first sent here, by meter period
+	out           int     // transmissions out
+	open          int     // operations not over
 }
 
 // ring holds sums for the latest slots of a numbered sequence.
@@ -113,7 +114,7 @@
 // latency holds what a profile's finished transmissions showed.
 type latency struct {
 	recent, low float64 // smoothed latency and its recent low, ms
-	rate        float64 // finished operations, averaged, per ms
+	rate, best  float64 // finished operations per ms, averaged, and the recent best of that
 	lowAt       float64 // clock of the last sample, ms
 	samples     int
 }
