Doors tell each other their use; codec tests

Each door now tells the others, slot by slot, what it first sent; each slot is told twice, so one lost message is made good. Others' use is taken from the bucket as heard; after ten slots of silence the bucket goes by its part again. May harm: two doors can spend the same last units within one slot. No ceiling moves by it.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -75,6 +75,7 @@
 	MayCancel        bool    // Cancel is allowed
 	MaxRetryAfter    float64 // longest advice a client follows, ms; 0 where none may be given
 	MeterPeriod      float64 // period over which the meter totals use, ms; 0 means no meter
+	MailRate         float64 // messages per ms that a door takes in; 0 where doors may not write
 	MustAsk          bool    // changes of the fleet list come only after Track
 	ColdFrom         float64 // a backend starts with this share of its capacity or more
 	ColdFor          float64 // and is warm no later than this, ms
@@ -143,7 +144,17 @@
 
 type Heard struct {
 	From int
-	Text string
+	Slot int64
+	Uses []Use
+}
+
+// ToldSlots is how many slots a Tell covers, so that a lost one is made good by the next.
+const ToldSlots = 2
+
+// Use is what one door first sent for a customer in its latest slots, the newest first.
+type Use struct {
+	Customer int
+	Units    [ToldSlots]float64
 }
 
 type Counted struct {
@@ -176,12 +187,13 @@
 // Wake asks for a Woken at the given clock.
 type Wake struct{ At float64 }
 
-// Probe tests a backend; Tell writes to another door (-1 for all); Count adds to a shared number.
+// Probe tests a backend; Tell tells all other doors what this one sent in its latest slots of time, which
+// it numbers as it likes; Count adds to a shared number.
 type Probe struct{ Backend int }
 
 type Tell struct {
-	To   int
-	Text string
+	Slot int64
+	Uses []Use
 }
 
 type Count struct {
--- a/internal/wire/door.go
+++ b/internal/wire/door.go
@@ -32,6 +32,11 @@
 	return i
 }
 
+func (x *index) find(id string) (int, bool) {
+	i, ok := x.of[id]
+	return i, ok
+}
+
 func (x *index) drop(i int) {
 	delete(x.of, x.ids[i])
 	x.ids[i] = ""
@@ -90,8 +95,13 @@
 		return gate.Probed{Backend: d.backend(f), Result: choice(f, "outcome", results),
 			Latency: maybe[float64](f, "latency") * msPerSecond}
 	},
-	"HEARD": func(_ *door, f *fields) gate.Event {
-		return gate.Heard{From: need[int](f, "src"), Text: maybe[string](f, "contents")}
+	"HEARD": func(d *door, f *fields) gate.Event {
+		ev := gate.Heard{From: need[int](f, "src")}
+		var ok bool
+		if ev.Slot, ev.Uses, ok = readMail(maybe[string](f, "contents"), d.customers.find); !ok {
+			return nil
+		}
+		return ev
 	},
 	"TOTAL": func(_ *door, f *fields) gate.Event {
 		return gate.Counted{Name: need[uint64](f, "cname"), Result: choice(f, "outcome", results),
@@ -150,7 +160,7 @@
 	if f.fault != nil {
 		return nil
 	}
-	ev.Op, ev.Customer = d.ops.add(id), d.customers.add(customer)
+	ev.Op, ev.Customer = d.ops.add(id), d.customers.add(shortName(customer))
 	for len(d.out) <= ev.Op {
 		d.out, d.over = append(d.out, 0), append(d.over, false)
 	}
@@ -221,12 +231,6 @@
 		return map[string]any{"SCHEDULE": map[string]any{"when": a.At / msPerSecond, "cookie": 0}}
 	case gate.Probe:
 		return map[string]any{"SOUND_OUT": map[string]any{"backend": d.backends.ids[a.Backend]}}
-	case gate.Tell:
-		body := map[string]any{"contents": a.Text}
-		if a.To >= 0 {
-			body["target"] = a.To
-		}
-		return map[string]any{"WRITE_PEER": body}
 	case gate.Count:
 		return map[string]any{"INCR": map[string]any{"cname": a.Name, "qty": a.Add,
 			"keep_for": a.Keep / msPerSecond}}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -136,6 +136,12 @@
 		return append(out, giveIn(text)), nil
 	}
 	for _, a := range actions {
+		if t, ok := a.(gate.Tell); ok {
+			for _, text := range writeMail(t, func(c int) string { return d.customers.ids[c] }) {
+				out = append(out, map[string]any{"WRITE_PEER": map[string]any{"contents": text}})
+			}
+			continue
+		}
 		if msg := d.action(a); msg != nil {
 			out = append(out, msg)
 		}
--- a/internal/wire/terms.go
+++ b/internal/wire/terms.go
@@ -41,10 +41,12 @@
 		} `json:"tariffs"`
 		Extra struct {
 			Metering float64 `json:"metering"`
+			MailPerS float64 `json:"mail_per_s"`
 		} `json:"extra"`
 		Limits struct {
 			Cancel        bool    `json:"cancel"`
 			MaxAttempts   int     `json:"max_attempts"`
+			MayTell       bool    `json:"may_tell"`
 			MaxRetryAfter float64 `json:"max_retry_after"`
 			RetryAfter    bool    `json:"retry_after"`
 			SecondCopies  bool    `json:"second_copies"`
@@ -70,6 +72,9 @@
 	if s.Limits.RetryAfter {
 		t.MaxRetryAfter = s.Limits.MaxRetryAfter * msPerSecond
 	}
+	if s.Limits.MayTell {
+		t.MailRate = s.Extra.MailPerS / msPerSecond
+	}
 	profiles, plans = map[string]int{}, map[string]int{}
 	for i, p := range s.Profiles {
 		sem, ok := semantics[p.Semantics]
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,128 @@
+package wire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/swifthall/swifthall/gate"
+)
+
+// scripted answers every batch with what its function says.
+type scripted func(now float64, events []gate.Event) []gate.Action
+
+func (s scripted) Decide(now float64, events []gate.Event) []gate.Action { return s(now, events) }
+
+const born = `{"BORN":{"entropy":7,"settings":{"fleet_size":3,"my_number":1,` +
+	`"profiles":[{"name":"read","aim":0.5,"semantics":"idempotent"}],` +
+	`"tariffs":[{"name":"basic","rate":2.0,"depth":8.0}]}}}`
+
+const listed = `{"UPDATE":{"how":"Persisted","rev":1,"nodes_list":[{"backend":"10.0.0.1:80","dc":"a",` +
+	`"stripe":0,"status":"U","units":1}]}}`
+
+const submit = `{"SUBMIT":{"op_id":"x","ttl":0.24,"spread":2,"customer":"91f03b7c55d20a64","cost_units":2,` +
+	`"kind":"read","first_door":0,"tier":"basic"}}`
+
+func batch(events ...string) string {
+	return `{"t":8.5,"parts":[{"door_id":3,"in":[` + strings.Join(events, ",") + "]}]}\n"
+}
+
+func serve(s scripted, input string) (out, log string, err error) {
+	var o, l bytes.Buffer
+	h := NewHost(&l, func(gate.Terms, uint64) gate.Decider { return s })
+	err = h.Serve(strings.NewReader(input), &o)
+	return o.String(), l.String(), err
+}
+
+func silent(float64, []gate.Event) []gate.Action { return nil }
+
+func TestEventsAndActionsCrossTheWire(t *testing.T) {
+	var got []gate.Event
+	out, _, err := serve(func(now float64, events []gate.Event) []gate.Action {
+		assert.Equal(t, 8500.0, now)
+		got = append(got, events...)
+		return []gate.Action{gate.Send{Cap: 80}, gate.Wake{At: 9000}, gate.Reject{RetryAfter: 250}}
+	}, batch(born, listed, submit))
+	require.NoError(t, err)
+	require.Len(t, got, 2)
+	assert.Equal(t, gate.Operation{TTL: 240, Units: 2, Spread: 2}, got[1])
+	assert.JSONEq(t, `{"parts":[{"door_id":3,"out":[{"SUBMIT_TO":{"op_id":"x","backend":"10.0.0.1:80",`+
+		`"cap":0.08}},{"SCHEDULE":{"when":9,"cookie":0}},{"REFUSE":{"op_id":"x","not_before_for":0.25}}]}]}`, out)
+}
+
+func TestEmptyBatchAndRebirthInOneBatch(t *testing.T) {
+	births := 0
+	h := NewHost(&bytes.Buffer{}, func(gate.Terms, uint64) gate.Decider { births++; return scripted(silent) })
+	var out bytes.Buffer
+	input := "{\"t\":1,\"parts\":[]}\n" + batch(born, listed) + batch(`{"HALT":{}}`, born, listed)
+	require.NoError(t, h.Serve(strings.NewReader(input), &out))
+	assert.Equal(t, 2, births)
+	assert.Equal(t, strings.Repeat("{\"parts\":[]}\n", 3), out.String())
+}
+
+func TestLateOutcomeAfterTheEndIsDeliveredAndThenTheIdIsDropped(t *testing.T) {
+	var got []gate.Event
+	done := `{"DONE":{"op_id":"x","send_no":0,"backend":"10.0.0.1:80","latency":0.1,"outcome":"ecanceled","over":true}}`
+	vanished := `{"VANISHED":{"op_id":"x"}}`
+	_, _, err := serve(func(_ float64, events []gate.Event) []gate.Action {
+		got = append([]gate.Event(nil), events...)
+		if _, arrived := got[len(got)-1].(gate.Operation); arrived {
+			return []gate.Action{gate.Send{}, gate.Scrap{}}
+		}
+		return nil
+	}, batch(born, listed, submit)+batch(done)+batch(vanished, `{"BELL":{"cookie":0}}`))
+	require.NoError(t, err)
+	assert.Equal(t, []gate.Event{gate.Woken{}}, got, "an id already dropped is passed over")
+}
+
+func TestBadInputIsNamed(t *testing.T) {
+	for name, c := range map[string]struct{ input, want string }{
+		"no JSON":       {"nonsense\n", "input line 1: not a JSON object"},
+		"no parts":      {"{\"t\":1}\n", `field "parts" is missing`},
+		"no door":       {`{"t":1,"parts":[{"in":[]}]}`, `field "door_id" is missing`},
+		"missing field": {batch(born, `{"SUBMIT":{"op_id":"x"}}`), `door 3: event SUBMIT: field "ttl" is missing`},
+		"wrong type":    {batch(born, `{"VANISHED":{"op_id":4}}`), `door 3: event VANISHED: field "op_id" has the wrong type`},
+		"never born":    {batch(`{"BELL":{"cookie":0}}`), "door 3: event BELL for a door that was never born"},
+		"unknown word":  {batch(born, `{"UPDATE":{"how":"Odd"}}`), `field "how": unknown word "Odd"`},
+	} {
+		_, _, err := serve(silent, c.input)
+		assert.ErrorContains(t, err, c.want, name)
+	}
+}
+
+func TestUnknownEventIsNamedOnceAndUnknownKeysAreSkipped(t *testing.T) {
+	_, log, err := serve(silent, batch(born, `{"NEWS":{}}`, `{"NEWS":{}}`, `{"BELL":{"cookie":0,"extra":1}}`))
+	require.NoError(t, err)
+	assert.Equal(t, 1, strings.Count(log, "NEWS"))
+}
+
+func TestPanicBecomesGiveIn(t *testing.T) {
+	out, _, err := serve(func(float64, []gate.Event) []gate.Action { panic("broken") }, batch(born, listed))
+	require.NoError(t, err)
+	assert.JSONEq(t, `{"parts":[{"door_id":3,"out":[{"GIVE_IN":{"body_text":"panic: broken"}}]}]}`, out)
+}
+
+func TestMailIsSplitAndReadBack(t *testing.T) {
+	tell := gate.Tell{Slot: 123456}
+	for c := range 40 {
+		tell.Uses = append(tell.Uses, gate.Use{Customer: c, Units: [gate.ToldSlots]float64{float64(c), 2}})
+	}
+	x := newIndex()
+	for c := range tell.Uses {
+		x.add(strings.Repeat("a", nameDigits-2) + string(rune('0'+c/10)) + string(rune('0'+c%10)))
+	}
+	var uses []gate.Use
+	for _, text := range writeMail(tell, func(c int) string { return x.ids[c] }) {
+		assert.LessOrEqual(t, len(text), mailBytes)
+		slot, part, ok := readMail(text, x.find)
+		require.True(t, ok)
+		assert.Equal(t, tell.Slot, slot)
+		uses = append(uses, part...)
+	}
+	assert.Equal(t, tell.Uses, uses)
+	_, _, ok := readMail("hi 7", x.find)
+	assert.False(t, ok)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,6 +34,8 @@
 	priorDemand = 0.25 // share of the rate's worth of evidence that the even slice counts for
 	heardFor    = 15e3 // ms that a word of others' use is believed
 	meterLate   = 700  // ms from a meter period's end to its figure, where nothing better is known
+	tellLeast   = 100. // ms between words to the other doors, at least; a small part of any quota's burst
+	deafAfter   = 10.  // slots without a word after which the others count as not heard
 	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page)
 	debtShare   = 0.5  // share of its depth that a charge may put a bucket in debt
 
@@ -78,6 +80,8 @@
 			d.ended(e)
 		case gate.Streaming:
 			d.ops[e.Op].streaming = true
+		case gate.Heard:
+			d.heard(e)
 		case gate.Woken:
 			d.bell = false // not judged by the clock: a carrier may round the time asked for
 		case gate.Vanished:
@@ -87,6 +91,7 @@
 		}
 	}
 	d.tick()
+	d.tell()
 	d.settle()
 	return d.actions
 }
@@ -162,6 +167,9 @@
 	k.level = min(p.Depth, k.level+p.Rate*dt)
 	k.ceiling = min(p.CeilingDepth/float64(k.spread), k.ceiling+p.CeilingRate*dt/float64(k.spread))
 	k.demand *= math.Exp(-dt / demandSpan)
+	if d.terms.MailRate > 0 {
+		k.others *= math.Exp(-dt / demandSpan)
+	}
 	return k
 }
 
@@ -181,7 +189,11 @@
 // rate is the design's charge of units against a fill at rate x part.
 func (d *Door) shortfall(k *bucket, o *operation) (wait float64) {
 	p := &d.terms.Plans[k.plan]
-	if short := o.units + k.promised - k.level; p.Rate > 0 && short > 0 {
+	unheard := 0.0 // what the others will have sent since the last word of them
+	if d.hearing() {
+		unheard = k.others * d.tellEvery()
+	}
+	if short := o.units + k.promised + unheard - k.level; p.Rate > 0 && short > 0 {
 		wait = short / p.Rate
 	}
 	if short := o.units + k.promisedUnits - k.ceiling; p.CeilingRate > 0 && short > 0 {
@@ -194,7 +206,11 @@
 // at arrival they would fill up again during the hold, and a long hold's end would pass the ceiling.
 func (d *Door) promise(k *bucket, o *operation) {
 	o.promised = true
-	o.charge = min(o.units/d.part(k), max(o.units, k.level-k.promised+debtShare*d.terms.Plans[k.plan].Depth))
+	share := d.part(k)
+	if d.hearing() {
+		share = 1
+	}
+	o.charge = min(o.units/share, max(o.units, k.level-k.promised+debtShare*d.terms.Plans[k.plan].Depth))
 	k.promised += o.charge
 	k.promisedUnits += o.units
 }
@@ -216,13 +232,75 @@
 	if d.terms.MeterPeriod > 0 {
 		*k.sent.at(d.period(d.now)) += o.units
 	}
+	if d.terms.MailRate > 0 {
+		*k.told.at(d.slot()) += o.units
+	}
+}
+
+// Where doors may write to each other, each tells what it first sent, slot by slot. Others' use is then
+// taken from the bucket as it is heard, in place of the use presumed by part; when no door has been heard
+// for a few slots (lost messages, a cut link, a lone door) the bucket goes by part again.
+
+// tellEvery is the length of a slot: short, but the doors together fill no more than half of a door's mail.
+func (d *Door) tellEvery() float64 {
+	return max(tellLeast, 2*float64(d.terms.Doors-1)/d.terms.MailRate)
+}
+
+func (d *Door) slot() int64 { return int64(d.now / d.tellEvery()) }
+
+func (d *Door) hearing() bool {
+	return d.terms.MailRate > 0 && d.heardAt > 0 && d.now-d.heardAt < deafAfter*d.tellEvery()
+}
+
+// tell writes, after the end of a slot, what was sent in it and in the one before.
+func (d *Door) tell() {
+	if d.terms.MailRate == 0 || d.terms.Doors < 2 || d.now < d.tellAt {
+		return
+	}
+	slot := d.slot() - 1
+	d.tellAt = float64(slot+2) * d.tellEvery()
+	t := gate.Tell{Slot: slot}
+	for c := range d.buckets {
+		u, some := gate.Use{Customer: c}, false
+		for i := range u.Units {
+			if sum := d.buckets[c].told.at(slot - int64(i)); sum != nil && *sum > 0 {
+				u.Units[i], some = *sum, true
+			}
+		}
+		if some {
+			t.Uses = append(t.Uses, u)
+		}
+	}
+	d.actions = append(d.actions, t)
+}
+
+// heard takes another door's word, each slot once.
+func (d *Door) heard(e gate.Heard) {
+	d.heardAt = d.now
+	for _, u := range e.Uses {
+		k := &d.buckets[u.Customer]
+		if !k.known {
+			continue
+		}
+		d.fill(u.Customer, k.plan, k.spread)
+		for len(k.heardSlot) <= e.From {
+			k.heardSlot = append(k.heardSlot, 0)
+		}
+		for i, units := range u.Units {
+			if slot := e.Slot - int64(i); slot > k.heardSlot[e.From] {
+				k.level -= units
+				k.others += units / demandSpan
+			}
+		}
+		k.heardSlot[e.From], k.heard = max(k.heardSlot[e.From], e.Slot), d.now
+	}
 }
 
 // hear takes in the meter's word on a customer. What this door sent in the period that the figure speaks
 // of is taken off; the rest is the others'.
 func (d *Door) hear(k *bucket, use float64) {
 	p := &d.terms.Plans[k.plan]
-	if use < 0 || p.Rate == 0 || d.terms.MeterPeriod == 0 {
+	if use < 0 || p.Rate == 0 || d.terms.MeterPeriod == 0 || d.hearing() {
 		return
 	}
 	own := 0.0
@@ -715,7 +793,7 @@
 		d.actions = append(d.actions, gate.Forget{Customer: c})
 	}
 	d.forgets = d.forgets[:0]
-	if len(d.live) > 0 && !d.bell {
+	if (len(d.live) > 0 || d.terms.MailRate > 0) && !d.bell {
 		d.bell = true
 		d.actions = append(d.actions, gate.Wake{At: d.now + tickEvery})
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -232,3 +232,42 @@
 	assert.Len(t, d.ops[0].sends, 1)
 	assert.True(t, d.ops[1].held)
 }
+
+func TestOthersUseIsTakenOnceHoweverOftenHeard(t *testing.T) {
+	d := door(1)
+	d.terms.MailRate = 0.06
+	d.fill(0, plain, 3)
+	word := gate.Heard{From: 1, Slot: 1000, Uses: []gate.Use{{Units: [gate.ToldSlots]float64{2, 1}}}}
+	d.heard(word)
+	d.heard(word)
+	assert.Equal(t, 9.0, d.buckets[0].level)
+	word.Slot++ // repeats the 2 of slot 1000 as its older part
+	word.Uses[0].Units = [gate.ToldSlots]float64{0, 2}
+	d.heard(word)
+	assert.Equal(t, 9.0, d.buckets[0].level)
+}
+
+func TestBucketGoesByPartAgainWhenTheOthersFallSilent(t *testing.T) {
+	d := door(1)
+	d.terms.MailRate = 0.06
+	d.heard(gate.Heard{From: 1, Slot: 1000})
+	d.arrive(arriving(0, replayable, plain))
+	assert.Equal(t, 1.0, d.ops[0].charge)
+	d.now += deafAfter * d.tellEvery()
+	d.arrive(arriving(1, replayable, plain))
+	assert.InDelta(t, 3, d.ops[1].charge, 1e-9)
+}
+
+func TestEachSlotIsToldWithTheOneBefore(t *testing.T) {
+	d := door(1)
+	d.terms.MailRate = 0.06
+	d.arrive(arriving(0, replayable, plain))
+	d.send(0, 0)
+	d.now += d.tellEvery()
+	d.tell()
+	assert.Equal(t, gate.Tell{Slot: d.slot() - 1,
+		Uses: []gate.Use{{Units: [gate.ToldSlots]float64{1, 0}}}}, d.actions[0])
+	d.now += d.tellEvery()
+	d.tell()
+	assert.Equal(t, [gate.ToldSlots]float64{0, 1}, d.actions[1].(gate.Tell).Uses[0].Units)
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -53,6 +53,8 @@
 	others        float64 // use by other doors as heard, units/ms
 	heard         float64 // clock when others was last heard, ms
 	sent          ring    // units first sent here, by meter period
+	told          ring    // units first sent here, by slot of Tell
+	heardSlot     []int64 // latest slot heard, by door
 	out           int     // transmissions out
 	open          int     // operations not over
 }
@@ -153,5 +155,7 @@
 	changed []int
 	ask     bool // the list must be asked for
 	forgets []int
+	tellAt  float64 // clock of the next Tell
+	heardAt float64 // clock when any other door was last heard
 	actions []gate.Action
 }
