Use counted on the shared counter where there is one; others' use makes no debt

Calls in lumps of a fifth of the depth while a bucket is full, at every turn when it is under half; epochs of 30 s. A failed call sends the buckets back to their part until the next answer.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -76,6 +76,7 @@
 	MaxRetryAfter    float64 // longest advice a client follows, ms; 0 where none may be given
 	MeterPeriod      float64 // period over which the meter totals use, ms; 0 means no meter
 	MailRate         float64 // messages per ms that a door takes in; 0 where doors may not write
+	Counter          bool    // a shared counter may be called
 	MustAsk          bool    // changes of the fleet list come only after Track
 	ColdFrom         float64 // a backend starts with this share of its capacity or more
 	ColdFor          float64 // and is warm no later than this, ms
@@ -158,9 +159,10 @@
 }
 
 type Counted struct {
-	Name   uint64
-	Result Result
-	Total  float64
+	Customer int
+	Epoch    int64
+	Result   Result
+	Total    float64
 }
 
 // Action is one of the action types below.
@@ -188,7 +190,7 @@
 type Wake struct{ At float64 }
 
 // Probe tests a backend; Tell tells all other doors what this one sent in its latest slots of time, which
-// it numbers as it likes; Count adds to a shared number.
+// it numbers as it likes; Count adds to the customer's shared number.
 type Probe struct{ Backend int }
 
 type Tell struct {
@@ -197,9 +199,10 @@
 }
 
 type Count struct {
-	Name uint64
-	Add  float64
-	Keep float64 // ms
+	Customer int
+	Epoch    int64   // a number of its own for each epoch; the same customer's is shared by all doors
+	Add      float64 // units
+	Keep     float64 // forgotten after this time, ms
 }
 
 // Track subscribes to changes of the fleet list.
--- a/internal/wire/door.go
+++ b/internal/wire/door.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 
 	"github.com/swifthall/swifthall/gate"
 )
@@ -51,12 +52,14 @@
 	ops, backends, customers, zones, cells index
 	out                                    []int  // transmissions outstanding, by operation
 	over                                   []bool // final answer known, by operation
-	closing                                []int  // operations that may be droppable at the end of the batch
+	counts                                 map[uint64]*counting
+	closing                                []int // operations that may be droppable at the end of the batch
 }
 
 func newDoor(profiles, plans map[string]int) *door {
 	return &door{profiles: profiles, plans: plans, ops: newIndex(), backends: newIndex(),
-		customers: newIndex(), zones: newIndex(), cells: newIndex()}
+		customers: newIndex(), zones: newIndex(), cells: newIndex(),
+		counts: map[uint64]*counting{}}
 }
 
 // endBatch frees the indices of operations that are over with nothing outstanding.
@@ -103,10 +106,7 @@
 		}
 		return ev
 	},
-	"TOTAL": func(_ *door, f *fields) gate.Event {
-		return gate.Counted{Name: need[uint64](f, "cname"), Result: choice(f, "outcome", results),
-			Total: maybe[float64](f, "total")}
-	},
+	"TOTAL": (*door).counted,
 }
 
 func (d *door) backend(f *fields) int {
@@ -187,6 +187,49 @@
 	return ev
 }
 
+// countName names a customer's number for an epoch, the same at every door.
+func countName(customer string, epoch int64) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s/%d", customer, epoch)
+	return h.Sum64() >> 1
+}
+
+// counting is a customer's number that was called for and not yet answered.
+type counting struct {
+	customer string
+	epoch    int64
+	calls    int
+}
+
+func (d *door) counted(f *fields) gate.Event {
+	name := need[uint64](f, "cname")
+	ev := gate.Counted{Result: choice(f, "outcome", results), Total: maybe[float64](f, "total")}
+	c, called := d.counts[name]
+	if !called {
+		f.fail("cname", "was never called for")
+		return nil
+	}
+	if c.calls--; c.calls == 0 {
+		delete(d.counts, name)
+	}
+	var known bool
+	ev.Epoch = c.epoch
+	if ev.Customer, known = d.customers.find(c.customer); !known {
+		return nil
+	}
+	return ev
+}
+
+func (d *door) count(a gate.Count) map[string]any {
+	id := d.customers.ids[a.Customer]
+	name := countName(id, a.Epoch)
+	if d.counts[name] == nil {
+		d.counts[name] = &counting{customer: id, epoch: a.Epoch}
+	}
+	d.counts[name].calls++
+	return map[string]any{"INCR": map[string]any{"cname": name, "qty": a.Add, "keep_for": a.Keep / msPerSecond}}
+}
+
 func (d *door) streaming(f *fields) gate.Event {
 	op, known := d.op(f)
 	ev := gate.Streaming{Op: op, Transmission: need[int](f, "send_no")}
@@ -232,8 +275,7 @@
 	case gate.Probe:
 		return map[string]any{"SOUND_OUT": map[string]any{"backend": d.backends.ids[a.Backend]}}
 	case gate.Count:
-		return map[string]any{"INCR": map[string]any{"cname": a.Name, "qty": a.Add,
-			"keep_for": a.Keep / msPerSecond}}
+		return d.count(a)
 	case gate.Track:
 		return map[string]any{"TRACK": map[string]any{"enable": true}}
 	case gate.Forget:
--- a/internal/wire/terms.go
+++ b/internal/wire/terms.go
@@ -42,6 +42,7 @@
 		Extra struct {
 			Metering float64 `json:"metering"`
 			MailPerS float64 `json:"mail_per_s"`
+			Counter  bool    `json:"counter"`
 		} `json:"extra"`
 		Limits struct {
 			Cancel        bool    `json:"cancel"`
@@ -65,7 +66,7 @@
 		Doors: s.FleetSize, Number: s.MyNumber,
 		MaxTransmissions: s.Limits.MaxAttempts, SecondCopies: s.Limits.SecondCopies,
 		MayCancel: s.Limits.Cancel, MeterPeriod: s.Extra.Metering * msPerSecond,
-		MustAsk:  s.Registry == "ask",
+		Counter: s.Extra.Counter, MustAsk: s.Registry == "ask",
 		ColdFrom: s.Safety.ColdFrom, ColdFor: s.Safety.Cold * msPerSecond,
 		FallMultiple: s.Safety.FallMultiple, FallWindow: s.Safety.TipAfter * msPerSecond,
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,12 @@
 	meterLate   = 700  // ms from a meter period's end to its figure, where nothing better is known
 	tellLeast   = 100. // ms between words to the other doors, at least; a small part of any quota's burst
 	deafAfter   = 10.  // slots without a word after which the others count as not heard
+	countEvery  = 250. // ms between calls for one customer, at least
+	countBlind  = 500. // ms of others' use that may be unheard behind the last call, at most
+	countNear   = 0.5  // share of its depth under which a bucket is counted at every turn
+	countLump   = 0.2  // share of its depth that may be sent uncounted while the bucket is fuller than that
+	countRest   = 1e3  // ms without calls for a customer after a failed one
+	countEpoch  = 30e3 // ms that a number serves; the counter keeps one for 60 s at most
 	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page)
 	debtShare   = 0.5  // share of its depth that a charge may put a bucket in debt
 
@@ -82,6 +88,8 @@
 			d.ops[e.Op].streaming = true
 		case gate.Heard:
 			d.heard(e)
+		case gate.Counted:
+			d.counted(e)
 		case gate.Woken:
 			d.bell = false // not judged by the clock: a carrier may round the time asked for
 		case gate.Vanished:
@@ -91,7 +99,6 @@
 		}
 	}
 	d.tick()
-	d.tell()
 	d.settle()
 	return d.actions
 }
@@ -141,6 +148,9 @@
 	k.demand += o.units / demandSpan
 	k.open++
 	if wait := d.shortfall(k, o); wait > 0 {
+		if d.terms.Counter {
+			d.wantCount(e.Customer)
+		}
 		d.reject(e.Op, wait)
 		return
 	}
@@ -167,7 +177,7 @@
 	k.level = min(p.Depth, k.level+p.Rate*dt)
 	k.ceiling = min(p.CeilingDepth/float64(k.spread), k.ceiling+p.CeilingRate*dt/float64(k.spread))
 	k.demand *= math.Exp(-dt / demandSpan)
-	if d.terms.MailRate > 0 {
+	if d.terms.MailRate > 0 || d.terms.Counter {
 		k.others *= math.Exp(-dt / demandSpan)
 	}
 	return k
@@ -190,7 +200,9 @@
 func (d *Door) shortfall(k *bucket, o *operation) (wait float64) {
 	p := &d.terms.Plans[k.plan]
 	unheard := 0.0 // what the others will have sent since the last word of them
-	if d.hearing() {
+	if d.terms.Counter {
+		unheard = k.others * min(d.now-k.heard, countBlind)
+	} else if d.hearing() {
 		unheard = k.others * d.tellEvery()
 	}
 	if short := o.units + k.promised + unheard - k.level; p.Rate > 0 && short > 0 {
@@ -235,6 +247,81 @@
 	if d.terms.MailRate > 0 {
 		*k.told.at(d.slot()) += o.units
 	}
+	if d.terms.Counter {
+		k.count.pending += o.units
+		d.wantCount(o.customer)
+	}
+}
+
+// Where there is a shared counter, each customer has a number on it for each epoch, to which the doors add
+// what they first sent; what the total holds beyond a door's own is the others' use. Calls cost, so a
+// customer far from its quota is counted in lumps, and one near it as it sends or is turned away.
+
+// wantCount asks for a call where one is worth it.
+func (d *Door) wantCount(customer int) {
+	k := &d.buckets[customer]
+	c, p := &k.count, &d.terms.Plans[k.plan]
+	near := k.level < countNear*p.Depth
+	if p.Rate == 0 || c.wanted || c.calling || d.now < c.next || !near && c.pending < countLump*p.Depth {
+		return
+	}
+	c.wanted = true
+	d.calls = append(d.calls, customer)
+}
+
+// call makes the calls that are wanted. A new epoch starts every number afresh.
+func (d *Door) call() {
+	for _, customer := range d.calls {
+		c := &d.buckets[customer].count
+		if epoch := int64(d.now / countEpoch); epoch != c.epoch {
+			*c = counting{pending: c.pending, epoch: epoch}
+		}
+		c.wanted, c.calling, c.asked, c.pending = false, true, c.pending, 0
+		c.next = d.now + countEvery
+		d.actions = append(d.actions, gate.Count{Customer: customer, Epoch: c.epoch, Add: c.asked,
+			Keep: 2 * countEpoch})
+	}
+	d.calls = d.calls[:0]
+}
+
+// counted takes a call's answer. Units that may have been added count as added: added twice, they would
+// keep the other doors from a quota that has room.
+func (d *Door) counted(e gate.Counted) {
+	if e.Customer >= len(d.buckets) || !d.buckets[e.Customer].known {
+		return
+	}
+	k := &d.buckets[e.Customer]
+	c := &k.count
+	c.calling = false
+	d.deaf = e.Result != gate.Finished
+	if e.Result.NeverRan() {
+		c.pending += c.asked
+	} else {
+		c.own += c.asked
+	}
+	if d.deaf {
+		c.next = d.now + countRest
+		return
+	}
+	if e.Epoch != c.epoch {
+		return
+	}
+	d.fill(e.Customer, k.plan, k.spread)
+	use := max(0, e.Total-c.own-c.others)
+	c.others += use
+	if !c.known { // what was used before the first look has been filling up since the epoch began
+		c.known = true
+		use = max(0, use-d.terms.Plans[k.plan].Rate*(d.now-float64(c.epoch)*countEpoch))
+	}
+	k.use(use)
+	k.heard = d.now
+}
+
+// use takes others' use from a bucket, but never into debt: what was sent beyond the quota took nothing
+// from it. Without that floor one error would stand for ever where the others use all that fills.
+func (k *bucket) use(units float64) {
+	k.level = max(k.level-units, min(k.level, 0))
+	k.others += units / demandSpan
 }
 
 // Where doors may write to each other, each tells what it first sent, slot by slot. Others' use is then
@@ -249,6 +336,9 @@
 func (d *Door) slot() int64 { return int64(d.now / d.tellEvery()) }
 
 func (d *Door) hearing() bool {
+	if d.terms.Counter {
+		return !d.deaf
+	}
 	return d.terms.MailRate > 0 && d.heardAt > 0 && d.now-d.heardAt < deafAfter*d.tellEvery()
 }
 
@@ -288,8 +378,7 @@
 		}
 		for i, units := range u.Units {
 			if slot := e.Slot - int64(i); slot > k.heardSlot[e.From] {
-				k.level -= units
-				k.others += units / demandSpan
+				k.use(units)
 			}
 		}
 		k.heardSlot[e.From], k.heard = max(k.heardSlot[e.From], e.Slot), d.now
@@ -789,6 +878,8 @@
 		}
 	}
 	d.changed = d.changed[:0]
+	d.tell()
+	d.call()
 	for _, c := range d.forgets {
 		d.actions = append(d.actions, gate.Forget{Customer: c})
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -271,3 +271,29 @@
 	d.tell()
 	assert.Equal(t, [gate.ToldSlots]float64{0, 1}, d.actions[1].(gate.Tell).Uses[0].Units)
 }
+
+func TestOthersUsePutsNoBucketIntoDebt(t *testing.T) {
+	k := bucket{level: 3}
+	k.use(10)
+	assert.Zero(t, k.level)
+}
+
+func TestCountTellsOthersUseFromOwn(t *testing.T) {
+	d := door(1)
+	d.terms.Counter = true
+	d.fill(0, plain, 3).level = 6
+	d.buckets[0].count = counting{epoch: 3, known: true, own: 4, others: 1, asked: 2, calling: true}
+	d.counted(gate.Counted{Epoch: 3, Total: 10})
+	assert.Equal(t, 3.0, d.buckets[0].level)
+	assert.Equal(t, counting{epoch: 3, known: true, own: 6, others: 4, asked: 2}, d.buckets[0].count)
+}
+
+func TestLostCountFallsBackToPart(t *testing.T) {
+	d := door(1)
+	d.terms.Counter = true
+	d.fill(0, plain, 3)
+	d.buckets[0].count = counting{asked: 2, calling: true}
+	d.counted(gate.Counted{Result: gate.Unreachable})
+	assert.False(t, d.hearing())
+	assert.Equal(t, 2.0, d.buckets[0].count.pending, "nothing was added")
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -44,19 +44,33 @@
 type bucket struct {
 	known         bool
 	plan, spread  int
-	level         float64 // what the customer's quota is thought to hold, units
-	ceiling       float64 // what this door's slice of the ceiling holds, units
-	promised      float64 // charges of held operations, units
-	promisedUnits float64 // units of held operations
-	filled        float64 // clock of the last fill, ms
-	demand        float64 // units asked here lately, units/ms
-	others        float64 // use by other doors as heard, units/ms
-	heard         float64 // clock when others was last heard, ms
-	sent          ring    // units first sent here, by meter period
-	told          ring    // units first sent here, by slot of Tell
-	heardSlot     []int64 // latest slot heard, by door
-	out           int     // transmissions out
-	open          int     // operations not over
+	level         float64  // what the customer's quota is thought to hold, units
+	ceiling       float64  // what this door's slice of the ceiling holds, units
+	promised      float64  // charges of held operations, units
+	promisedUnits float64  // units of held operations
+	filled        float64  // clock of the last fill, ms
+	demand        float64  // units asked here lately, units/ms
+	others        float64  // use by other doors as heard, units/ms
+	heard         float64  // clock when others was last heard, ms
+	sent          ring     // units first sent here, by meter period
+	told          ring     // units first sent here, by slot of Tell
+	heardSlot     []int64  // latest slot heard, by door
+	count         counting // this customer's part of the shared counter
+	out           int      // transmissions out
+	open          int      // operations not over
+}
+
+// counting is a customer's number on the shared counter as this door knows it.
+type counting struct {
+	wanted  bool    // a call is wanted
+	calling bool    // a call is out
+	asked   float64 // units that it adds
+	pending float64 // units sent since, not yet added
+	epoch   int64   // of own and others
+	known   bool    // others was read in this epoch
+	own     float64 // units added by this door
+	others  float64 // units added by the others
+	next    float64 // clock before which no call is made
 }
 
 // ring holds sums for the latest slots of a numbered sequence.
@@ -155,6 +169,8 @@
 	changed []int
 	ask     bool // the list must be asked for
 	forgets []int
+	calls   []int   // customers whose call is wanted
+	deaf    bool    // the counter's last answer was a failure
 	tellAt  float64 // clock of the next Tell
 	heardAt float64 // clock when any other door was last heard
 	actions []gate.Action
