A held operation must have the time for a slow answer left; lumps by the customer's doors

The hold itself ate the contract time: holds settled just under it. Covers any lasting pressure, whatever slows the fleet; may reject early where one profile alone turns slow.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,6 +21,7 @@
 	// The delay controller.
 	alpha       = 6    // finish intervals of hold for each operation of backlog; rejects near the contract time
 	marginShare = 0.15 // share of the contract time that latency may exceed its low by without any hold
+	tailTimes   = 5.0  // drains that a held operation must have left: slow ones take far more than the mean
 	smoothing   = 0.06 // weight of a new latency; some 16 samples, a second or two of one profile's traffic
 	lowAfter    = 16   // samples after which the smoothed latency may set a low; those that smoothing remembers
 	finishSpan  = 5e3  // ms over which the rate of finishing is averaged; some dozens of operations of a profile
@@ -39,7 +40,7 @@
 	countEvery  = 250. // ms between calls for one customer, at least
 	countBlind  = 500. // ms of others' use that may be unheard behind the last call, at most
 	countNear   = 0.5  // share of its depth under which a bucket is counted at every turn
-	countLump   = 0.2  // share of its depth that may be sent uncounted while the bucket is fuller than that
+	countLump   = 0.5  // share of its depth that all its doors may send uncounted while the bucket is fuller
 	countRest   = 1e3  // ms without calls for a customer after a failed one
 	countEpoch  = 30e3 // ms that a number serves; the counter keeps one for 60 s at most
 	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page)
@@ -262,7 +263,7 @@
 	k := &d.buckets[customer]
 	c, p := &k.count, &d.terms.Plans[k.plan]
 	near := k.level < countNear*p.Depth
-	if p.Rate == 0 || c.wanted || c.calling || d.now < c.next || !near && c.pending < countLump*p.Depth {
+	if p.Rate == 0 || c.wanted || c.calling || d.now < c.next || !near && c.pending < countLump*p.Depth/float64(k.spread) {
 		return
 	}
 	c.wanted = true
@@ -469,7 +470,7 @@
 // after the client has gone. Behind the hold the operation waits for what is in flight to drain.
 func (d *Door) tooLong(o *operation, hold float64) bool {
 	left := min(o.until, o.came+d.terms.Profiles[o.profile].Contract) - d.now
-	return hold > 0 && hold+max(d.low(o.profile), d.drain(o.profile)) > left
+	return hold > 0 && hold+tailTimes*max(d.low(o.profile), d.drain(o.profile)) > left
 }
 
 // ---- Release and choice of backend ----
