--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,8 +19,8 @@
 
 const (
 	// The delay controller.
-	alpha       = 6    // finish intervals of hold for each operation of backlog; rejects near the contract time
-	marginShare = 0.15 // share of the contract time that latency may exceed its low by without any hold
+	alpha       = 6.0  // finish intervals of hold for each operation of backlog; rejects near the contract time
+	marginShare = 0.2  // share of the contract time that latency may exceed its low by without any hold
 	tailTimes   = 5.0  // drains that a held operation must have left: slow ones take far more than the mean
 	smoothing   = 0.06 // weight of a new latency; some 16 samples, a second or two of one profile's traffic
 	lowAfter    = 16   // samples after which the smoothed latency may set a low; those that smoothing remembers
@@ -739,6 +739,8 @@
 		d.sample(o.profile, min(e.Latency, d.terms.Profiles[o.profile].Contract))
 	case gate.Full:
 		f.fullUntil[b] = d.now + fullRest
+		l := &d.lat[o.profile] // turned away is a sign of pressure too, and a sample that no latency gives
+		l.recent += smoothing * (d.terms.Profiles[o.profile].Contract - l.recent)
 	case gate.Errored, gate.Unreachable, gate.Reset:
 		d.doubt(b, failNats)
 	}
