Doors take what refills an empty bucket at levels drawn apart

Each door now waits for up to two operations' worth more, drawn anew after each, in step with the others' part of the demand. Covers any race for the last units, whatever delays the word. May harm: a bucket in dispute keeps an operation's units unused.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,6 +43,7 @@
 	countLump   = 0.5  // share of its depth that all its doors may send uncounted while the bucket is fuller
 	countRest   = 1e3  // ms without calls for a customer after a failed one
 	countEpoch  = 30e3 // ms that a number serves; the counter keeps one for 60 s at most
+	barSpan     = 2.0  // of an operation's units by which doors differ in when they take what fills a bucket
 	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page)
 	debtShare   = 0.5  // share of its depth that a charge may put a bucket in debt
 
@@ -201,10 +202,13 @@
 func (d *Door) shortfall(k *bucket, o *operation) (wait float64) {
 	p := &d.terms.Plans[k.plan]
 	unheard := 0.0 // what the others will have sent since the last word of them
+	if d.hearing() {
+		unheard = k.bar * barSpan * (1 - d.part(k)) * o.units
+	}
 	if d.terms.Counter {
-		unheard = k.others * min(d.now-k.heard, countBlind)
+		unheard += k.others * min(d.now-k.heard, countBlind)
 	} else if d.hearing() {
-		unheard = k.others * d.tellEvery()
+		unheard += k.others * d.tellEvery()
 	}
 	if short := o.units + k.promised + unheard - k.level; p.Rate > 0 && short > 0 {
 		wait = short / p.Rate
@@ -240,6 +244,7 @@
 func (d *Door) draw(o *operation) {
 	k := d.fill(o.customer, o.plan, d.buckets[o.customer].spread)
 	d.unpromise(o)
+	k.bar = d.dice.roll()
 	k.level -= o.charge
 	k.ceiling -= o.units
 	if d.terms.MeterPeriod > 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -46,6 +46,7 @@
 	plan, spread  int
 	level         float64  // what the customer's quota is thought to hold, units
 	ceiling       float64  // what this door's slice of the ceiling holds, units
+	bar           float64  // place among the doors that wait for the same units, 0 to 1
 	promised      float64  // charges of held operations, units
 	promisedUnits float64  // units of held operations
 	filled        float64  // clock of the last fill, ms
