A count known in one epoch is known in the next

At each turn of an epoch the others' use up to the first call was discounted as if it had long filled up.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -280,7 +280,7 @@
 	for _, customer := range d.calls {
 		c := &d.buckets[customer].count
 		if epoch := int64(d.now / countEpoch); epoch != c.epoch {
-			*c = counting{pending: c.pending, epoch: epoch}
+			*c = counting{pending: c.pending, epoch: epoch, known: c.known && epoch == c.epoch+1}
 		}
 		c.wanted, c.calling, c.asked, c.pending = false, true, c.pending, 0
 		c.next = d.now + countEvery
