--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,7 +40,7 @@
 	countEvery  = 250. // ms between calls for one customer, at least
 	countBlind  = 500. // ms of others' use that may be unheard behind the last call, at most
 	countNear   = 0.5  // share of its depth under which a bucket is counted at every turn
-	countLump   = 0.5  // share of its depth that all its doors may send uncounted while the bucket is fuller
+	countLump   = 0.25 // share of its depth that all its doors may send uncounted while the bucket is fuller
 	countRest   = 1e3  // ms without calls for a customer after a failed one
 	countEpoch  = 30e3 // ms that a number serves; the counter keeps one for 60 s at most
 	barSpan     = 2.0  // of an operation's units by which doors differ in when they take what fills a bucket
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -297,3 +297,25 @@
 	assert.False(t, d.hearing())
 	assert.Equal(t, 2.0, d.buckets[0].count.pending, "nothing was added")
 }
+
+func TestDoorsWaitForDifferentLevelsOfADisputedBucket(t *testing.T) {
+	d := door(1)
+	d.terms.Counter = true
+	k := d.fill(0, plain, 3)
+	k.level, k.heard, k.demand, k.others = 1.1, d.now, 0.001, 0.001
+	o := &operation{units: 1}
+	assert.Zero(t, d.shortfall(k, o))
+	k.bar = 0.9
+	assert.Positive(t, d.shortfall(k, o))
+}
+
+func TestNewEpochKeepsWhatIsKnown(t *testing.T) {
+	d := door(1)
+	d.terms.Counter = true
+	d.fill(0, plain, 3)
+	d.buckets[0].count = counting{known: true, epoch: int64(d.now/countEpoch) - 1, own: 5, others: 5, pending: 2}
+	d.calls = []int{0}
+	d.call()
+	assert.Equal(t, counting{calling: true, asked: 2, epoch: int64(d.now / countEpoch), known: true,
+		next: d.now + countEvery}, d.buckets[0].count)
+}
