A full backend rests for the plan it turned away; cold share 0.8

May harm where warm backends take far less than they could while a cold one is small; the budget is judged from what they take, so it errs low.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -57,10 +57,10 @@
 	paceWeight = 0.1  // weight of a new latency in a backend's pace; some 10 samples
 	mostJudged = 0.5  // share of the listed backends that may stand judged; more is the fleet's trouble
 	rescueAt   = 1.5  // expected latencies after which an operation on a judged backend is sent elsewhere
-	fullRest   = 100. // ms a backend that turned work away is left alone
+	fullRest   = 250. // ms a backend that turned work away is left alone
 
 	// The guards that the rules need.
-	coldShare = 0.5  // share of a cold backend's budget that the doors use; the rest is for chance
+	coldShare = 0.8  // share of a cold backend's budget that the doors use; the rest is for chance
 	workSpan  = 10e3 // ms over which work sent to a backend is averaged
 	roomPower = 2.0  // how fast thought room falls with own work out; 1 would fill backends too unevenly
 	lastLook  = 25.0 // ms before the client's wait ends at which a held operation gets its answer; over a tick
@@ -121,14 +121,15 @@
 		}
 	}
 	for _, n := range e.Entries {
-		f.grow(n.Backend + 1)
+		f.grow(n.Backend+1, len(d.terms.Plans))
 		b := n.Backend
 		f.up[b], f.zone[b], f.cell[b] = n.Status == gate.Up, n.Zone, n.Cell
 		if n.Size > 0 {
 			f.size[b] = n.Size
 		}
 		if n.Since != f.since[b] { // a new process: nothing held against the old one counts
-			f.since[b], f.doubt[b], f.judged[b], f.pace[b], f.fullUntil[b] = n.Since, 0, false, 1, 0
+			f.since[b], f.doubt[b], f.judged[b], f.pace[b] = n.Since, 0, false, 1
+			clear(f.fullUntil[b])
 		}
 	}
 }
@@ -530,7 +531,7 @@
 			}
 			continue
 		}
-		odds[b] = d.room(b)
+		odds[b] = d.room(b, o.plan)
 		for j := range o.sends { // another backend than one that already had it, where there is one
 			if o.sends[j].backend == b {
 				odds[b] *= 1e-3
@@ -556,9 +557,9 @@
 
 // room is what a backend is thought to have free: its size and pace, less for own work out, and weighed
 // by the chance that it works at all.
-func (d *Door) room(b int) float64 {
+func (d *Door) room(b, plan int) float64 {
 	f := &d.fleet
-	if d.now < f.fullUntil[b] {
+	if d.now < f.fullUntil[b][plan] {
 		return 0
 	}
 	well := 1 / (1 + math.Exp(f.doubt[b]-priorNats))
@@ -743,8 +744,10 @@
 		f.pace[b] = max(f.pace[b], 0.1)
 		d.sample(o.profile, min(e.Latency, d.terms.Profiles[o.profile].Contract))
 	case gate.Full:
-		f.fullUntil[b] = d.now + fullRest
-		l := &d.lat[o.profile] // turned away is a sign of pressure too, and a sample that no latency gives
+		// A back end may turn away one plan alone, so each plan learns for itself; but being turned
+		// away is a sign of pressure, and a sample that no latency gives.
+		f.fullUntil[b][o.plan] = d.now + fullRest
+		l := &d.lat[o.profile]
 		l.recent += smoothing * (d.terms.Profiles[o.profile].Contract - l.recent)
 	case gate.Errored, gate.Unreachable, gate.Reset:
 		d.doubt(b, failNats)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -181,8 +181,8 @@
 			sent++
 		}
 	}
-	// 0.5 of multiple 2 x warmth 0.2 x 0.5 x 2 s is 200 ms of work: two operations.
-	assert.Equal(t, 2, sent)
+	// coldShare of multiple 2 x warmth 0.2 x half a core x 2 s, in operations of 100 ms.
+	assert.Equal(t, int(coldShare*400/100), sent)
 }
 
 func TestSilenceIsJudgedAndAnswersClear(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -106,7 +106,7 @@
 	doubt      []float64   // evidence that the backend does not work, nats
 	judged     []bool      // the sequential test has ended against it
 	pace       []float64   // its latency over the fleet's
-	fullUntil  []float64   // turned work away; left alone until then
+	fullUntil  [][]float64 // turned work of a plan away; left alone for it until then
 	trialAt    []float64   // earliest next trial of a judged backend
 	trialGap   []float64   // time to the trial after that
 	work       []float64   // work sent lately, decaying, ms of work
@@ -116,12 +116,12 @@
 
 type workBit struct{ at, ms float64 }
 
-func (f *fleet) grow(n int) {
+func (f *fleet) grow(n, plans int) {
 	for len(f.up) < n {
 		f.up, f.zone, f.cell = append(f.up, false), append(f.zone, 0), append(f.cell, 0)
 		f.since, f.size, f.out = append(f.since, 0), append(f.size, 1), append(f.out, 0)
 		f.doubt, f.judged = append(f.doubt, 0), append(f.judged, false)
-		f.pace, f.fullUntil = append(f.pace, 1), append(f.fullUntil, 0)
+		f.pace, f.fullUntil = append(f.pace, 1), append(f.fullUntil, make([]float64, plans))
 		f.trialAt, f.trialGap = append(f.trialAt, 0), append(f.trialGap, 0)
 		f.work, f.workAt = append(f.work, 0), append(f.workAt, 0)
 		f.recent = append(f.recent, nil)
