--- a/policy/policy.go
+++ b/policy/policy.go
@@ -268,8 +268,8 @@
 func (d *Door) wantCount(customer int) {
 	k := &d.buckets[customer]
 	c, p := &k.count, &d.terms.Plans[k.plan]
-	near := k.level < countNear*p.Depth
-	if p.Rate == 0 || c.wanted || c.calling || d.now < c.next || !near && c.pending < countLump*p.Depth/float64(k.spread) {
+	near, lump := k.level < countNear*p.Depth, c.pending >= countLump*p.Depth/float64(k.spread)
+	if p.Rate == 0 || c.wanted || c.calling || d.now < c.next || !near && !lump {
 		return
 	}
 	c.wanted = true
