Retry-after under pressure is the drain of what is in flight

Shorter advice meets room sooner; a client that comes back too soon is rejected again at little cost.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -159,7 +159,7 @@
 	}
 	d.promise(k, o)
 	if hold := d.hold(o); d.tooLong(o, hold) {
-		d.reject(e.Op, hold)
+		d.reject(e.Op, d.drain(o.profile))
 	} else {
 		o.held = true
 		d.touch(e.Op)
@@ -492,7 +492,7 @@
 	// all end in the same later one, and put out a wave that no estimate had seen.
 	if len(o.sends) == 0 {
 		if rest := o.came + d.hold(o) - d.now; d.tooLong(o, rest) {
-			d.giveUp(i, rest)
+			d.giveUp(i, d.drain(o.profile))
 			return
 		} else if rest > 0 {
 			return
@@ -696,7 +696,7 @@
 		o.held = true
 		return
 	}
-	d.giveUp(e.Op, d.hold(o))
+	d.giveUp(e.Op, d.drain(o.profile))
 }
 
 // again tells whether any listed backend may get the operation once more.
