A best rate gives way in 20 s, apart from the low

Cause: after a zone is lost or a dependency slows, the best rate of before stood for a minute and the drain of what is in flight was thought too short. Covers any loss of capacity. May harm: a quiet spell forgets what the fleet can do, and the next burst is held until the rate is seen again.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,6 +26,7 @@
 	lowAfter    = 16   // samples after which the smoothed latency may set a low; those that smoothing remembers
 	finishSpan  = 5e3  // ms over which the rate of finishing is averaged; some dozens of operations of a profile
 	leastKnown  = 0.1  // least share of finishSpan that a rate is taken to be averaged over, after a start
+	bestDrift   = 20e3 // ms in which a best rate gives way after part of the fleet is lost
 	lowDrift    = 60e3 // ms in which a low or a best rate gives way to a lastingly heavier mix
 	firstGuess  = 0.1  // latency before any sample, as a share of the contract time
 	tickEvery   = 20.0 // ms between looks at what waits; small beside every contract time
@@ -785,7 +786,7 @@
 	l.rate = l.rate*math.Exp((l.lowAt-d.now)/finishSpan) + 1/finishSpan
 	known := max(1-math.Exp((d.born-d.now)/finishSpan), leastKnown)
 	drift := 1 - math.Exp((l.lowAt-d.now)/lowDrift)
-	l.best = max(l.rate/known, l.best*(1-drift))
+	l.best = max(l.rate/known, l.best*math.Exp((l.lowAt-d.now)/bestDrift))
 	if l.low += (l.recent - l.low) * drift; l.samples <= lowAfter || l.low > l.recent {
 		l.low = l.recent
 	}
