--- a/policy/policy.go
+++ b/policy/policy.go
@@ -64,6 +64,7 @@
 	coldShare = 0.8  // share of a cold backend's budget that the doors use; the rest is for chance
 	workSpan  = 10e3 // ms over which work sent to a backend is averaged
 	roomPower = 2.0  // how fast thought room falls with own work out; 1 would fill backends too unevenly
+	askRest   = 1e3  // ms between calls for the fleet list after one failed
 	lastLook  = 25.0 // ms before the client's wait ends at which a held operation gets its answer; over a tick
 )
 
@@ -113,7 +114,7 @@
 func (d *Door) list(e gate.Fleet) {
 	f := &d.fleet
 	if e.Failed {
-		d.ask = d.terms.MustAsk
+		d.ask, d.askAt = d.terms.MustAsk, d.now+askRest // a list service that fails is not helped by haste
 		return
 	}
 	if e.Complete {
@@ -862,7 +863,7 @@
 
 // settle emits, for all that changed, the difference between the wanted state and the present one.
 func (d *Door) settle() {
-	if d.ask {
+	if d.ask && d.now >= d.askAt {
 		d.ask = false
 		d.actions = append(d.actions, gate.Track{})
 	}
@@ -896,7 +897,7 @@
 		d.actions = append(d.actions, gate.Forget{Customer: c})
 	}
 	d.forgets = d.forgets[:0]
-	if (len(d.live) > 0 || d.terms.MailRate > 0) && !d.bell {
+	if (len(d.live) > 0 || d.terms.MailRate > 0 || d.ask) && !d.bell {
 		d.bell = true
 		d.actions = append(d.actions, gate.Wake{At: d.now + tickEvery})
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -319,3 +319,11 @@
 	assert.Equal(t, counting{calling: true, asked: 2, epoch: int64(d.now / countEpoch), known: true,
 		next: d.now + countEvery}, d.buckets[0].count)
 }
+
+func TestFailedListIsAskedForAgainButNotAtOnce(t *testing.T) {
+	d := door(1)
+	d.terms.MustAsk = true
+	assert.NotContains(t, d.Decide(d.now, []gate.Event{gate.Fleet{Failed: true}}), gate.Track{})
+	assert.Contains(t, d.Decide(d.now+askRest, nil), gate.Track{})
+	assert.NotContains(t, d.Decide(d.now+1, nil), gate.Track{})
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -168,7 +168,8 @@
 	bell    bool  // a Wake is pending
 	ticked  float64
 	changed []int
-	ask     bool // the list must be asked for
+	ask     bool    // the list must be asked for
+	askAt   float64 // clock before which it is not asked for
 	forgets []int
 	calls   []int   // customers whose call is wanted
 	deaf    bool    // the counter's last answer was a failure
