--- a/policy/policy.go
+++ b/policy/policy.go
@@ -442,15 +442,32 @@
 // few samples to know a rate, the low.
 func (d *Door) drain(profile int) float64 {
 	if l := &d.lat[profile]; l.samples >= lowAfter {
-		return float64(d.out[profile]) / l.best
+		return float64(d.waiting(profile)) / l.best
 	}
 	return d.low(profile)
 }
 
+// waiting counts a profile's operations in flight, less those out for longer than the contract time. They
+// are late already, and where answers are lost on the way they never come: a few would otherwise look
+// like a backlog for as long as clients wait, and keep out all that the back end could take.
+func (d *Door) waiting(profile int) int {
+	n := d.out[profile]
+	for _, i := range d.live {
+		if o := &d.ops[i]; o.profile == profile {
+			for j := range o.sends {
+				if s := &o.sends[j]; s.out() && d.now-s.at > d.terms.Profiles[profile].Contract {
+					n--
+				}
+			}
+		}
+	}
+	return n
+}
+
 // recent is a profile's recent latency. Silence gives no sample, so what is out longer than that adds its
 // excess, as one sample among those that the smoothing remembers. What waits at a judged backend is left
-// out, so that one silent backend does not look like a pressed fleet; and no operation counts for more
-// than its contract time, since the few old ones that remain after a wave say little about the next.
+// out, so that one silent backend does not look like a pressed fleet, and so is what is out for longer than
+// the contract time (see waiting).
 // A latency is seen only once it has passed: what is in flight will take its drain at least (Little's law),
 // and without that a surge is let in whole before its first slow answer.
 func (d *Door) recent(profile int) float64 {
@@ -467,7 +484,9 @@
 		}
 		for j := range o.sends {
 			if s := &o.sends[j]; s.out() && !d.fleet.judged[s.backend] {
-				overdue += max(0, min(d.now-s.at, contract)-recent)
+				if age := d.now - s.at; age < contract {
+					overdue += max(0, age-recent)
+				}
 			}
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -327,3 +327,17 @@
 	assert.Contains(t, d.Decide(d.now+askRest, nil), gate.Track{})
 	assert.NotContains(t, d.Decide(d.now+1, nil), gate.Track{})
 }
+
+func TestLostAnswersAreNoBacklog(t *testing.T) {
+	d := door(4)
+	for i := range 4 {
+		d.arrive(arriving(i, replayable, plain))
+		d.send(i, i)
+	}
+	d.settle()
+	assert.Equal(t, 4, d.waiting(replayable))
+	d.now += 1500 // past the contract time, not yet given up by the clients
+	assert.Zero(t, d.waiting(replayable))
+	assert.InDelta(t, 100, d.recent(replayable), 1)
+	assert.Zero(t, d.hold(&d.ops[0]))
+}
