Thought room falls with the cube of own work out

Cause: the draw sent to backends that already held work of this door while others stood idle. May harm where one backend is many times larger than the others.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -63,7 +63,7 @@
 	// The guards that the rules need.
 	coldShare = 0.8  // share of a cold backend's budget that the doors use; the rest is for chance
 	workSpan  = 10e3 // ms over which work sent to a backend is averaged
-	roomPower = 2.0  // how fast thought room falls with own work out; 1 would fill backends too unevenly
+	roomPower = 3.0  // how fast thought room falls with own work out; less leaves queues at some and others idle
 	askRest   = 1e3  // ms between calls for the fleet list after one failed
 	lastLook  = 25.0 // ms before the client's wait ends at which a held operation gets its answer; over a tick
 )
