Units are asked from a customer's home door where words to all doors come too late

Cause: at 50 to 250 doors a word to every door can come only every 2 to 8 s (the doors' mail is capped), and a bucket fresh at each of a wide set's doors lets one operation in at each. Now the set's first door keeps the bucket and the others ask it for units as they send; two next doors stand in when it is mute. The home keeps 0.6 of a ceiling, the rest is sliced for the others. Harm: a grant costs a way there and back; a home that restarts has a full bucket.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -92,7 +92,7 @@
 	Op, Profile, Plan, Customer int
 	TTL                         float64 // ms
 	Units                       float64 // drawn from the customer's quota
-	Spread                      int     // doors through which the customer's operations come
+	First, Spread               int     // doors through which the customer's operations come: Spread from First on
 }
 
 // Ended reports how one transmission ended.
@@ -149,6 +149,18 @@
 	Uses []Use
 }
 
+// Asked is another door's Ask, and Granted another door's answer to one of this door's.
+type Asked struct {
+	From, Seq                     int
+	Customer, Plan, First, Spread int
+	Units                         float64
+}
+
+type Granted struct {
+	From, Seq int
+	Wait      float64 // ms until there may be room; 0 where the units are granted
+}
+
 // ToldSlots is how many slots a Tell covers, so that a lost one is made good by the next.
 const ToldSlots = 2
 
@@ -205,6 +217,18 @@
 	Keep     float64 // forgotten after this time, ms
 }
 
+// Ask asks one door for units of a customer's quota, and Grant answers an Ask; Seq ties the two together.
+type Ask struct {
+	To, Seq                       int
+	Customer, Plan, First, Spread int
+	Units                         float64
+}
+
+type Grant struct {
+	To, Seq int
+	Wait    float64 // ms; 0 grants the units
+}
+
 // Track subscribes to changes of the fleet list.
 type Track struct{}
 
--- a/internal/wire/door.go
+++ b/internal/wire/door.go
@@ -99,12 +99,7 @@
 			Latency: maybe[float64](f, "latency") * msPerSecond}
 	},
 	"HEARD": func(d *door, f *fields) gate.Event {
-		ev := gate.Heard{From: need[int](f, "src")}
-		var ok bool
-		if ev.Slot, ev.Uses, ok = readMail(maybe[string](f, "contents"), d.customers.find); !ok {
-			return nil
-		}
-		return ev
+		return readMail(need[int](f, "src"), maybe[string](f, "contents"), &d.customers, len(d.plans))
 	},
 	"TOTAL": (*door).counted,
 }
@@ -154,8 +149,8 @@
 func (d *door) submit(f *fields) gate.Event {
 	id := need[string](f, "op_id")
 	ev := gate.Operation{TTL: need[float64](f, "ttl") * msPerSecond, Units: need[float64](f, "cost_units"),
-		Spread: need[int](f, "spread"), Profile: choice(f, "kind", d.profiles),
-		Plan: choice(f, "tier", d.plans)}
+		First: maybe[int](f, "first_door"), Spread: need[int](f, "spread"),
+		Profile: choice(f, "kind", d.profiles), Plan: choice(f, "tier", d.plans)}
 	customer := need[string](f, "customer")
 	if f.fault != nil {
 		return nil
@@ -248,6 +243,10 @@
 	return gate.Vanished{Op: op}
 }
 
+func writePeer(target any, text string) map[string]any {
+	return map[string]any{"WRITE_PEER": map[string]any{"target": target, "contents": text}}
+}
+
 // action words one action for the wire; nil where it concerns only the indices kept here.
 func (d *door) action(a gate.Action) map[string]any {
 	switch a := a.(type) {
@@ -270,6 +269,10 @@
 	case gate.Scrap:
 		d.end(a.Op)
 		return map[string]any{"LOSE": map[string]any{"op_id": d.ops.ids[a.Op]}}
+	case gate.Ask:
+		return writePeer(a.To, writeAsk(a, d.customers.ids[a.Customer]))
+	case gate.Grant:
+		return writePeer(a.To, writeGrant(a))
 	case gate.Wake:
 		return map[string]any{"SCHEDULE": map[string]any{"when": a.At / msPerSecond, "cookie": 0}}
 	case gate.Probe:
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -137,8 +137,8 @@
 	}
 	for _, a := range actions {
 		if t, ok := a.(gate.Tell); ok {
-			for _, text := range writeMail(t, func(c int) string { return d.customers.ids[c] }) {
-				out = append(out, map[string]any{"WRITE_PEER": map[string]any{"contents": text}})
+			for _, text := range writeTell(t, func(c int) string { return d.customers.ids[c] }) {
+				out = append(out, writePeer(nil, text))
 			}
 			continue
 		}
--- a/internal/wire/mail.go
+++ b/internal/wire/mail.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"fmt"
 	"math"
 	"strconv"
 	"strings"
@@ -8,8 +9,8 @@
 	"github.com/swifthall/swifthall/gate"
 )
 
-// A message between doors is its slot in base 36, a colon, and an entry for each customer: the end of the
-// customer's id and, for each slot told, the units in two digits.
+// A Tell is its slot in base 36, a colon, and an entry for each customer: the end of the customer's id and, for
+// each slot told, the units in two digits. An Ask or Grant is a mark and its figures, apart by commas.
 const (
 	mailBytes  = 256 // most bytes in a message
 	nameDigits = 9   // hexadecimal digits of a customer's id that messages carry; no two were ever alike
@@ -23,8 +24,8 @@
 	return id[max(0, len(id)-nameDigits):]
 }
 
-// writeMail words a message, in as many parts as it needs.
-func writeMail(t gate.Tell, name func(int) string) []string {
+// writeTell words a Tell, in as many parts as it needs.
+func writeTell(t gate.Tell, name func(int) string) []string {
 	head := strconv.FormatInt(t.Slot, 36) + ":"
 	var texts []string
 	b := strings.Builder{}
@@ -45,9 +46,34 @@
 	return append(texts, b.String())
 }
 
-// readMail reads one part; customers never seen here are left out, and ok is
-// false for anything that writeMail did not write.
-func readMail(text string, find func(string) (int, bool)) (slot int64, uses []gate.Use, ok bool) {
+func writeAsk(a gate.Ask, name string) string {
+	return fmt.Sprintf("?%d,%s,%d,%d,%d,%g", a.Seq, name, a.Plan, a.First, a.Spread, a.Units)
+}
+
+func writeGrant(a gate.Grant) string { return fmt.Sprintf("!%d,%g", a.Seq, a.Wait) }
+
+// readMail reads a message; nil is anything that was not written here.
+func readMail(from int, text string, customers *index, plans int) gate.Event {
+	asked, granted := gate.Asked{From: from}, gate.Granted{From: from}
+	if parts := strings.Split(text, ","); len(parts) == 6 && len(parts[1]) == nameDigits {
+		if _, err := fmt.Sscanf(strings.Join(append(parts[:1:1], parts[2:]...), ","), "?%d,%d,%d,%d,%g",
+			&asked.Seq, &asked.Plan, &asked.First, &asked.Spread, &asked.Units); err == nil && asked.Plan >= 0 && asked.Plan < plans {
+			asked.Customer = customers.add(parts[1])
+			return asked
+		}
+	}
+	if _, err := fmt.Sscanf(text, "!%d,%g", &granted.Seq, &granted.Wait); err == nil {
+		return granted
+	}
+	if slot, uses, ok := readTell(text, customers.find); ok {
+		return gate.Heard{From: from, Slot: slot, Uses: uses}
+	}
+	return nil
+}
+
+// readTell reads one part of a Tell; customers never seen here are left out, and ok is
+// false for anything that writeTell did not write.
+func readTell(text string, find func(string) (int, bool)) (slot int64, uses []gate.Use, ok bool) {
 	head, rest, found := strings.Cut(text, ":")
 	slot, err := strconv.ParseInt(head, 36, 64)
 	if !found || err != nil || len(rest)%entryBytes != 0 {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -116,14 +116,14 @@
 		x.add(strings.Repeat("a", nameDigits-2) + string(rune('0'+c/10)) + string(rune('0'+c%10)))
 	}
 	var uses []gate.Use
-	for _, text := range writeMail(tell, func(c int) string { return x.ids[c] }) {
+	for _, text := range writeTell(tell, func(c int) string { return x.ids[c] }) {
 		assert.LessOrEqual(t, len(text), mailBytes)
-		slot, part, ok := readMail(text, x.find)
+		slot, part, ok := readTell(text, x.find)
 		require.True(t, ok)
 		assert.Equal(t, tell.Slot, slot)
 		uses = append(uses, part...)
 	}
 	assert.Equal(t, tell.Uses, uses)
-	_, _, ok := readMail("hi 7", x.find)
+	_, _, ok := readTell("hi 7", x.find)
 	assert.False(t, ok)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,6 +46,14 @@
 	countEpoch  = 30e3 // ms that a number serves; the counter keeps one for 60 s at most
 	barSpan     = 2.0  // of an operation's units by which doors differ in when they take what fills a bucket
 	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page)
+	sweepEvery  = 1e3  // ms between looks for idle buckets; there may be thousands
+	seqSpan     = 1e6  // Asks are numbered from a random number under this, apart from a former life's
+	tellMost    = 250. // ms between words beyond which they come too late, and units are asked for instead
+	askFor      = 80.  // ms to wait for another door's answer; a few ways there and back
+	askTwice    = 2    // Asks without an answer in a row after which a door counts as mute; one may be lost
+	muteFor     = 1e3  // ms that a mute door is not asked
+	homes       = 3    // doors of a set that may be asked, the next one where those before are mute
+	homeCeiling = 0.6  // share of a ceiling that the home door keeps; over half of it covers the quota
 	debtShare   = 0.5  // share of its depth that a charge may put a bucket in debt
 
 	// Health of backends.
@@ -71,14 +79,14 @@
 // New returns the decisions of a door that has just started and knows nothing.
 func New(t gate.Terms, seed uint64) *Door {
 	return &Door{terms: t, dice: newDice(seed), ask: t.MustAsk, lat: make([]latency, len(t.Profiles)),
-		out: make([]int, len(t.Profiles)), born: -1}
+		out: make([]int, len(t.Profiles)), born: -1, peers: make([]peer, t.Doors)}
 }
 
 // Decide takes in one batch and returns what is to be done.
 func (d *Door) Decide(now float64, events []gate.Event) []gate.Action {
 	d.now, d.actions = now, d.actions[:0]
 	if d.born < 0 {
-		d.born, d.ticked = now, now
+		d.born, d.ticked, d.seq = now, now, int(d.dice.roll()*seqSpan)
 	}
 	for _, e := range events {
 		switch e := e.(type) {
@@ -92,6 +100,10 @@
 			d.ops[e.Op].streaming = true
 		case gate.Heard:
 			d.heard(e)
+		case gate.Asked:
+			d.asked(e)
+		case gate.Granted:
+			d.granted(e)
 		case gate.Counted:
 			d.counted(e)
 		case gate.Woken:
@@ -142,24 +154,29 @@
 	for len(d.ops) <= e.Op {
 		d.ops = append(d.ops, operation{})
 	}
-	for len(d.buckets) <= e.Customer {
-		d.buckets = append(d.buckets, bucket{})
-	}
 	o := &d.ops[e.Op]
 	*o = operation{profile: e.Profile, plan: e.Plan, customer: e.Customer, units: e.Units,
 		came: d.now, until: d.now + e.TTL, sends: o.sends[:0]}
 	d.live = append(d.live, e.Op)
-	k := d.fill(e.Customer, e.Plan, e.Spread)
+	k := d.fill(e.Customer, e.Plan, e.First, e.Spread)
 	k.demand += o.units / demandSpan
 	k.open++
-	if wait := d.shortfall(k, o); wait > 0 {
+	home, wait := d.home(k), 0.0
+	if home < 0 {
+		wait = d.shortfall(k, o.units)
+	} else if o.units >= k.barredUnits {
+		wait = k.barred - d.now
+	}
+	if wait > 0 {
 		if d.terms.Counter {
 			d.wantCount(e.Customer)
 		}
 		d.reject(e.Op, wait)
 		return
 	}
-	d.promise(k, o)
+	if home < 0 {
+		d.promise(k, o, true)
+	}
 	if hold := d.hold(o); d.tooLong(o, hold) {
 		d.reject(e.Op, d.drain(o.profile))
 	} else {
@@ -170,17 +187,25 @@
 
 // fill brings a customer's bucket up to the clock. The ceiling's slice starts empty: a door that has just
 // started does not know what its former life sent, and slices that only fill add up to the ceiling.
-func (d *Door) fill(customer, plan, spread int) *bucket {
+func (d *Door) fill(customer, plan, first, spread int) *bucket {
+	for len(d.buckets) <= customer {
+		d.buckets = append(d.buckets, bucket{})
+	}
 	k, p := &d.buckets[customer], &d.terms.Plans[plan]
-	if !k.known || k.plan != plan || k.spread != spread {
-		*k = bucket{known: true, plan: plan, spread: max(1, spread), level: p.Depth, filled: d.now,
+	if !k.known || k.plan != plan || k.first != first || k.spread != max(1, spread) {
+		*k = bucket{known: true, plan: plan, first: first, spread: max(1, spread), level: p.Depth, filled: d.now,
 			heard: math.Inf(-1), open: k.open, out: k.out, promised: k.promised,
 			promisedUnits: k.promisedUnits}
 	}
 	dt := d.now - k.filled
 	k.filled = d.now
 	k.level = min(p.Depth, k.level+p.Rate*dt)
-	k.ceiling = min(p.CeilingDepth/float64(k.spread), k.ceiling+p.CeilingRate*dt/float64(k.spread))
+	part := d.slice(k)
+	most := p.CeilingDepth
+	if d.asks() && d.place(k) == 0 { // what it grants is sent later, when the ceiling would have filled up
+		most -= 2 * askFor * p.CeilingRate
+	}
+	k.ceiling = min(most*part, k.ceiling+p.CeilingRate*dt*part)
 	k.demand *= math.Exp(-dt / demandSpan)
 	if d.terms.MailRate > 0 || d.terms.Counter {
 		k.others *= math.Exp(-dt / demandSpan)
@@ -202,35 +227,42 @@
 // shortfall tells how long the customer's quota or ceiling keeps the operation out, in ms; 0 lets it in.
 // The bucket is written in units of the whole quota: a charge of units/part against a fill at the whole
 // rate is the design's charge of units against a fill at rate x part.
-func (d *Door) shortfall(k *bucket, o *operation) (wait float64) {
+func (d *Door) shortfall(k *bucket, units float64) (wait float64) {
 	p := &d.terms.Plans[k.plan]
 	unheard := 0.0 // what the others will have sent since the last word of them
 	if d.hearing() {
-		unheard = k.bar * barSpan * (1 - d.part(k)) * o.units
+		unheard = k.bar * barSpan * (1 - d.part(k)) * units
 	}
 	if d.terms.Counter {
 		unheard += k.others * min(d.now-k.heard, countBlind)
 	} else if d.hearing() {
 		unheard += k.others * d.tellEvery()
 	}
-	if short := o.units + k.promised + unheard - k.level; p.Rate > 0 && short > 0 {
+	if short := units + k.promised + unheard - k.level; p.Rate > 0 && short > 0 {
 		wait = short / p.Rate
 	}
-	if short := o.units + k.promisedUnits - k.ceiling; p.CeilingRate > 0 && short > 0 {
-		wait = max(wait, short*float64(k.spread)/p.CeilingRate)
+	return max(wait, d.ceilingWait(k, units))
+}
+
+func (d *Door) ceilingWait(k *bucket, units float64) float64 {
+	rate := d.terms.Plans[k.plan].CeilingRate * d.slice(k)
+	if short := units + k.promisedUnits - k.ceiling; rate > 0 && short > 0 {
+		return short / rate
 	}
-	return wait
+	return 0
 }
 
 // promise sets an operation's units aside while it is held, and draw takes them when it is first sent. Taken
 // at arrival they would fill up again during the hold, and a long hold's end would pass the ceiling.
-func (d *Door) promise(k *bucket, o *operation) {
+func (d *Door) promise(k *bucket, o *operation, charged bool) {
 	o.promised = true
 	share := d.part(k)
-	if d.hearing() {
+	if d.hearing() || d.asks() && d.place(k) < homes {
 		share = 1
 	}
-	o.charge = min(o.units/share, max(o.units, k.level-k.promised+debtShare*d.terms.Plans[k.plan].Depth))
+	if o.charge = 0; charged {
+		o.charge = min(o.units/share, max(o.units, k.level-k.promised+debtShare*d.terms.Plans[k.plan].Depth))
+	}
 	k.promised += o.charge
 	k.promisedUnits += o.units
 }
@@ -245,15 +277,17 @@
 }
 
 func (d *Door) draw(o *operation) {
-	k := d.fill(o.customer, o.plan, d.buckets[o.customer].spread)
-	d.unpromise(o)
+	k := d.refill(o.customer)
 	k.bar = d.dice.roll()
-	k.level -= o.charge
-	k.ceiling -= o.units
+	if o.promised {
+		d.unpromise(o)
+		k.level -= o.charge
+		k.ceiling -= o.units
+	}
 	if d.terms.MeterPeriod > 0 {
 		*k.sent.at(d.period(d.now)) += o.units
 	}
-	if d.terms.MailRate > 0 {
+	if d.terms.MailRate > 0 && !d.asks() {
 		*k.told.at(d.slot()) += o.units
 	}
 	if d.terms.Counter {
@@ -315,7 +349,7 @@
 	if e.Epoch != c.epoch {
 		return
 	}
-	d.fill(e.Customer, k.plan, k.spread)
+	d.refill(e.Customer)
 	use := max(0, e.Total-c.own-c.others)
 	c.others += use
 	if !c.known { // what was used before the first look has been filling up since the epoch began
@@ -353,7 +387,7 @@
 
 // tell writes, after the end of a slot, what was sent in it and in the one before.
 func (d *Door) tell() {
-	if d.terms.MailRate == 0 || d.terms.Doors < 2 || d.now < d.tellAt {
+	if d.terms.MailRate == 0 || d.asks() || d.terms.Doors < 2 || d.now < d.tellAt {
 		return
 	}
 	slot := d.slot() - 1
@@ -381,7 +415,7 @@
 		if !k.known {
 			continue
 		}
-		d.fill(u.Customer, k.plan, k.spread)
+		d.refill(u.Customer)
 		for len(k.heardSlot) <= e.From {
 			k.heardSlot = append(k.heardSlot, 0)
 		}
@@ -394,6 +428,134 @@
 	}
 }
 
+// Where there are too many doors for that, a customer's set is often so wide that a door's part holds less
+// than one operation. The units then stay in one bucket, at the set's first door, and the others ask it
+// for what their demand needs as they send: the demand-weighted part, one operation at a time.
+
+func (d *Door) asks() bool { return d.terms.MailRate > 0 && d.tellEvery() > tellMost }
+
+// place is this door's place in a customer's set.
+func (d *Door) place(k *bucket) int {
+	return (d.terms.Number - k.first + d.terms.Doors) % d.terms.Doors
+}
+
+// home is the door to ask for a customer's units, or -1 where this one decides.
+func (d *Door) home(k *bucket) int {
+	for n := 0; d.asks() && n < min(k.spread, homes) && n != d.place(k); n++ {
+		if h := (k.first + n) % d.terms.Doors; d.now >= d.peers[h].mute {
+			return h
+		}
+	}
+	return -1
+}
+
+// slice is this door's part of a customer's ceiling. The home door grants from its own; the rest is for the
+// others, when they find it mute. Slices never move, so that they add up whatever is lost.
+func (d *Door) slice(k *bucket) float64 {
+	switch {
+	case !d.asks() || k.spread < 2:
+		return 1 / float64(k.spread)
+	case d.place(k) == 0:
+		return homeCeiling
+	}
+	return (1 - homeCeiling) / float64(k.spread-1)
+}
+
+// secure gets an operation's units from its customer's home door. A door that leaves two Asks in a row
+// unanswered counts as mute and the next is asked; where none is left, this door decides by its part. It
+// tells whether the operation has its units.
+func (d *Door) secure(i int) bool {
+	o := &d.ops[i]
+	k := &d.buckets[o.customer]
+	seq := 0
+	if o.seq > 0 {
+		if d.now < o.asked+askFor {
+			return false
+		}
+		p := &d.peers[o.home]
+		if p.unanswered++; p.unanswered >= askTwice {
+			p.mute = d.now + muteFor
+		} else {
+			seq = o.seq // by which the home door knows that it may have granted this one
+		}
+	}
+	if o.home = d.home(k); o.home >= 0 {
+		if seq == 0 {
+			d.seq++
+			seq = d.seq
+		}
+		o.seq, o.asked = seq, d.now
+		d.mail = append(d.mail, gate.Ask{To: o.home, Seq: seq, Customer: o.customer, Plan: o.plan,
+			First: k.first, Spread: k.spread, Units: o.units})
+		return false
+	}
+	o.seq = 0
+	d.refill(o.customer)
+	if wait := d.shortfall(k, o.units); wait > 0 {
+		d.giveUp(i, wait)
+		return false
+	}
+	d.promise(k, o, true)
+	return true
+}
+
+// asked answers another door's Ask. An answer may be lost, so the same Ask again gets the same answer.
+func (d *Door) asked(e gate.Asked) {
+	p := &d.peers[e.From]
+	p.unanswered, p.mute = 0, 0
+	if p.last.Seq != e.Seq {
+		k := d.fill(e.Customer, e.Plan, e.First, e.Spread)
+		wait := 0.0
+		if short := e.Units + k.promised - k.level; d.terms.Plans[k.plan].Rate > 0 && short > 0 {
+			wait = short / d.terms.Plans[k.plan].Rate
+		}
+		first := d.place(k) == 0
+		if first {
+			wait = max(wait, d.ceilingWait(k, e.Units))
+		}
+		if wait == 0 {
+			k.level -= e.Units
+			if first {
+				k.ceiling -= e.Units
+			}
+		}
+		p.last = gate.Grant{To: e.From, Seq: e.Seq, Wait: wait}
+	}
+	d.mail = append(d.mail, p.last)
+}
+
+// granted takes the home door's answer. What another than the first door grants, when that one is mute, must
+// fit this door's own slice of the ceiling.
+func (d *Door) granted(e gate.Granted) {
+	d.peers[e.From].unanswered, d.peers[e.From].mute = 0, 0
+	for _, i := range d.live {
+		o := &d.ops[i]
+		if o.seq != e.Seq || o.home != e.From || o.granted || o.want != undecided || len(o.sends) > 0 {
+			continue
+		}
+		k := d.refill(o.customer)
+		wait := e.Wait
+		if wait > 0 {
+			k.barred, k.barredUnits = d.now+wait, o.units
+		} else if e.From != k.first {
+			if wait = d.ceilingWait(k, o.units); wait == 0 {
+				d.promise(k, o, false)
+			}
+		}
+		if wait > 0 {
+			d.giveUp(i, wait)
+			return
+		}
+		o.granted, o.asked = true, d.now
+	}
+}
+
+// refill brings a known customer's bucket up to the clock.
+func (d *Door) refill(customer int) *bucket {
+	k := &d.buckets[customer]
+	return d.fill(customer, k.plan, k.first, k.spread)
+}
+
 // hear takes in the meter's word on a customer. What this door sent in the period that the figure speaks
 // of is taken off; the rest is the others'.
 func (d *Door) hear(k *bucket, use float64) {
@@ -511,7 +673,7 @@
 	}
 	// The hold follows the estimate while it lasts. Fixed at arrival, holds given in a quiet moment would
 	// all end in the same later one, and put out a wave that no estimate had seen.
-	if len(o.sends) == 0 {
+	if len(o.sends) == 0 && o.seq == 0 {
 		if rest := o.came + d.hold(o) - d.now; d.tooLong(o, rest) {
 			d.giveUp(i, d.drain(o.profile))
 			return
@@ -522,6 +684,14 @@
 	if d.crowded(o) {
 		return
 	}
+	if len(o.sends) == 0 && !o.granted && !o.promised && !d.secure(i) {
+		return
+	}
+	if o.granted && !o.promised && len(o.sends) == 0 && d.now > o.asked+askFor &&
+		d.terms.Plans[o.plan].CeilingRate > 0 {
+		d.giveUp(i, 0) // the home door's ceiling has filled up since
+		return
+	}
 	if b := d.pick(o); b >= 0 {
 		d.send(i, b)
 	}
@@ -703,7 +873,7 @@
 	k.out--
 	f.out[s.backend]--
 	d.out[o.profile]--
-	d.fill(o.customer, o.plan, k.spread)
+	d.refill(o.customer)
 	d.hear(k, e.Use)
 	d.judge(o, s, e)
 	if e.Over {
@@ -847,6 +1017,10 @@
 		}
 	}
 	d.live = keep
+	if d.now-d.swept < sweepEvery {
+		return
+	}
+	d.swept = d.now
 	for c := range d.buckets {
 		k := &d.buckets[c]
 		if k.known && k.open == 0 && d.now-k.filled > idleDrop {
@@ -910,13 +1084,15 @@
 		}
 	}
 	d.changed = d.changed[:0]
+	d.actions = append(d.actions, d.mail...)
+	d.mail = d.mail[:0]
 	d.tell()
 	d.call()
 	for _, c := range d.forgets {
 		d.actions = append(d.actions, gate.Forget{Customer: c})
 	}
 	d.forgets = d.forgets[:0]
-	if (len(d.live) > 0 || d.terms.MailRate > 0 || d.ask) && !d.bell {
+	if (len(d.live) > 0 || d.terms.MailRate > 0 && !d.asks() || d.ask) && !d.bell {
 		d.bell = true
 		d.actions = append(d.actions, gate.Wake{At: d.now + tickEvery})
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -82,7 +82,7 @@
 
 func TestPartIsEvenUntilOthersAreHeard(t *testing.T) {
 	d := door(1)
-	k := d.fill(0, plain, 3)
+	k := d.fill(0, plain, 0, 3)
 	k.demand = 0.001
 	assert.InDelta(t, 1.0/3, d.part(k), 1e-9)
 	d.hear(k, 0)
@@ -94,7 +94,7 @@
 
 func TestBeyondQuotaIsRejectedAtOnce(t *testing.T) {
 	d := door(1)
-	d.fill(0, plain, 3).level = 0.5
+	d.fill(0, plain, 0, 3).level = 0.5
 	d.arrive(arriving(0, replayable, plain))
 	assert.Equal(t, rejected, d.ops[0].want)
 	assert.InDelta(t, 250, d.ops[0].retryAfter, 1)
@@ -102,16 +102,16 @@
 
 func TestCeilingSliceStartsEmptyAndFillsByTheSlice(t *testing.T) {
 	d := door(1)
-	assert.Zero(t, d.fill(0, capped, 3).ceiling)
+	assert.Zero(t, d.fill(0, capped, 0, 3).ceiling)
 	d.now += 2000
-	assert.InDelta(t, 2, d.fill(0, capped, 3).ceiling, 1e-9)
+	assert.InDelta(t, 2, d.fill(0, capped, 0, 3).ceiling, 1e-9)
 	d.now += 1e6
-	assert.InDelta(t, 10, d.fill(0, capped, 3).ceiling, 1e-9)
+	assert.InDelta(t, 10, d.fill(0, capped, 0, 3).ceiling, 1e-9)
 }
 
 func TestUnitsAreTakenWhenSentNotWhenHeld(t *testing.T) {
 	d := door(1)
-	d.fill(0, capped, 3).ceiling = 10
+	d.fill(0, capped, 0, 3).ceiling = 10
 	d.arrive(arriving(0, replayable, capped))
 	d.now += 60e3 // a hold long enough to fill what it had taken
 	d.send(0, 0)
@@ -224,7 +224,7 @@
 
 func TestAtOnceQuotaHolds(t *testing.T) {
 	d := door(4)
-	d.fill(0, capped, 3).ceiling = 10
+	d.fill(0, capped, 0, 3).ceiling = 10
 	d.arrive(arriving(0, replayable, capped))
 	d.arrive(arriving(1, replayable, capped))
 	d.release(0)
@@ -236,7 +236,7 @@
 func TestOthersUseIsTakenOnceHoweverOftenHeard(t *testing.T) {
 	d := door(1)
 	d.terms.MailRate = 0.06
-	d.fill(0, plain, 3)
+	d.fill(0, plain, 0, 3)
 	word := gate.Heard{From: 1, Slot: 1000, Uses: []gate.Use{{Units: [gate.ToldSlots]float64{2, 1}}}}
 	d.heard(word)
 	d.heard(word)
@@ -281,7 +281,7 @@
 func TestCountTellsOthersUseFromOwn(t *testing.T) {
 	d := door(1)
 	d.terms.Counter = true
-	d.fill(0, plain, 3).level = 6
+	d.fill(0, plain, 0, 3).level = 6
 	d.buckets[0].count = counting{epoch: 3, known: true, own: 4, others: 1, asked: 2, calling: true}
 	d.counted(gate.Counted{Epoch: 3, Total: 10})
 	assert.Equal(t, 3.0, d.buckets[0].level)
@@ -291,7 +291,7 @@
 func TestLostCountFallsBackToPart(t *testing.T) {
 	d := door(1)
 	d.terms.Counter = true
-	d.fill(0, plain, 3)
+	d.fill(0, plain, 0, 3)
 	d.buckets[0].count = counting{asked: 2, calling: true}
 	d.counted(gate.Counted{Result: gate.Unreachable})
 	assert.False(t, d.hearing())
@@ -301,18 +301,18 @@
 func TestDoorsWaitForDifferentLevelsOfADisputedBucket(t *testing.T) {
 	d := door(1)
 	d.terms.Counter = true
-	k := d.fill(0, plain, 3)
+	k := d.fill(0, plain, 0, 3)
 	k.level, k.heard, k.demand, k.others = 1.1, d.now, 0.001, 0.001
 	o := &operation{units: 1}
-	assert.Zero(t, d.shortfall(k, o))
+	assert.Zero(t, d.shortfall(k, o.units))
 	k.bar = 0.9
-	assert.Positive(t, d.shortfall(k, o))
+	assert.Positive(t, d.shortfall(k, o.units))
 }
 
 func TestNewEpochKeepsWhatIsKnown(t *testing.T) {
 	d := door(1)
 	d.terms.Counter = true
-	d.fill(0, plain, 3)
+	d.fill(0, plain, 0, 3)
 	d.buckets[0].count = counting{known: true, epoch: int64(d.now/countEpoch) - 1, own: 5, others: 5, pending: 2}
 	d.calls = []int{0}
 	d.call()
--- a/policy/state.go
+++ b/policy/state.go
@@ -31,6 +31,9 @@
 	units, charge           float64
 	came, until             float64 // arrival and end of the client's wait, ms
 	held                    bool    // waiting for release
+	home, seq               int     // door asked for its units, and the number of that Ask; 0 is none
+	asked                   float64 // clock of the Ask, or of its grant, ms
+	granted                 bool    // the home door has granted its units
 	promised                bool    // its units are set aside
 	streaming               bool
 	want, given             verdict
@@ -43,12 +46,15 @@
 // bucket is a customer's state at this door.
 type bucket struct {
 	known         bool
-	plan, spread  int
+	plan          int
+	first, spread int      // the customer's doors
 	level         float64  // what the customer's quota is thought to hold, units
 	ceiling       float64  // what this door's slice of the ceiling holds, units
 	bar           float64  // place among the doors that wait for the same units, 0 to 1
 	promised      float64  // charges of held operations, units
 	promisedUnits float64  // units of held operations
+	barred        float64  // clock before which the home door has no room, ms
+	barredUnits   float64  // for operations of this many units or more
 	filled        float64  // clock of the last fill, ms
 	demand        float64  // units asked here lately, units/ms
 	others        float64  // use by other doors as heard, units/ms
@@ -175,5 +181,16 @@
 	deaf    bool    // the counter's last answer was a failure
 	tellAt  float64 // clock of the next Tell
 	heardAt float64 // clock when any other door was last heard
+	peers   []peer  // by number
+	seq     int     // of the latest Ask
+	mail    []gate.Action
+	swept   float64 // clock of the last look for idle buckets
 	actions []gate.Action
 }
+
+// peer is what is known of another door.
+type peer struct {
+	unanswered int        // Asks in a row
+	mute       float64    // not asked until then
+	last       gate.Grant // the latest answer to it
+}
