Words to all doors are gone: units are asked from the home door at every size

An Ask carries the most that the store can hold as the asker knows, so that a home that has restarted, or one that stands in, does not begin with a full bucket. What goes to one door is gathered over 40 ms, as three doors would else fill their mail. Replaces tell and heard. Harm: an operation waits a way there and back for its units.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -136,38 +136,25 @@
 	Entries          []Entry
 }
 
-// Probed, Heard and Counted answer Probe, another door's Tell, and Count.
+// Probed and Counted answer Probe and Count.
 type Probed struct {
 	Backend int
 	Result  Result
 	Latency float64
 }
 
-type Heard struct {
-	From int
-	Slot int64
-	Uses []Use
-}
-
 // Asked is another door's Ask, and Granted another door's answer to one of this door's.
 type Asked struct {
 	From, Seq                     int
 	Customer, Plan, First, Spread int
 	Units                         float64
+	Level                         float64 // the most that the quota's store can hold, as the asker knows
 }
 
 type Granted struct {
 	From, Seq int
 	Wait      float64 // ms until there may be room; 0 where the units are granted
-}
-
-// ToldSlots is how many slots a Tell covers, so that a lost one is made good by the next.
-const ToldSlots = 2
-
-// Use is what one door first sent for a customer in its latest slots, the newest first.
-type Use struct {
-	Customer int
-	Units    [ToldSlots]float64
+	Level     float64 // what the store holds now
 }
 
 type Counted struct {
@@ -201,15 +188,9 @@
 // Wake asks for a Woken at the given clock.
 type Wake struct{ At float64 }
 
-// Probe tests a backend; Tell tells all other doors what this one sent in its latest slots of time, which
-// it numbers as it likes; Count adds to the customer's shared number.
+// Probe tests a backend; Count adds to the customer's shared number.
 type Probe struct{ Backend int }
 
-type Tell struct {
-	Slot int64
-	Uses []Use
-}
-
 type Count struct {
 	Customer int
 	Epoch    int64   // a number of its own for each epoch; the same customer's is shared by all doors
@@ -222,11 +203,13 @@
 	To, Seq                       int
 	Customer, Plan, First, Spread int
 	Units                         float64
+	Level                         float64 // the most that the quota's store can hold, as the asker knows
 }
 
 type Grant struct {
 	To, Seq int
 	Wait    float64 // ms; 0 grants the units
+	Level   float64
 }
 
 // Track subscribes to changes of the fleet list.
--- a/internal/wire/door.go
+++ b/internal/wire/door.go
@@ -99,7 +99,9 @@
 			Latency: maybe[float64](f, "latency") * msPerSecond}
 	},
 	"HEARD": func(d *door, f *fields) gate.Event {
-		return readMail(need[int](f, "src"), maybe[string](f, "contents"), &d.customers, len(d.plans))
+		d.pending = append(d.pending, readMail(need[int](f, "src"), maybe[string](f, "contents"),
+			&d.customers, len(d.plans))...)
+		return nil
 	},
 	"TOTAL": (*door).counted,
 }
@@ -243,7 +245,7 @@
 	return gate.Vanished{Op: op}
 }
 
-func writePeer(target any, text string) map[string]any {
+func writePeer(target int, text string) map[string]any {
 	return map[string]any{"WRITE_PEER": map[string]any{"target": target, "contents": text}}
 }
 
@@ -269,10 +271,6 @@
 	case gate.Scrap:
 		d.end(a.Op)
 		return map[string]any{"LOSE": map[string]any{"op_id": d.ops.ids[a.Op]}}
-	case gate.Ask:
-		return writePeer(a.To, writeAsk(a, d.customers.ids[a.Customer]))
-	case gate.Grant:
-		return writePeer(a.To, writeGrant(a))
 	case gate.Wake:
 		return map[string]any{"SCHEDULE": map[string]any{"when": a.At / msPerSecond, "cookie": 0}}
 	case gate.Probe:
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -135,17 +135,16 @@
 	if text := guard(func() { actions = d.decider.Decide(now, d.pending) }); text != "" {
 		return append(out, giveIn(text)), nil
 	}
+	var mail letters
 	for _, a := range actions {
-		if t, ok := a.(gate.Tell); ok {
-			for _, text := range writeTell(t, func(c int) string { return d.customers.ids[c] }) {
-				out = append(out, writePeer(nil, text))
-			}
+		if mail.add(a, d.customers.ids) {
 			continue
 		}
 		if msg := d.action(a); msg != nil {
 			out = append(out, msg)
 		}
 	}
+	out = append(out, mail.messages()...)
 	d.endBatch()
 	return out, nil
 }
--- a/internal/wire/mail.go
+++ b/internal/wire/mail.go
@@ -2,21 +2,15 @@
 
 import (
 	"fmt"
-	"math"
-	"strconv"
 	"strings"
 
 	"github.com/swifthall/swifthall/gate"
 )
 
-// A Tell is its slot in base 36, a colon, and an entry for each customer: the end of the customer's id and, for
-// each slot told, the units in two digits. An Ask or Grant is a mark and its figures, apart by commas.
+// A message to another door is a line for each Ask and Grant: a mark and its figures, apart by commas.
 const (
 	mailBytes  = 256 // most bytes in a message
 	nameDigits = 9   // hexadecimal digits of a customer's id that messages carry; no two were ever alike
-	entryBytes = nameDigits + 2*gate.ToldSlots
-	mailDigits = "0123456789abcdefghijklmnopqrstuvwxyz"
-	mostUnits  = len(mailDigits)*len(mailDigits) - 1
 )
 
 // shortName is what customers are known by here and in messages.
@@ -24,74 +18,53 @@
 	return id[max(0, len(id)-nameDigits):]
 }
 
-// writeTell words a Tell, in as many parts as it needs.
-func writeTell(t gate.Tell, name func(int) string) []string {
-	head := strconv.FormatInt(t.Slot, 36) + ":"
-	var texts []string
-	b := strings.Builder{}
-	b.WriteString(head)
-	for _, u := range t.Uses {
-		if b.Len()+entryBytes > mailBytes {
-			texts = append(texts, b.String())
-			b.Reset()
-			b.WriteString(head)
-		}
-		b.WriteString(name(u.Customer))
-		for _, units := range u.Units {
-			n := max(0, min(mostUnits, int(math.Round(units))))
-			b.WriteByte(mailDigits[n/len(mailDigits)])
-			b.WriteByte(mailDigits[n%len(mailDigits)])
-		}
-	}
-	return append(texts, b.String())
+// letters gathers the Asks and Grants of one reply, in one message for each door where they fit.
+type letters struct {
+	to    []int
+	texts []string
 }
 
-func writeAsk(a gate.Ask, name string) string {
-	return fmt.Sprintf("?%d,%s,%d,%d,%d,%g", a.Seq, name, a.Plan, a.First, a.Spread, a.Units)
-}
-
-func writeGrant(a gate.Grant) string { return fmt.Sprintf("!%d,%g", a.Seq, a.Wait) }
-
-// readMail reads a message; nil is anything that was not written here.
-func readMail(from int, text string, customers *index, plans int) gate.Event {
-	asked, granted := gate.Asked{From: from}, gate.Granted{From: from}
-	if parts := strings.Split(text, ","); len(parts) == 6 && len(parts[1]) == nameDigits {
-		if _, err := fmt.Sscanf(strings.Join(append(parts[:1:1], parts[2:]...), ","), "?%d,%d,%d,%d,%g",
-			&asked.Seq, &asked.Plan, &asked.First, &asked.Spread, &asked.Units); err == nil && asked.Plan >= 0 && asked.Plan < plans {
-			asked.Customer = customers.add(parts[1])
-			return asked
-		}
-	}
-	if _, err := fmt.Sscanf(text, "!%d,%g", &granted.Seq, &granted.Wait); err == nil {
-		return granted
+func (l *letters) add(a gate.Action, names []string) bool {
+	to, text := 0, ""
+	switch a := a.(type) {
+	case gate.Ask:
+		to = a.To
+		text = fmt.Sprintf("?%d,%d,%d,%d,%g,%.2f,%s;", a.Seq, a.Plan, a.First, a.Spread, a.Units, a.Level,
+			names[a.Customer])
+	case gate.Grant:
+		to, text = a.To, fmt.Sprintf("!%d,%.1f,%.2f;", a.Seq, a.Wait, a.Level)
+	default:
+		return false
 	}
-	if slot, uses, ok := readTell(text, customers.find); ok {
-		return gate.Heard{From: from, Slot: slot, Uses: uses}
+	for i := range l.to {
+		if l.to[i] == to && len(l.texts[i])+len(text) <= mailBytes {
+			l.texts[i] += text
+			return true
+		}
 	}
-	return nil
+	l.to, l.texts = append(l.to, to), append(l.texts, text)
+	return true
 }
 
-// readTell reads one part of a Tell; customers never seen here are left out, and ok is
-// false for anything that writeTell did not write.
-func readTell(text string, find func(string) (int, bool)) (slot int64, uses []gate.Use, ok bool) {
-	head, rest, found := strings.Cut(text, ":")
-	slot, err := strconv.ParseInt(head, 36, 64)
-	if !found || err != nil || len(rest)%entryBytes != 0 {
-		return 0, nil, false
+func (l *letters) messages() (out []map[string]any) {
+	for i, to := range l.to {
+		out = append(out, writePeer(to, l.texts[i]))
 	}
-	for ; rest != ""; rest = rest[entryBytes:] {
-		u := gate.Use{}
-		for i := range u.Units {
-			n, err := strconv.ParseInt(rest[nameDigits+2*i:nameDigits+2*i+2], 36, 64)
-			if err != nil || n < 0 {
-				return 0, nil, false
-			}
-			u.Units[i] = float64(n)
-		}
-		if c, known := find(rest[:nameDigits]); known {
-			u.Customer = c
-			uses = append(uses, u)
+	return out
+}
+
+// readMail reads a message; what was not written here is passed over.
+func readMail(from int, text string, customers *index, plans int) (events []gate.Event) {
+	for _, line := range strings.Split(text, ";") {
+		a, g := gate.Asked{From: from}, gate.Granted{From: from}
+		name := ""
+		if n, _ := fmt.Sscanf(line, "!%d,%g,%g", &g.Seq, &g.Wait, &g.Level); n == 3 {
+			events = append(events, g)
+		} else if n, _ := fmt.Sscanf(line, "?%d,%d,%d,%d,%g,%g,%s", &a.Seq, &a.Plan, &a.First, &a.Spread,
+			&a.Units, &a.Level, &name); n == 7 && len(name) == nameDigits && a.Plan >= 0 && a.Plan < plans {
+			a.Customer = customers.add(name)
+			events = append(events, a)
 		}
 	}
-	return slot, uses, true
+	return events
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -106,24 +106,28 @@
 	assert.JSONEq(t, `{"parts":[{"door_id":3,"out":[{"GIVE_IN":{"body_text":"panic: broken"}}]}]}`, out)
 }
 
-func TestMailIsSplitAndReadBack(t *testing.T) {
-	tell := gate.Tell{Slot: 123456}
-	for c := range 40 {
-		tell.Uses = append(tell.Uses, gate.Use{Customer: c, Units: [gate.ToldSlots]float64{float64(c), 2}})
-	}
+func TestMailIsGatheredSplitAndReadBack(t *testing.T) {
 	x := newIndex()
-	for c := range tell.Uses {
-		x.add(strings.Repeat("a", nameDigits-2) + string(rune('0'+c/10)) + string(rune('0'+c%10)))
+	x.add("91f03b7c5")
+	var mail letters
+	want := map[int]int{}
+	for n := range 30 {
+		to := n % 2
+		want[to]++
+		assert.True(t, mail.add(gate.Ask{To: to, Seq: n, Spread: 9, Units: 2, Level: 1.25}, x.ids))
+		assert.True(t, mail.add(gate.Grant{To: to, Seq: n, Wait: 250, Level: 3}, x.ids))
 	}
-	var uses []gate.Use
-	for _, text := range writeTell(tell, func(c int) string { return x.ids[c] }) {
+	for i, text := range mail.texts {
 		assert.LessOrEqual(t, len(text), mailBytes)
-		slot, part, ok := readTell(text, x.find)
-		require.True(t, ok)
-		assert.Equal(t, tell.Slot, slot)
-		uses = append(uses, part...)
+		for _, ev := range readMail(5, text, &x, 1) {
+			if a, ok := ev.(gate.Asked); ok {
+				assert.Equal(t, gate.Asked{From: 5, Seq: a.Seq, Spread: 9, Units: 2, Level: 1.25}, a)
+				want[mail.to[i]]--
+			} else {
+				assert.Equal(t, 250.0, ev.(gate.Granted).Wait)
+			}
+		}
 	}
-	assert.Equal(t, tell.Uses, uses)
-	_, _, ok := readTell("hi 7", x.find)
-	assert.False(t, ok)
+	assert.Equal(t, map[int]int{0: 0, 1: 0}, want)
+	assert.Empty(t, readMail(5, "hi 7;?1,9,0,3,1,1,91f03b7c5;!x", &x, 1), "a plan that is not there, and noise")
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,8 +36,6 @@
 	priorDemand = 0.25 // share of the rate's worth of evidence that the even slice counts for
 	heardFor    = 15e3 // ms that a word of others' use is believed
 	meterLate   = 700  // ms from a meter period's end to its figure, where nothing better is known
-	tellLeast   = 100. // ms between words to the other doors, at least; a small part of any quota's burst
-	deafAfter   = 10.  // slots without a word after which the others count as not heard
 	countEvery  = 250. // ms between calls for one customer, at least
 	countBlind  = 500. // ms of others' use that may be unheard behind the last call, at most
 	countNear   = 0.5  // share of its depth under which a bucket is counted at every turn
@@ -48,8 +46,8 @@
 	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page)
 	sweepEvery  = 1e3  // ms between looks for idle buckets; there may be thousands
 	seqSpan     = 1e6  // Asks are numbered from a random number under this, apart from a former life's
-	tellMost    = 250. // ms between words beyond which they come too late, and units are asked for instead
-	askFor      = 80.  // ms to wait for another door's answer; a few ways there and back
+	mailEvery   = 40.  // ms between messages to one door; three doors then fill two thirds of theirs
+	askFor      = 120. // ms to wait for another door's answer; a few ways there and back
 	askTwice    = 2    // Asks without an answer in a row after which a door counts as mute; one may be lost
 	muteFor     = 1e3  // ms that a mute door is not asked
 	homes       = 3    // doors of a set that may be asked, the next one where those before are mute
@@ -98,8 +96,6 @@
 			d.ended(e)
 		case gate.Streaming:
 			d.ops[e.Op].streaming = true
-		case gate.Heard:
-			d.heard(e)
 		case gate.Asked:
 			d.asked(e)
 		case gate.Granted:
@@ -207,7 +203,7 @@
 	}
 	k.ceiling = min(most*part, k.ceiling+p.CeilingRate*dt*part)
 	k.demand *= math.Exp(-dt / demandSpan)
-	if d.terms.MailRate > 0 || d.terms.Counter {
+	if d.terms.Counter {
 		k.others *= math.Exp(-dt / demandSpan)
 	}
 	return k
@@ -235,8 +231,6 @@
 	}
 	if d.terms.Counter {
 		unheard += k.others * min(d.now-k.heard, countBlind)
-	} else if d.hearing() {
-		unheard += k.others * d.tellEvery()
 	}
 	if short := units + k.promised + unheard - k.level; p.Rate > 0 && short > 0 {
 		wait = short / p.Rate
@@ -287,9 +281,6 @@
 	if d.terms.MeterPeriod > 0 {
 		*k.sent.at(d.period(d.now)) += o.units
 	}
-	if d.terms.MailRate > 0 && !d.asks() {
-		*k.told.at(d.slot()) += o.units
-	}
 	if d.terms.Counter {
 		k.count.pending += o.units
 		d.wantCount(o.customer)
@@ -367,72 +358,14 @@
 	k.others += units / demandSpan
 }
 
-// Where doors may write to each other, each tells what it first sent, slot by slot. Others' use is then
-// taken from the bucket as it is heard, in place of the use presumed by part; when no door has been heard
-// for a few slots (lost messages, a cut link, a lone door) the bucket goes by part again.
-
-// tellEvery is the length of a slot: short, but the doors together fill no more than half of a door's mail.
-func (d *Door) tellEvery() float64 {
-	return max(tellLeast, 2*float64(d.terms.Doors-1)/d.terms.MailRate)
-}
-
-func (d *Door) slot() int64 { return int64(d.now / d.tellEvery()) }
+// A customer's set may be so wide that a door's part holds less than one operation. Where doors may write to
+// each other, the units stay in one bucket, at the set's first door, and the others ask it for what their
+// demand needs as they send: the demand-weighted part, one operation at a time.
 
-func (d *Door) hearing() bool {
-	if d.terms.Counter {
-		return !d.deaf
-	}
-	return d.terms.MailRate > 0 && d.heardAt > 0 && d.now-d.heardAt < deafAfter*d.tellEvery()
-}
+func (d *Door) asks() bool { return d.terms.MailRate > 0 }
 
-// tell writes, after the end of a slot, what was sent in it and in the one before.
-func (d *Door) tell() {
-	if d.terms.MailRate == 0 || d.asks() || d.terms.Doors < 2 || d.now < d.tellAt {
-		return
-	}
-	slot := d.slot() - 1
-	d.tellAt = float64(slot+2) * d.tellEvery()
-	t := gate.Tell{Slot: slot}
-	for c := range d.buckets {
-		u, some := gate.Use{Customer: c}, false
-		for i := range u.Units {
-			if sum := d.buckets[c].told.at(slot - int64(i)); sum != nil && *sum > 0 {
-				u.Units[i], some = *sum, true
-			}
-		}
-		if some {
-			t.Uses = append(t.Uses, u)
-		}
-	}
-	d.actions = append(d.actions, t)
-}
-
-// heard takes another door's word, each slot once.
-func (d *Door) heard(e gate.Heard) {
-	d.heardAt = d.now
-	for _, u := range e.Uses {
-		k := &d.buckets[u.Customer]
-		if !k.known {
-			continue
-		}
-		d.refill(u.Customer)
-		for len(k.heardSlot) <= e.From {
-			k.heardSlot = append(k.heardSlot, 0)
-		}
-		for i, units := range u.Units {
-			if slot := e.Slot - int64(i); slot > k.heardSlot[e.From] {
-				k.use(units)
-			}
-		}
-		k.heardSlot[e.From], k.heard = max(k.heardSlot[e.From], e.Slot), d.now
-	}
-}
-
-// Where there are too many doors for that, a customer's set is often so wide that a door's part holds less
-// than one operation. The units then stay in one bucket, at the set's first door, and the others ask it
-// for what their demand needs as they send: the demand-weighted part, one operation at a time.
-
-func (d *Door) asks() bool { return d.terms.MailRate > 0 && d.tellEvery() > tellMost }
+// hearing tells whether the shared counter, where there is one, tells of the others' use.
+func (d *Door) hearing() bool { return d.terms.Counter && !d.deaf }
 
 // place is this door's place in a customer's set.
 func (d *Door) place(k *bucket) int {
@@ -485,8 +418,9 @@
 			seq = d.seq
 		}
 		o.seq, o.asked = seq, d.now
-		d.mail = append(d.mail, gate.Ask{To: o.home, Seq: seq, Customer: o.customer, Plan: o.plan,
-			First: k.first, Spread: k.spread, Units: o.units})
+		d.mail = append(d.mail, letter{o.home, gate.Ask{To: o.home, Seq: seq, Customer: o.customer, Plan: o.plan,
+			First: k.first, Spread: k.spread, Units: o.units,
+			Level: k.level + d.terms.Plans[o.plan].Rate*askFor}})
 		return false
 	}
 	o.seq = 0
@@ -499,13 +433,16 @@
 	return true
 }
 
-// asked answers another door's Ask. An answer may be lost, so the same Ask again gets the same answer.
+// asked answers another door's Ask. An answer may be lost, so the same Ask again gets the same answer. The
+// asker's level is what it last heard, filled up since: no more can be there, and it is all that a door
+// knows which has just started or stands in for another.
 func (d *Door) asked(e gate.Asked) {
 	p := &d.peers[e.From]
 	p.unanswered, p.mute = 0, 0
 	if p.last.Seq != e.Seq {
 		k := d.fill(e.Customer, e.Plan, e.First, e.Spread)
 		wait := 0.0
+		k.level = min(k.level, e.Level)
 		if short := e.Units + k.promised - k.level; d.terms.Plans[k.plan].Rate > 0 && short > 0 {
 			wait = short / d.terms.Plans[k.plan].Rate
 		}
@@ -519,9 +456,9 @@
 				k.ceiling -= e.Units
 			}
 		}
-		p.last = gate.Grant{To: e.From, Seq: e.Seq, Wait: wait}
+		p.last = gate.Grant{To: e.From, Seq: e.Seq, Wait: wait, Level: k.level}
 	}
-	d.mail = append(d.mail, p.last)
+	d.mail = append(d.mail, letter{e.From, p.last})
 }
 
 // granted takes the home door's answer. What another than the first door grants, when that one is mute, must
@@ -535,6 +472,7 @@
 		}
 		k := d.refill(o.customer)
 		wait := e.Wait
+		k.level = e.Level
 		if wait > 0 {
 			k.barred, k.barredUnits = d.now+wait, o.units
 		} else if e.From != k.first {
@@ -550,6 +488,21 @@
 	}
 }
 
+// post writes what waits for each door, together and not too often: a door takes in only so much.
+func (d *Door) post() {
+	rest := d.mail[:0]
+	for _, m := range d.mail {
+		p := &d.peers[m.to]
+		if d.now != p.wrote && d.now < p.wrote+mailEvery {
+			rest = append(rest, m)
+			continue
+		}
+		p.wrote = d.now
+		d.actions = append(d.actions, m.action)
+	}
+	d.mail = rest
+}
+
 // refill brings a known customer's bucket up to the clock.
 func (d *Door) refill(customer int) *bucket {
 	k := &d.buckets[customer]
@@ -1084,15 +1037,13 @@
 		}
 	}
 	d.changed = d.changed[:0]
-	d.actions = append(d.actions, d.mail...)
-	d.mail = d.mail[:0]
-	d.tell()
+	d.post()
 	d.call()
 	for _, c := range d.forgets {
 		d.actions = append(d.actions, gate.Forget{Customer: c})
 	}
 	d.forgets = d.forgets[:0]
-	if (len(d.live) > 0 || d.terms.MailRate > 0 && !d.asks() || d.ask) && !d.bell {
+	if (len(d.live) > 0 || len(d.mail) > 0 || d.ask) && !d.bell {
 		d.bell = true
 		d.actions = append(d.actions, gate.Wake{At: d.now + tickEvery})
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -233,43 +233,79 @@
 	assert.True(t, d.ops[1].held)
 }
 
-func TestOthersUseIsTakenOnceHoweverOftenHeard(t *testing.T) {
-	d := door(1)
-	d.terms.MailRate = 0.06
-	d.fill(0, plain, 0, 3)
-	word := gate.Heard{From: 1, Slot: 1000, Uses: []gate.Use{{Units: [gate.ToldSlots]float64{2, 1}}}}
-	d.heard(word)
-	d.heard(word)
-	assert.Equal(t, 9.0, d.buckets[0].level)
-	word.Slot++ // repeats the 2 of slot 1000 as its older part
-	word.Uses[0].Units = [gate.ToldSlots]float64{0, 2}
-	d.heard(word)
-	assert.Equal(t, 9.0, d.buckets[0].level)
+// asking returns door 1 of 3, which may write to the others, with operation 0 for a customer of doors 0 to 2.
+func asking() *Door {
+	d := door(4)
+	d.terms.MailRate, d.terms.Number = 0.06, 1
+	d.arrive(arriving(0, replayable, plain))
+	d.tick()
+	return d
 }
 
-func TestBucketGoesByPartAgainWhenTheOthersFallSilent(t *testing.T) {
-	d := door(1)
-	d.terms.MailRate = 0.06
-	d.heard(gate.Heard{From: 1, Slot: 1000})
-	d.arrive(arriving(0, replayable, plain))
-	assert.Equal(t, 1.0, d.ops[0].charge)
-	d.now += deafAfter * d.tellEvery()
+func TestUnitsAreAskedFromTheHomeDoorAndSentOnItsGrant(t *testing.T) {
+	d := asking()
+	assert.Len(t, d.mail, 1)
+	assert.Equal(t, 0, d.mail[0].to)
+	assert.Zero(t, d.out[replayable])
+	d.granted(gate.Granted{From: 0, Seq: d.ops[0].seq, Level: 5})
+	d.tick()
+	assert.Equal(t, 1, d.out[replayable])
+	assert.Equal(t, 5.0, d.buckets[0].level, "the home door has taken the units")
+}
+
+func TestRejectionByTheHomeDoorBarsTheNextUntilThere(t *testing.T) {
+	d := asking()
+	d.granted(gate.Granted{From: 0, Seq: d.ops[0].seq, Wait: 400})
+	assert.Equal(t, rejected, d.ops[0].want)
 	d.arrive(arriving(1, replayable, plain))
-	assert.InDelta(t, 3, d.ops[1].charge, 1e-9)
+	assert.Equal(t, rejected, d.ops[1].want)
+	d.now += 400
+	d.arrive(arriving(2, replayable, plain))
+	assert.True(t, d.ops[2].held)
 }
 
-func TestEachSlotIsToldWithTheOneBefore(t *testing.T) {
+func TestAMuteHomeDoorIsPassedOver(t *testing.T) {
+	d := asking()
+	seq := d.ops[0].seq
+	for range askTwice {
+		d.now += askFor
+		d.tick()
+	}
+	assert.Equal(t, seq, d.mail[1].action.(gate.Ask).Seq, "the first may have been granted")
+	assert.True(t, d.ops[0].promised, "the next of the set is this door, which decides")
+}
+
+func TestAnAskIsGrantedOnceHoweverOftenHeard(t *testing.T) {
 	d := door(1)
 	d.terms.MailRate = 0.06
-	d.arrive(arriving(0, replayable, plain))
-	d.send(0, 0)
-	d.now += d.tellEvery()
-	d.tell()
-	assert.Equal(t, gate.Tell{Slot: d.slot() - 1,
-		Uses: []gate.Use{{Units: [gate.ToldSlots]float64{1, 0}}}}, d.actions[0])
-	d.now += d.tellEvery()
-	d.tell()
-	assert.Equal(t, [gate.ToldSlots]float64{0, 1}, d.actions[1].(gate.Tell).Uses[0].Units)
+	k := d.fill(0, plain, 0, 3)
+	ask := gate.Asked{From: 2, Seq: 7, Spread: 3, Units: 1, Level: 12}
+	d.asked(ask)
+	d.asked(ask)
+	assert.InDelta(t, 11, k.level, 1e-9)
+	ask.Seq, ask.Level = 8, 0.5 // this door may have just started: the asker knows better
+	d.asked(ask)
+	assert.InDelta(t, 250, d.mail[2].action.(gate.Grant).Wait, 1)
+}
+
+func TestSlicesOfACeilingAddUpWhoeverIsHome(t *testing.T) {
+	sum := 0.0
+	for n := range 3 {
+		d := door(1)
+		d.terms.MailRate, d.terms.Number = 0.06, n
+		sum += d.slice(d.fill(0, capped, 0, 3))
+	}
+	assert.InDelta(t, 1, sum, 1e-9)
+}
+
+func TestMessagesToOneDoorAreGathered(t *testing.T) {
+	d := asking()
+	d.settle()
+	assert.Empty(t, d.mail)
+	d.now++
+	d.mail = []letter{{0, gate.Grant{}}, {2, gate.Grant{}}}
+	d.settle()
+	assert.Equal(t, []letter{{0, gate.Grant{}}}, d.mail)
 }
 
 func TestOthersUsePutsNoBucketIntoDebt(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -60,8 +60,6 @@
 	others        float64  // use by other doors as heard, units/ms
 	heard         float64  // clock when others was last heard, ms
 	sent          ring     // units first sent here, by meter period
-	told          ring     // units first sent here, by slot of Tell
-	heardSlot     []int64  // latest slot heard, by door
 	count         counting // this customer's part of the shared counter
 	out           int      // transmissions out
 	open          int      // operations not over
@@ -177,20 +175,24 @@
 	ask     bool    // the list must be asked for
 	askAt   float64 // clock before which it is not asked for
 	forgets []int
-	calls   []int   // customers whose call is wanted
-	deaf    bool    // the counter's last answer was a failure
-	tellAt  float64 // clock of the next Tell
-	heardAt float64 // clock when any other door was last heard
-	peers   []peer  // by number
-	seq     int     // of the latest Ask
-	mail    []gate.Action
-	swept   float64 // clock of the last look for idle buckets
+	calls   []int    // customers whose call is wanted
+	deaf    bool     // the counter's last answer was a failure
+	peers   []peer   // by number
+	seq     int      // of the latest Ask
+	mail    []letter // waiting to be written
+	swept   float64  // clock of the last look for idle buckets
 	actions []gate.Action
 }
 
+type letter struct {
+	to     int
+	action gate.Action
+}
+
 // peer is what is known of another door.
 type peer struct {
 	unanswered int        // Asks in a row
 	mute       float64    // not asked until then
+	wrote      float64    // clock of the latest message to it, ms
 	last       gate.Grant // the latest answer to it
 }
