Units are called for from the shared counter by windows; the mute test follows

Cause: counting in lumps what was sent lets a wide set's doors each send uncounted. Now a door calls for units before it sends, for a window in which a quota fills its depth.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,17 +36,14 @@
 	priorDemand = 0.25 // share of the rate's worth of evidence that the even slice counts for
 	heardFor    = 15e3 // ms that a word of others' use is believed
 	meterLate   = 700  // ms from a meter period's end to its figure, where nothing better is known
-	countEvery  = 250. // ms between calls for one customer, at least
-	countBlind  = 500. // ms of others' use that may be unheard behind the last call, at most
-	countNear   = 0.5  // share of its depth under which a bucket is counted at every turn
-	countLump   = 0.25 // share of its depth that all its doors may send uncounted while the bucket is fuller
-	countRest   = 1e3  // ms without calls for a customer after a failed one
-	countEpoch  = 30e3 // ms that a number serves; the counter keeps one for 60 s at most
-	barSpan     = 2.0  // of an operation's units by which doors differ in when they take what fills a bucket
 	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page)
 	sweepEvery  = 1e3  // ms between looks for idle buckets; there may be thousands
 	seqSpan     = 1e6  // Asks are numbered from a random number under this, apart from a former life's
 	mailEvery   = 40.  // ms between messages to one door; three doors then fill two thirds of theirs
+	countSpan   = 300. // ms of a door's own demand that one call to the counter asks for
+	countGain   = 0.02 // by which the share of calls made grows with each answer,
+	countCut    = 0.7  // and what is left of it after a call without one: a few calls in a hundred fail
+	countLeast  = 0.05 // least of that share
 	askFor      = 120. // ms to wait for another door's answer; a few ways there and back
 	askTwice    = 2    // Asks without an answer in a row after which a door counts as mute; one may be lost
 	muteFor     = 1e3  // ms that a mute door is not asked
@@ -77,7 +74,8 @@
 // New returns the decisions of a door that has just started and knows nothing.
 func New(t gate.Terms, seed uint64) *Door {
 	return &Door{terms: t, dice: newDice(seed), ask: t.MustAsk, lat: make([]latency, len(t.Profiles)),
-		out: make([]int, len(t.Profiles)), born: -1, peers: make([]peer, t.Doors)}
+		out: make([]int, len(t.Profiles)), born: -1, peers: make([]peer, t.Doors),
+		calling: 1}
 }
 
 // Decide takes in one batch and returns what is to be done.
@@ -157,20 +155,17 @@
 	k := d.fill(e.Customer, e.Plan, e.First, e.Spread)
 	k.demand += o.units / demandSpan
 	k.open++
-	home, wait := d.home(k), 0.0
-	if home < 0 {
+	local, wait := d.home(k) < 0 && !d.counts(k), 0.0
+	if local {
 		wait = d.shortfall(k, o.units)
 	} else if o.units >= k.barredUnits {
 		wait = k.barred - d.now
 	}
 	if wait > 0 {
-		if d.terms.Counter {
-			d.wantCount(e.Customer)
-		}
 		d.reject(e.Op, wait)
 		return
 	}
-	if home < 0 {
+	if local {
 		d.promise(k, o, true)
 	}
 	if hold := d.hold(o); d.tooLong(o, hold) {
@@ -203,9 +198,6 @@
 	}
 	k.ceiling = min(most*part, k.ceiling+p.CeilingRate*dt*part)
 	k.demand *= math.Exp(-dt / demandSpan)
-	if d.terms.Counter {
-		k.others *= math.Exp(-dt / demandSpan)
-	}
 	return k
 }
 
@@ -225,14 +217,7 @@
 // rate is the design's charge of units against a fill at rate x part.
 func (d *Door) shortfall(k *bucket, units float64) (wait float64) {
 	p := &d.terms.Plans[k.plan]
-	unheard := 0.0 // what the others will have sent since the last word of them
-	if d.hearing() {
-		unheard = k.bar * barSpan * (1 - d.part(k)) * units
-	}
-	if d.terms.Counter {
-		unheard += k.others * min(d.now-k.heard, countBlind)
-	}
-	if short := units + k.promised + unheard - k.level; p.Rate > 0 && short > 0 {
+	if short := units + k.promised - k.level; p.Rate > 0 && short > 0 {
 		wait = short / p.Rate
 	}
 	return max(wait, d.ceilingWait(k, units))
@@ -251,7 +236,7 @@
 func (d *Door) promise(k *bucket, o *operation, charged bool) {
 	o.promised = true
 	share := d.part(k)
-	if d.hearing() || d.asks() && d.place(k) < homes {
+	if d.asks() && d.place(k) < homes {
 		share = 1
 	}
 	if o.charge = 0; charged {
@@ -272,7 +257,6 @@
 
 func (d *Door) draw(o *operation) {
 	k := d.refill(o.customer)
-	k.bar = d.dice.roll()
 	if o.promised {
 		d.unpromise(o)
 		k.level -= o.charge
@@ -281,81 +265,6 @@
 	if d.terms.MeterPeriod > 0 {
 		*k.sent.at(d.period(d.now)) += o.units
 	}
-	if d.terms.Counter {
-		k.count.pending += o.units
-		d.wantCount(o.customer)
-	}
-}
-
-// Where there is a shared counter, each customer has a number on it for each epoch, to which the doors add
-// what they first sent; what the total holds beyond a door's own is the others' use. Calls cost, so a
-// customer far from its quota is counted in lumps, and one near it as it sends or is turned away.
-
-// wantCount asks for a call where one is worth it.
-func (d *Door) wantCount(customer int) {
-	k := &d.buckets[customer]
-	c, p := &k.count, &d.terms.Plans[k.plan]
-	near, lump := k.level < countNear*p.Depth, c.pending >= countLump*p.Depth/float64(k.spread)
-	if p.Rate == 0 || c.wanted || c.calling || d.now < c.next || !near && !lump {
-		return
-	}
-	c.wanted = true
-	d.calls = append(d.calls, customer)
-}
-
-// call makes the calls that are wanted. A new epoch starts every number afresh.
-func (d *Door) call() {
-	for _, customer := range d.calls {
-		c := &d.buckets[customer].count
-		if epoch := int64(d.now / countEpoch); epoch != c.epoch {
-			*c = counting{pending: c.pending, epoch: epoch, known: c.known && epoch == c.epoch+1}
-		}
-		c.wanted, c.calling, c.asked, c.pending = false, true, c.pending, 0
-		c.next = d.now + countEvery
-		d.actions = append(d.actions, gate.Count{Customer: customer, Epoch: c.epoch, Add: c.asked,
-			Keep: 2 * countEpoch})
-	}
-	d.calls = d.calls[:0]
-}
-
-// counted takes a call's answer. Units that may have been added count as added: added twice, they would
-// keep the other doors from a quota that has room.
-func (d *Door) counted(e gate.Counted) {
-	if e.Customer >= len(d.buckets) || !d.buckets[e.Customer].known {
-		return
-	}
-	k := &d.buckets[e.Customer]
-	c := &k.count
-	c.calling = false
-	d.deaf = e.Result != gate.Finished
-	if e.Result.NeverRan() {
-		c.pending += c.asked
-	} else {
-		c.own += c.asked
-	}
-	if d.deaf {
-		c.next = d.now + countRest
-		return
-	}
-	if e.Epoch != c.epoch {
-		return
-	}
-	d.refill(e.Customer)
-	use := max(0, e.Total-c.own-c.others)
-	c.others += use
-	if !c.known { // what was used before the first look has been filling up since the epoch began
-		c.known = true
-		use = max(0, use-d.terms.Plans[k.plan].Rate*(d.now-float64(c.epoch)*countEpoch))
-	}
-	k.use(use)
-	k.heard = d.now
-}
-
-// use takes others' use from a bucket, but never into debt: what was sent beyond the quota took nothing
-// from it. Without that floor one error would stand for ever where the others use all that fills.
-func (k *bucket) use(units float64) {
-	k.level = max(k.level-units, min(k.level, 0))
-	k.others += units / demandSpan
 }
 
 // A customer's set may be so wide that a door's part holds less than one operation. Where doors may write to
@@ -364,9 +273,6 @@
 
 func (d *Door) asks() bool { return d.terms.MailRate > 0 }
 
-// hearing tells whether the shared counter, where there is one, tells of the others' use.
-func (d *Door) hearing() bool { return d.terms.Counter && !d.deaf }
-
 // place is this door's place in a customer's set.
 func (d *Door) place(k *bucket) int {
 	return (d.terms.Number - k.first + d.terms.Doors) % d.terms.Doors
@@ -394,16 +300,38 @@
 	return (1 - homeCeiling) / float64(k.spread-1)
 }
 
-// secure gets an operation's units from its customer's home door. A door that leaves two Asks in a row
-// unanswered counts as mute and the next is asked; where none is left, this door decides by its part. It
-// tells whether the operation has its units.
+// secure gets an operation its units, and tells whether it has them: from the customer's home door, from the
+// shared counter, or from this door's own part.
 func (d *Door) secure(i int) bool {
 	o := &d.ops[i]
-	k := &d.buckets[o.customer]
+	k := d.refill(o.customer)
+	if o.granted || o.promised {
+		return true
+	}
+	if d.askHome(o, k) {
+		return false
+	}
+	if d.counts(k) && !o.uncounted {
+		if wait := d.count(o, k); wait > 0 {
+			d.giveUp(i, wait)
+		}
+		return o.granted
+	}
+	if wait := d.shortfall(k, o.units); wait > 0 {
+		d.giveUp(i, wait)
+		return false
+	}
+	d.promise(k, o, true)
+	return true
+}
+
+// askHome asks the customer's home door and tells whether its answer is awaited. A door that leaves two Asks
+// in a row unanswered counts as mute and the next is asked; where none is left, this door decides by its part.
+func (d *Door) askHome(o *operation, k *bucket) bool {
 	seq := 0
 	if o.seq > 0 {
 		if d.now < o.asked+askFor {
-			return false
+			return true
 		}
 		p := &d.peers[o.home]
 		if p.unanswered++; p.unanswered >= askTwice {
@@ -412,24 +340,18 @@
 			seq = o.seq // by which the home door knows that it may have granted this one
 		}
 	}
-	if o.home = d.home(k); o.home >= 0 {
-		if seq == 0 {
-			d.seq++
-			seq = d.seq
-		}
-		o.seq, o.asked = seq, d.now
-		d.mail = append(d.mail, letter{o.home, gate.Ask{To: o.home, Seq: seq, Customer: o.customer, Plan: o.plan,
-			First: k.first, Spread: k.spread, Units: o.units,
-			Level: k.level + d.terms.Plans[o.plan].Rate*askFor}})
+	o.seq, o.home = 0, d.home(k)
+	if o.home < 0 {
 		return false
 	}
-	o.seq = 0
-	d.refill(o.customer)
-	if wait := d.shortfall(k, o.units); wait > 0 {
-		d.giveUp(i, wait)
-		return false
+	if seq == 0 {
+		d.seq++
+		seq = d.seq
 	}
-	d.promise(k, o, true)
+	o.seq, o.asked = seq, d.now
+	d.mail = append(d.mail, letter{o.home, gate.Ask{To: o.home, Seq: seq, Customer: o.customer, Plan: o.plan,
+		First: k.first, Spread: k.spread, Units: o.units,
+		Level: k.level + d.terms.Plans[o.plan].Rate*askFor}})
 	return true
 }
 
@@ -503,6 +425,83 @@
 	d.mail = rest
 }
 
+// Where there is a shared counter, each customer has a number on it for each window, the time in which its
+// quota fills the whole depth, and the depth is what the doors may add to it: over windows that is the quota's
+// rate, with its depth at once. A crowded counter makes the door call for fewer operations; the others go by part.
+
+func (d *Door) counts(k *bucket) bool { return d.terms.Counter && d.terms.Plans[k.plan].Rate > 0 }
+
+// window numbers the windows and tells how much is left of the present one. Customers' windows turn at
+// different times, the same at every door.
+func (d *Door) window(k *bucket) (n int64, left float64) {
+	span := d.terms.Plans[k.plan].Depth / d.terms.Plans[k.plan].Rate
+	at := d.now/span + float64(k.first)/float64(d.terms.Doors)
+	n = int64(at)
+	return n, (float64(n+1) - at) * span
+}
+
+// count takes an operation's units from what the counter has granted this door, or calls for more. It tells
+// how long the operation must stay out, in ms.
+func (d *Door) count(o *operation, k *bucket) (wait float64) {
+	c := &k.count
+	n, left := d.window(k)
+	if c.window != n {
+		*c = counting{window: n}
+	}
+	switch {
+	case c.granted >= o.units:
+		if wait = d.ceilingWait(k, o.units); wait == 0 {
+			c.granted -= o.units
+			o.granted = true
+			d.promise(k, o, false)
+		}
+	case c.calling:
+	case d.now < k.barred && o.units >= k.barredUnits:
+		return k.barred - d.now
+	case d.dice.roll() > d.calling:
+		o.uncounted = true
+	default:
+		c.calling, c.asked = true, max(o.units, k.demand*countSpan)
+		d.actions = append(d.actions, gate.Count{Customer: o.customer, Epoch: n, Add: c.asked, Keep: left + askFor})
+	}
+	return wait
+}
+
+// counted takes a call's answer. What it added beyond the depth is taken off again.
+func (d *Door) counted(e gate.Counted) {
+	if e.Customer >= len(d.buckets) || !d.buckets[e.Customer].known {
+		return
+	}
+	k := d.refill(e.Customer)
+	c := &k.count
+	if e.Epoch != c.window {
+		return
+	}
+	if c.returns > 0 { // answers come in the order of the calls
+		c.returns--
+		return
+	}
+	c.calling = false
+	if e.Result != gate.Finished {
+		d.calling = max(countLeast, countCut*d.calling)
+		for _, i := range d.live {
+			if o := &d.ops[i]; o.customer == e.Customer && o.held {
+				o.uncounted = true
+			}
+		}
+		return
+	}
+	d.calling = min(1, d.calling+countGain)
+	_, left := d.window(k)
+	over := min(c.asked, max(0, e.Total-d.terms.Plans[k.plan].Depth))
+	c.granted += c.asked - over
+	if over > 0 {
+		c.returns++
+		k.barred, k.barredUnits = d.now+left, math.Nextafter(c.granted, math.Inf(1))
+		d.actions = append(d.actions, gate.Count{Customer: e.Customer, Epoch: e.Epoch, Add: -over, Keep: left + askFor})
+	}
+}
+
 // refill brings a known customer's bucket up to the clock.
 func (d *Door) refill(customer int) *bucket {
 	k := &d.buckets[customer]
@@ -513,7 +512,7 @@
 // of is taken off; the rest is the others'.
 func (d *Door) hear(k *bucket, use float64) {
 	p := &d.terms.Plans[k.plan]
-	if use < 0 || p.Rate == 0 || d.terms.MeterPeriod == 0 || d.hearing() {
+	if use < 0 || p.Rate == 0 || d.terms.MeterPeriod == 0 {
 		return
 	}
 	own := 0.0
@@ -626,7 +625,7 @@
 	}
 	// The hold follows the estimate while it lasts. Fixed at arrival, holds given in a quiet moment would
 	// all end in the same later one, and put out a wave that no estimate had seen.
-	if len(o.sends) == 0 && o.seq == 0 {
+	if len(o.sends) == 0 && o.seq == 0 && !o.granted {
 		if rest := o.came + d.hold(o) - d.now; d.tooLong(o, rest) {
 			d.giveUp(i, d.drain(o.profile))
 			return
@@ -637,7 +636,7 @@
 	if d.crowded(o) {
 		return
 	}
-	if len(o.sends) == 0 && !o.granted && !o.promised && !d.secure(i) {
+	if len(o.sends) == 0 && !d.secure(i) {
 		return
 	}
 	if o.granted && !o.promised && len(o.sends) == 0 && d.now > o.asked+askFor &&
@@ -1038,7 +1037,6 @@
 	}
 	d.changed = d.changed[:0]
 	d.post()
-	d.call()
 	for _, c := range d.forgets {
 		d.actions = append(d.actions, gate.Forget{Customer: c})
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -34,6 +34,7 @@
 	home, seq               int     // door asked for its units, and the number of that Ask; 0 is none
 	asked                   float64 // clock of the Ask, or of its grant, ms
 	granted                 bool    // the home door has granted its units
+	uncounted               bool    // goes without the counter, which is crowded
 	promised                bool    // its units are set aside
 	streaming               bool
 	want, given             verdict
@@ -50,7 +51,6 @@
 	first, spread int      // the customer's doors
 	level         float64  // what the customer's quota is thought to hold, units
 	ceiling       float64  // what this door's slice of the ceiling holds, units
-	bar           float64  // place among the doors that wait for the same units, 0 to 1
 	promised      float64  // charges of held operations, units
 	promisedUnits float64  // units of held operations
 	barred        float64  // clock before which the home door has no room, ms
@@ -65,17 +65,13 @@
 	open          int      // operations not over
 }
 
-// counting is a customer's number on the shared counter as this door knows it.
+// counting is what this door knows of a customer's number on the shared counter.
 type counting struct {
-	wanted  bool    // a call is wanted
+	window  int64   // of granted
+	granted float64 // units that the counter has granted and this door has not spent
 	calling bool    // a call is out
-	asked   float64 // units that it adds
-	pending float64 // units sent since, not yet added
-	epoch   int64   // of own and others
-	known   bool    // others was read in this epoch
-	own     float64 // units added by this door
-	others  float64 // units added by the others
-	next    float64 // clock before which no call is made
+	asked   float64 // units that it asks for
+	returns int     // calls out that only take units off again
 }
 
 // ring holds sums for the latest slots of a numbered sequence.
@@ -175,12 +171,11 @@
 	ask     bool    // the list must be asked for
 	askAt   float64 // clock before which it is not asked for
 	forgets []int
-	calls   []int    // customers whose call is wanted
-	deaf    bool     // the counter's last answer was a failure
 	peers   []peer   // by number
 	seq     int      // of the latest Ask
 	mail    []letter // waiting to be written
 	swept   float64  // clock of the last look for idle buckets
+	calling float64  // share of operations for which the counter is called
 	actions []gate.Action
 }
 
