--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,6 +22,7 @@
 	alpha       = 6.0  // finish intervals of hold for each operation of backlog; rejects near the contract time
 	marginShare = 0.2  // share of the contract time that latency may exceed its low by without any hold
 	tailTimes   = 5.0  // drains that a held operation must have left: slow ones take far more than the mean
+	chance      = 1.0  // deviations of what is in flight (Poisson) or of a mean latency that count as chance
 	smoothing   = 0.06 // weight of a new latency; some 16 samples, a second or two of one profile's traffic
 	lowAfter    = 16   // samples after which the smoothed latency may set a low; those that smoothing remembers
 	finishSpan  = 5e3  // ms over which the rate of finishing is averaged; some dozens of operations of a profile
@@ -538,8 +539,9 @@
 // sample would ever lower the estimate again.
 func (d *Door) hold(o *operation) float64 {
 	contract := d.terms.Profiles[o.profile].Contract
-	low := d.low(o.profile)
-	excess := max(0, d.recent(o.profile)-low-marginShare*contract) / low
+	low, l := d.low(o.profile), &d.lat[o.profile]
+	margin := marginShare*contract + chance*l.spread/math.Sqrt(max(1, min(float64(l.samples), 2/smoothing)))
+	excess := max(0, d.recent(o.profile)-low-margin) / low
 	return alpha * excess * d.drain(o.profile)
 }
 
@@ -556,7 +558,8 @@
 // few samples to know a rate, the low.
 func (d *Door) drain(profile int) float64 {
 	if l := &d.lat[profile]; l.samples >= lowAfter {
-		return float64(d.waiting(profile)) / l.best
+		n := float64(d.waiting(profile))
+		return (n - chance*math.Sqrt(n)) / l.best
 	}
 	return d.low(profile)
 }
@@ -924,6 +927,7 @@
 func (d *Door) sample(profile int, ms float64) {
 	l := &d.lat[profile]
 	l.samples++
+	l.spread += max(smoothing, 1/float64(l.samples)) * (math.Abs(ms-l.recent) - l.spread)
 	l.recent += max(smoothing, 1/float64(l.samples)) * (ms - l.recent)
 	l.rate = l.rate*math.Exp((l.lowAt-d.now)/finishSpan) + 1/finishSpan
 	known := max(1-math.Exp((d.born-d.now)/finishSpan), leastKnown)
--- a/policy/state.go
+++ b/policy/state.go
@@ -133,6 +133,7 @@
 	recent, low float64 // smoothed latency and its recent low, ms
 	rate, best  float64 // finished operations per ms, averaged, and the recent best of that
 	lowAt       float64 // clock of the last sample, ms
+	spread      float64 // smoothed distance of a latency from the mean, ms
 	samples     int
 }
 
