A crowded counter: no room too small is taken, repeats wait, debt grows with the doors of a set

A charge may now put a bucket in debt by the doors of its set, so that a wide set's even slices hold without the counter. Covers any storm of marked repeats; harm: with the counter crowded an honest repeat waits for the next window.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -92,6 +92,7 @@
 	Op, Profile, Plan, Customer int
 	TTL                         float64 // ms
 	Units                       float64 // drawn from the customer's quota
+	Repeat                      bool    // a client's repeat, where clients mark it
 	First, Spread               int     // doors through which the customer's operations come: Spread from First on
 }
 
--- a/internal/wire/door.go
+++ b/internal/wire/door.go
@@ -148,10 +148,12 @@
 	return ev
 }
 
+const markRepeat = 2 // the bit of a client's repeat
+
 func (d *door) submit(f *fields) gate.Event {
 	id := need[string](f, "op_id")
 	ev := gate.Operation{TTL: need[float64](f, "ttl") * msPerSecond, Units: need[float64](f, "cost_units"),
-		First: maybe[int](f, "first_door"), Spread: need[int](f, "spread"),
+		Repeat: maybe[int](f, "marks")&markRepeat != 0, First: maybe[int](f, "first_door"), Spread: need[int](f, "spread"),
 		Profile: choice(f, "kind", d.profiles), Plan: choice(f, "tier", d.plans)}
 	customer := need[string](f, "customer")
 	if f.fault != nil {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,7 +50,7 @@
 	muteFor     = 1e3  // ms that a mute door is not asked
 	homes       = 3    // doors of a set that may be asked, the next one where those before are mute
 	homeCeiling = 0.6  // share of a ceiling that the home door keeps; over half of it covers the quota
-	debtShare   = 0.5  // share of its depth that a charge may put a bucket in debt
+	debtShare   = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
 
 	// Health of backends.
 	silentRate = 0.1  // a broken backend answers at this share of the expected rate
@@ -151,7 +151,7 @@
 	}
 	o := &d.ops[e.Op]
 	*o = operation{profile: e.Profile, plan: e.Plan, customer: e.Customer, units: e.Units,
-		came: d.now, until: d.now + e.TTL, sends: o.sends[:0]}
+		came: d.now, until: d.now + e.TTL, repeat: e.Repeat, sends: o.sends[:0]}
 	d.live = append(d.live, e.Op)
 	k := d.fill(e.Customer, e.Plan, e.First, e.Spread)
 	k.demand += o.units / demandSpan
@@ -241,7 +241,8 @@
 		share = 1
 	}
 	if o.charge = 0; charged {
-		o.charge = min(o.units/share, max(o.units, k.level-k.promised+debtShare*d.terms.Plans[k.plan].Depth))
+		o.charge = min(o.units/share, max(o.units, k.level-k.promised+
+			debtShare*float64(k.spread)*d.terms.Plans[k.plan].Depth))
 	}
 	k.promised += o.charge
 	k.promisedUnits += o.units
@@ -460,15 +461,17 @@
 	case d.now < k.barred && o.units >= k.barredUnits:
 		return k.barred - d.now
 	case d.dice.roll() > d.calling:
-		o.uncounted = true
+		if o.uncounted = true; o.repeat { // a storm of repeats is not let past the counter that it crowds
+			return left
+		}
 	default:
-		c.calling, c.asked = true, max(o.units, k.demand*countSpan)
+		c.calling, c.least, c.asked = true, o.units, max(o.units, k.demand*countSpan)
 		d.actions = append(d.actions, gate.Count{Customer: o.customer, Epoch: n, Add: c.asked, Keep: left + askFor})
 	}
 	return wait
 }
 
-// counted takes a call's answer. What it added beyond the depth is taken off again.
+// counted takes a call's answer. Room that is too small for the operation is given back for smaller ones.
 func (d *Door) counted(e gate.Counted) {
 	if e.Customer >= len(d.buckets) || !d.buckets[e.Customer].known {
 		return
@@ -494,12 +497,16 @@
 	}
 	d.calling = min(1, d.calling+countGain)
 	_, left := d.window(k)
-	over := min(c.asked, max(0, e.Total-d.terms.Plans[k.plan].Depth))
-	c.granted += c.asked - over
-	if over > 0 {
+	room := min(c.asked, d.terms.Plans[k.plan].Depth-e.Total+c.asked)
+	if room >= c.least {
+		c.granted += room
+		return
+	}
+	k.barred, k.barredUnits = d.now+left, c.least
+	if room > 0 {
 		c.returns++
-		k.barred, k.barredUnits = d.now+left, math.Nextafter(c.granted, math.Inf(1))
-		d.actions = append(d.actions, gate.Count{Customer: e.Customer, Epoch: e.Epoch, Add: -over, Keep: left + askFor})
+		d.actions = append(d.actions,
+			gate.Count{Customer: e.Customer, Epoch: e.Epoch, Add: -c.asked, Keep: left + askFor})
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -37,6 +37,7 @@
 	uncounted               bool    // goes without the counter, which is crowded
 	promised                bool    // its units are set aside
 	streaming               bool
+	repeat                  bool // of a try that was not answered well
 	want, given             verdict
 	retryAfter              float64
 	out                     int
@@ -71,6 +72,7 @@
 	granted float64 // units that the counter has granted and this door has not spent
 	calling bool    // a call is out
 	asked   float64 // units that it asks for
+	least   float64 // of these, for the operation that it was made for
 	returns int     // calls out that only take units off again
 }
 
