A crowded counter's calls are saved for customers whose part is small

Where an even slice of the depth holds an operation or more, the door goes by its part while calls are cut; lumps of half an even slice of the room last seen; stronger cut.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,9 +41,11 @@
 	sweepEvery  = 1e3  // ms between looks for idle buckets; there may be thousands
 	seqSpan     = 1e6  // Asks are numbered from a random number under this, apart from a former life's
 	mailEvery   = 40.  // ms between messages to one door; three doors then fill two thirds of theirs
-	countSpan   = 300. // ms of a door's own demand that one call to the counter asks for
-	countGain   = 0.02 // by which the share of calls made grows with each answer,
-	countCut    = 0.7  // and what is left of it after a call without one: a few calls in a hundred fail
+	countLump   = 0.5  // of a door's even slice of the room last seen on the counter, that one call asks for
+	countGain   = 0.01 // by which the share of calls made grows with each answer,
+	countCut    = 0.5  // and what is left of it after a call without one: a few calls in a hundred fail
+	countAll    = 0.9  // share of calls under which those are saved for customers whose part is small
+	countWide   = 1.0  // operations that an even slice of the depth holds at least where a part will do
 	countLeast  = 0.05 // least of that share
 	askFor      = 120. // ms to wait for another door's answer; a few ways there and back
 	askTwice    = 2    // Asks without an answer in a row after which a door counts as mute; one may be lost
@@ -455,17 +457,17 @@
 		if wait = d.ceilingWait(k, o.units); wait == 0 {
 			c.granted -= o.units
 			o.granted = true
-			d.promise(k, o, false)
+			d.promise(k, o, true) // its part stays true for when the counter is crowded
 		}
 	case c.calling:
 	case d.now < k.barred && o.units >= k.barredUnits:
 		return k.barred - d.now
-	case d.dice.roll() > d.calling:
+	case d.dice.roll() > d.calling || d.calling < countAll && d.terms.Plans[k.plan].Depth >= countWide*float64(k.spread)*o.units:
 		if o.uncounted = true; o.repeat { // a storm of repeats is not let past the counter that it crowds
 			return left
 		}
 	default:
-		c.calling, c.least, c.asked = true, o.units, max(o.units, k.demand*countSpan)
+		c.calling, c.least, c.asked = true, o.units, max(o.units, countLump*k.room/float64(k.spread))
 		d.actions = append(d.actions, gate.Count{Customer: o.customer, Epoch: n, Add: c.asked, Keep: left + askFor})
 	}
 	return wait
@@ -497,6 +499,7 @@
 	}
 	d.calling = min(1, d.calling+countGain)
 	_, left := d.window(k)
+	k.room = max(0, d.terms.Plans[k.plan].Depth-e.Total)
 	room := min(c.asked, d.terms.Plans[k.plan].Depth-e.Total+c.asked)
 	if room >= c.least {
 		c.granted += room
--- a/policy/state.go
+++ b/policy/state.go
@@ -54,6 +54,7 @@
 	ceiling       float64  // what this door's slice of the ceiling holds, units
 	promised      float64  // charges of held operations, units
 	promisedUnits float64  // units of held operations
+	room          float64  // units last seen free on the counter
 	barred        float64  // clock before which the home door has no room, ms
 	barredUnits   float64  // for operations of this many units or more
 	filled        float64  // clock of the last fill, ms
