--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,7 @@
 	seqSpan     = 1e6  // Asks are numbered from a random number under this, apart from a former life's
 	mailEvery   = 40.  // ms between messages to one door; three doors then fill two thirds of theirs
 	countLump   = 0.5  // of a door's even slice of the room last seen on the counter, that one call asks for
-	countGain   = 0.01 // by which the share of calls made grows with each answer,
+	countGain   = 0.03 // by which the share of calls made grows with each answer,
 	countCut    = 0.5  // and what is left of it after a call without one: a few calls in a hundred fail
 	countAll    = 0.9  // share of calls under which those are saved for customers whose part is small
 	countWide   = 1.0  // operations that an even slice of the depth holds at least where a part will do
@@ -462,7 +462,8 @@
 	case c.calling:
 	case d.now < k.barred && o.units >= k.barredUnits:
 		return k.barred - d.now
-	case d.dice.roll() > d.calling || d.calling < countAll && d.terms.Plans[k.plan].Depth >= countWide*float64(k.spread)*o.units:
+	case d.dice.roll() > d.calling || d.calling < countAll && (o.repeat ||
+		d.terms.Plans[k.plan].Depth >= countWide*float64(k.spread)*o.units):
 		if o.uncounted = true; o.repeat { // a storm of repeats is not let past the counter that it crowds
 			return left
 		}
