Evidence against a backend is kept by profile as well as for the whole

Cause: backends that leave one profile unanswered and serve the others never looked broken, as the other profiles' answers took the evidence away. Covers a profile that fails or stalls at some backends. Harm: evidence for one profile is thinner; a judged profile is tried again at most every 8 s.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -62,7 +62,7 @@
 	trialFirst = 1e3  // ms from the verdict to the first trial
 	trialMost  = 8e3  // ms between trials at most
 	paceWeight = 0.1  // weight of a new latency in a backend's pace; some 10 samples
-	mostJudged = 0.5  // share of the listed backends that may stand judged; more is the fleet's trouble
+	mostJudged = 0.6  // share of the listed backends that may stand judged; more is the fleet's trouble
 	rescueAt   = 1.5  // expected latencies after which an operation on a judged backend is sent elsewhere
 	fullRest   = 250. // ms a backend that turned work away is left alone
 
@@ -78,7 +78,7 @@
 func New(t gate.Terms, seed uint64) *Door {
 	return &Door{terms: t, dice: newDice(seed), ask: t.MustAsk, lat: make([]latency, len(t.Profiles)),
 		out: make([]int, len(t.Profiles)), born: -1, peers: make([]peer, t.Doors),
-		calling: 1}
+		calling: 1, fleet: fleet{cases: make([][]suspicion, len(t.Profiles)+1)}}
 }
 
 // Decide takes in one batch and returns what is to be done.
@@ -139,7 +139,10 @@
 			f.size[b] = n.Size
 		}
 		if n.Since != f.since[b] { // a new process: nothing held against the old one counts
-			f.since[b], f.doubt[b], f.judged[b], f.pace[b] = n.Since, 0, false, 1
+			f.since[b], f.pace[b] = n.Since, 1
+			for r := range f.cases {
+				f.cases[r][b] = suspicion{}
+			}
 			clear(f.fullUntil[b])
 		}
 	}
@@ -611,7 +614,7 @@
 			continue
 		}
 		for j := range o.sends {
-			if s := &o.sends[j]; s.out() && !d.fleet.judged[s.backend] {
+			if s := &o.sends[j]; s.out() && !d.fleet.shunned(s.backend, profile) {
 				if age := d.now - s.at; age < contract {
 					overdue += max(0, age-recent)
 				}
@@ -680,15 +683,13 @@
 		if !d.allowed(o, b) {
 			continue
 		}
-		if f.judged[b] {
-			if fresh && d.canRepeat(o) && f.out[b] == 0 && d.now >= f.trialAt[b] {
-				f.trialAt[b] = d.now + f.trialGap[b]
-				f.trialGap[b] = min(trialMost, 2*f.trialGap[b])
+		if f.shunned(b, o.profile) {
+			if fresh && d.trial(o, b) {
 				return b
 			}
 			continue
 		}
-		odds[b] = d.room(b, o.plan)
+		odds[b] = d.room(b, o)
 		for j := range o.sends { // another backend than one that already had it, where there is one
 			if o.sends[j].backend == b {
 				odds[b] *= 1e-3
@@ -714,12 +715,13 @@
 
 // room is what a backend is thought to have free: its size and pace, less for own work out, and weighed
 // by the chance that it works at all.
-func (d *Door) room(b, plan int) float64 {
+func (d *Door) room(b int, o *operation) float64 {
 	f := &d.fleet
-	if d.now < f.fullUntil[b][plan] {
+	if d.now < f.fullUntil[b][o.plan] {
 		return 0
 	}
-	well := 1 / (1 + math.Exp(f.doubt[b]-priorNats))
+	doubt := max(f.cases[o.profile][b].doubt, f.cases[f.whole()][b].doubt)
+	well := 1 / (1 + math.Exp(doubt-priorNats))
 	return well * d.warmth(b) * f.size[b] / f.pace[b] / math.Pow(1+float64(f.out[b]), roomPower)
 }
 
@@ -793,7 +795,7 @@
 	f := &d.fleet
 	work, size := 0.0, 0.0
 	for c := range f.up {
-		if f.up[c] && !f.judged[c] && d.warmth(c) >= 1 {
+		if f.up[c] && !f.cases[f.whole()][c].judged && d.warmth(c) >= 1 {
 			work += f.work[c] * math.Exp((f.workAt[c]-d.now)/workSpan) / workSpan
 			size += f.size[c]
 		}
@@ -892,9 +894,10 @@
 	f, b := &d.fleet, s.backend
 	switch e.Result {
 	case gate.Finished:
-		f.doubt[b] = max(0, f.doubt[b]+math.Log(silentRate))
-		if f.judged[b] && f.doubt[b] < priorNats {
-			f.judged[b] = false
+		for _, r := range []int{o.profile, f.whole()} {
+			c := &f.cases[r][b]
+			c.doubt = max(0, c.doubt+math.Log(silentRate))
+			c.judged = c.judged && c.doubt >= priorNats
 		}
 		expected := d.recent(o.profile)
 		f.pace[b] += paceWeight * (e.Latency/expected - f.pace[b])
@@ -907,30 +910,53 @@
 		l := &d.lat[o.profile]
 		l.recent += smoothing * (d.terms.Profiles[o.profile].Contract - l.recent)
 	case gate.Errored, gate.Unreachable, gate.Reset:
-		d.doubt(b, failNats)
+		d.doubt(b, o.profile, failNats)
 	}
 }
 
-// doubt adds evidence against a backend. Where too many would stand judged at once the trouble is the
-// fleet's, and judging more would only crowd the rest.
-func (d *Door) doubt(b int, nats float64) {
+// doubt adds evidence against a backend, as a whole and for one profile: a backend may leave one profile alone
+// unanswered, and the answers to the others must not hide that. Where too many would stand judged at once the
+// trouble is the fleet's, and judging more would only crowd the rest.
+func (d *Door) doubt(b, profile int, nats float64) {
 	f := &d.fleet
-	f.doubt[b] = min(f.doubt[b]+nats, judgeAt)
-	if f.doubt[b] < judgeAt || f.judged[b] {
-		return
-	}
-	listed, judged := 0, 1
-	for c := range f.up {
-		if f.up[c] {
-			listed++
-			if f.judged[c] {
-				judged++
+	for _, r := range []int{profile, f.whole()} {
+		c := &f.cases[r][b]
+		c.doubt = min(c.doubt+nats, judgeAt)
+		if c.doubt < judgeAt || c.judged {
+			continue
+		}
+		listed, judged := 0, 1
+		for i := range f.up {
+			if f.up[i] {
+				listed++
+				if f.cases[r][i].judged {
+					judged++
+				}
 			}
 		}
+		if float64(judged) <= mostJudged*float64(listed) {
+			*c = suspicion{doubt: c.doubt, judged: true, trialAt: d.now + trialFirst, trialGap: trialFirst}
+		}
 	}
-	if float64(judged) <= mostJudged*float64(listed) {
-		f.judged[b], f.trialGap[b], f.trialAt[b] = true, trialFirst, d.now+trialFirst
+}
+
+// trial tells whether an operation is to try a judged backend. One that may run only once tries none that is
+// judged as a whole.
+func (d *Door) trial(o *operation, b int) bool {
+	f := &d.fleet
+	if !d.canRepeat(o) && f.cases[f.whole()][b].judged {
+		return false
+	}
+	for _, r := range []int{o.profile, f.whole()} {
+		if c := &f.cases[r][b]; c.judged && d.now < c.trialAt {
+			return false
+		}
 	}
+	for _, r := range []int{o.profile, f.whole()} {
+		c := &f.cases[r][b]
+		c.trialAt, c.trialGap = d.now+c.trialGap, min(trialMost, 2*c.trialGap)
+	}
+	return true
 }
 
 // sample takes a finished latency into its profile's figures. The low follows at once downwards and
@@ -969,7 +995,7 @@
 		for j := range o.sends {
 			if s := &o.sends[j]; s.out() {
 				slow := max(1, d.fleet.pace[s.backend]) / d.warmth(s.backend)
-				d.doubt(s.backend, (1-silentRate)*dt/(expected[o.profile]*slow))
+				d.doubt(s.backend, o.profile, (1-silentRate)*dt/(expected[o.profile]*slow))
 			}
 		}
 		if o.want == undecided && o.held {
@@ -1005,7 +1031,7 @@
 		return
 	}
 	s := &o.sends[len(o.sends)-1]
-	if s.out() && d.fleet.judged[s.backend] && d.now-s.at > rescueAt*expected {
+	if s.out() && d.fleet.shunned(s.backend, o.profile) && d.now-s.at > rescueAt*expected {
 		if b := d.pick(o); b >= 0 && b != s.backend {
 			d.send(i, b)
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -75,7 +75,7 @@
 		d.send(i, 0)
 	}
 	d.settle()
-	d.fleet.judged[0] = true
+	d.fleet.cases[replayable][0].judged = true
 	d.now += 800
 	assert.InDelta(t, 100, d.recent(replayable), 1)
 }
@@ -191,19 +191,31 @@
 		d.now += 100
 		d.tick()
 	}
-	assert.True(t, d.fleet.judged[0])
+	assert.True(t, d.fleet.shunned(0, replayable))
 	o := &d.ops[0]
 	d.judge(o, &o.sends[0], gate.Ended{Result: gate.Finished, Latency: 100})
 	d.judge(o, &o.sends[0], gate.Ended{Result: gate.Finished, Latency: 100})
-	assert.False(t, d.fleet.judged[0])
+	assert.False(t, d.fleet.shunned(0, replayable))
 }
 
 func TestAWholeFleetIsNeverJudged(t *testing.T) {
 	d := door(4)
 	for b := range 4 {
-		d.doubt(b, judgeAt)
+		d.doubt(b, replayable, judgeAt)
 	}
-	assert.Equal(t, []bool{true, true, false, false}, d.fleet.judged)
+	assert.True(t, d.fleet.shunned(1, replayable))
+	assert.False(t, d.fleet.shunned(2, replayable))
+}
+
+func TestAProfileLeftUnansweredIsJudgedWhereOthersAreAnswered(t *testing.T) {
+	d := sentOnce(replayable, 0)
+	for range 10 {
+		d.now += 200
+		d.tick()
+		d.judge(&operation{profile: singleUse}, &transmission{}, gate.Ended{Result: gate.Finished, Latency: 100})
+	}
+	assert.True(t, d.fleet.shunned(0, replayable))
+	assert.False(t, d.fleet.shunned(0, singleUse))
 }
 
 func TestHeldOperationIsAnsweredBeforeTheWaitEnds(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -105,16 +105,28 @@
 	zone, cell []int
 	since      []float64 // latest start, ms; 0 means long ago
 	size       []float64
-	out        []int       // own transmissions out
-	doubt      []float64   // evidence that the backend does not work, nats
-	judged     []bool      // the sequential test has ended against it
-	pace       []float64   // its latency over the fleet's
-	fullUntil  [][]float64 // turned work of a plan away; left alone for it until then
-	trialAt    []float64   // earliest next trial of a judged backend
-	trialGap   []float64   // time to the trial after that
-	work       []float64   // work sent lately, decaying, ms of work
-	workAt     []float64   // clock of that figure
-	recent     [][]workBit // work sent while it was cold, for the cold budget
+	out        []int         // own transmissions out
+	cases      [][]suspicion // by profile, then backend; the last row is for backends as a whole
+	pace       []float64     // its latency over the fleet's
+	fullUntil  [][]float64   // turned work of a plan away; left alone for it until then
+	work       []float64     // work sent lately, decaying, ms of work
+	workAt     []float64     // clock of that figure
+	recent     [][]workBit   // work sent while it was cold, for the cold budget
+}
+
+// suspicion is the sequential test of one backend, for one profile or as a whole.
+type suspicion struct {
+	doubt    float64 // evidence that it does not work, nats
+	judged   bool    // the test has ended against it
+	trialAt  float64 // earliest next trial, ms
+	trialGap float64 // time to the trial after that
+}
+
+// whole is the row of cases for backends as a whole, behind those for each profile.
+func (f *fleet) whole() int { return len(f.cases) - 1 }
+
+func (f *fleet) shunned(b, profile int) bool {
+	return f.cases[profile][b].judged || f.cases[f.whole()][b].judged
 }
 
 type workBit struct{ at, ms float64 }
@@ -123,9 +135,10 @@
 	for len(f.up) < n {
 		f.up, f.zone, f.cell = append(f.up, false), append(f.zone, 0), append(f.cell, 0)
 		f.since, f.size, f.out = append(f.since, 0), append(f.size, 1), append(f.out, 0)
-		f.doubt, f.judged = append(f.doubt, 0), append(f.judged, false)
+		for r := range f.cases {
+			f.cases[r] = append(f.cases[r], suspicion{})
+		}
 		f.pace, f.fullUntil = append(f.pace, 1), append(f.fullUntil, make([]float64, plans))
-		f.trialAt, f.trialGap = append(f.trialAt, 0), append(f.trialGap, 0)
 		f.work, f.workAt = append(f.work, 0), append(f.workAt, 0)
 		f.recent = append(f.recent, nil)
 	}
