Transmissions at once are limited at the home door; turned-away customers are asked for less

The home counts what it granted and hears what is over, holds an operation once, and a door turned away asks again by the doors of the set, 2 s at most. Harm: a surge's end is noticed up to 2 s late.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -155,9 +155,13 @@
 type Granted struct {
 	From, Seq int
 	Wait      float64 // ms until there may be room; 0 where the units are granted
+	Hold      float64 // ms until to ask again, as all is out that may be at once; 0 where the units are granted
 	Level     float64 // what the store holds now
 }
 
+// Released is another door's Release.
+type Released struct{ From, Customer int }
+
 type Counted struct {
 	Customer int
 	Epoch    int64
@@ -209,10 +213,14 @@
 
 type Grant struct {
 	To, Seq int
-	Wait    float64 // ms; 0 grants the units
+	Wait    float64 // ms until there may be room
+	Hold    float64 // ms until to ask again; 0 for both grants the units
 	Level   float64
 }
 
+// Release tells the granting door that an operation of the customer is over.
+type Release struct{ To, Customer int }
+
 // Track subscribes to changes of the fleet list.
 type Track struct{}
 
--- a/internal/wire/mail.go
+++ b/internal/wire/mail.go
@@ -32,7 +32,9 @@
 		text = fmt.Sprintf("?%d,%d,%d,%d,%g,%.2f,%s;", a.Seq, a.Plan, a.First, a.Spread, a.Units, a.Level,
 			names[a.Customer])
 	case gate.Grant:
-		to, text = a.To, fmt.Sprintf("!%d,%.1f,%.2f;", a.Seq, a.Wait, a.Level)
+		to, text = a.To, fmt.Sprintf("!%d,%.1f,%.1f,%.2f;", a.Seq, a.Wait, a.Hold, a.Level)
+	case gate.Release:
+		to, text = a.To, "."+names[a.Customer]+";"
 	default:
 		return false
 	}
@@ -56,9 +58,13 @@
 // readMail reads a message; what was not written here is passed over.
 func readMail(from int, text string, customers *index, plans int) (events []gate.Event) {
 	for _, line := range strings.Split(text, ";") {
+		if c, known := customers.find(strings.TrimPrefix(line, ".")); known {
+			events = append(events, gate.Released{From: from, Customer: c})
+			continue
+		}
 		a, g := gate.Asked{From: from}, gate.Granted{From: from}
 		name := ""
-		if n, _ := fmt.Sscanf(line, "!%d,%g,%g", &g.Seq, &g.Wait, &g.Level); n == 3 {
+		if n, _ := fmt.Sscanf(line, "!%d,%g,%g,%g", &g.Seq, &g.Wait, &g.Hold, &g.Level); n == 4 {
 			events = append(events, g)
 		} else if n, _ := fmt.Sscanf(line, "?%d,%d,%d,%d,%g,%g,%s", &a.Seq, &a.Plan, &a.First, &a.Spread,
 			&a.Units, &a.Level, &name); n == 7 && len(name) == nameDigits && a.Plan >= 0 && a.Plan < plans {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,6 +51,10 @@
 	askTwice    = 2    // Asks without an answer in a row after which a door counts as mute; one may be lost
 	muteFor     = 1e3  // ms that a mute door is not asked
 	homes       = 3    // doors of a set that may be asked, the next one where those before are mute
+	barShare    = 0.5  // asks for a customer turned away come at most about twice as often as its units fill,
+	barMost     = 2e3  // but each door asks again after this time, ms: the surge may be over
+	openEvery   = 300. // ms until a door asks again for a customer that has all out that it may at once
+	grantedFor  = 5e3  // ms in which a grant is forgotten whose end was not heard, as messages are lost
 	homeCeiling = 0.6  // share of a ceiling that the home door keeps; over half of it covers the quota
 	debtShare   = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
 
@@ -101,6 +105,10 @@
 			d.asked(e)
 		case gate.Granted:
 			d.granted(e)
+		case gate.Released:
+			if k := &d.buckets[e.Customer]; d.terms.Plans[k.plan].AtOnce > 0 {
+				k.granted = max(0, k.granted-1)
+			}
 		case gate.Counted:
 			d.counted(e)
 		case gate.Woken:
@@ -167,6 +175,9 @@
 	} else if o.units >= k.barredUnits {
 		wait = k.barred - d.now
 	}
+	if wait <= 0 && o.repeat && d.calling < countAll && !local && !d.terms.Counter {
+		wait = d.terms.MaxRetryAfter // a storm of repeats is not let into mail that it crowds
+	}
 	if wait > 0 {
 		d.reject(e.Op, wait)
 		return
@@ -341,6 +352,7 @@
 			return true
 		}
 		p := &d.peers[o.home]
+		d.crowd(true)
 		if p.unanswered++; p.unanswered >= askTwice {
 			p.mute = d.now + muteFor
 		} else {
@@ -375,17 +387,21 @@
 		if short := e.Units + k.promised - k.level; d.terms.Plans[k.plan].Rate > 0 && short > 0 {
 			wait = short / d.terms.Plans[k.plan].Rate
 		}
-		first := d.place(k) == 0
+		first, hold := d.place(k) == 0, 0.0
+		if wait == 0 && d.full(k) {
+			hold = openEvery
+		}
 		if first {
 			wait = max(wait, d.ceilingWait(k, e.Units))
 		}
-		if wait == 0 {
+		if wait == 0 && hold == 0 {
+			k.granted++
 			k.level -= e.Units
 			if first {
 				k.ceiling -= e.Units
 			}
 		}
-		p.last = gate.Grant{To: e.From, Seq: e.Seq, Wait: wait, Level: k.level}
+		p.last = gate.Grant{To: e.From, Seq: e.Seq, Wait: wait, Hold: hold, Level: k.level}
 	}
 	d.mail = append(d.mail, letter{e.From, p.last})
 }
@@ -393,6 +409,7 @@
 // granted takes the home door's answer. What another than the first door grants, when that one is mute, must
 // fit this door's own slice of the ceiling.
 func (d *Door) granted(e gate.Granted) {
+	d.crowd(false)
 	d.peers[e.From].unanswered, d.peers[e.From].mute = 0, 0
 	for _, i := range d.live {
 		o := &d.ops[i]
@@ -402,8 +419,15 @@
 		k := d.refill(o.customer)
 		wait := e.Wait
 		k.level = e.Level
+		if wait == 0 && e.Hold > 0 && o.again > 0 {
+			wait = e.Hold
+		} else if wait == 0 && e.Hold > 0 {
+			o.seq, o.again = 0, d.now+e.Hold
+			return
+		}
 		if wait > 0 {
-			k.barred, k.barredUnits = d.now+wait, o.units
+			asks := barShare * float64(k.spread) * o.units / d.terms.Plans[k.plan].Rate
+			k.barred, k.barredUnits = d.now+max(wait, min(asks, barMost)), o.units
 		} else if e.From != k.first {
 			if wait = d.ceilingWait(k, o.units); wait == 0 {
 				d.promise(k, o, false)
@@ -447,6 +471,15 @@
 	return n, (float64(n+1) - at) * span
 }
 
+// crowd follows how crowded the counter or the doors' mail is, by what was answered and what was not.
+func (d *Door) crowd(lost bool) {
+	if lost {
+		d.calling = max(countLeast, countCut*d.calling)
+	} else {
+		d.calling = min(1, d.calling+countGain)
+	}
+}
+
 // count takes an operation's units from what the counter has granted this door, or calls for more. It tells
 // how long the operation must stay out, in ms.
 func (d *Door) count(o *operation, k *bucket) (wait float64) {
@@ -493,7 +526,7 @@
 	}
 	c.calling = false
 	if e.Result != gate.Finished {
-		d.calling = max(countLeast, countCut*d.calling)
+		d.crowd(true)
 		for _, i := range d.live {
 			if o := &d.ops[i]; o.customer == e.Customer && o.held {
 				o.uncounted = true
@@ -501,7 +534,7 @@
 		}
 		return
 	}
-	d.calling = min(1, d.calling+countGain)
+	d.crowd(false)
 	_, left := d.window(k)
 	k.room = max(0, d.terms.Plans[k.plan].Depth-e.Total)
 	room := min(c.asked, d.terms.Plans[k.plan].Depth-e.Total+c.asked)
@@ -650,7 +683,7 @@
 			return
 		}
 	}
-	if d.crowded(o) {
+	if d.now < o.again || d.crowded(o) {
 		return
 	}
 	if len(o.sends) == 0 && !d.secure(i) {
@@ -666,12 +699,27 @@
 	}
 }
 
-// crowded holds an operation whose customer has its part of the transmissions allowed at once out.
+// crowded holds an operation whose customer has the transmissions allowed at once out: all of them at the
+// home door, which is told what it granted and what has ended, its part of them elsewhere.
 func (d *Door) crowded(o *operation) bool {
 	p, k := &d.terms.Plans[o.plan], &d.buckets[o.customer]
+	if d.home(k) >= 0 {
+		return false // asked with the units
+	} else if d.asks() && d.place(k) < homes {
+		return d.full(k)
+	}
 	return p.AtOnce > 0 && k.out >= max(1, int(math.Round(float64(p.AtOnce)*d.part(k))))
 }
 
+// full tells whether all the transmissions that a customer may have out at once are thought to be out. What was
+// granted and never heard of again is forgotten in time.
+func (d *Door) full(k *bucket) bool {
+	k.granted *= math.Exp((k.grantedAt - d.now) / grantedFor)
+	k.grantedAt = d.now
+	most := d.terms.Plans[k.plan].AtOnce
+	return most > 0 && k.granted+float64(k.out) > float64(most)-0.5
+}
+
 // pick draws a backend with odds in step with thought room. A judged backend whose trial is due comes
 // first, for an operation that can be sent again elsewhere.
 func (d *Door) pick(o *operation) int {
@@ -1007,6 +1055,9 @@
 			keep = append(keep, i)
 		} else {
 			d.buckets[o.customer].open--
+			if o.granted && o.seq > 0 && d.terms.Plans[o.plan].AtOnce > 0 {
+				d.mail = append(d.mail, letter{o.home, gate.Release{To: o.home, Customer: o.customer}})
+			}
 		}
 	}
 	d.live = keep
--- a/policy/state.go
+++ b/policy/state.go
@@ -33,6 +33,7 @@
 	held                    bool    // waiting for release
 	home, seq               int     // door asked for its units, and the number of that Ask; 0 is none
 	asked                   float64 // clock of the Ask, or of its grant, ms
+	again                   float64 // clock before which it is not asked again, ms
 	granted                 bool    // the home door has granted its units
 	uncounted               bool    // goes without the counter, which is crowded
 	promised                bool    // its units are set aside
@@ -55,6 +56,8 @@
 	promised      float64  // charges of held operations, units
 	promisedUnits float64  // units of held operations
 	room          float64  // units last seen free on the counter
+	granted       float64  // operations granted to other doors and not heard to have ended
+	grantedAt     float64  // clock of that figure, ms
 	barred        float64  // clock before which the home door has no room, ms
 	barredUnits   float64  // for operations of this many units or more
 	filled        float64  // clock of the last fill, ms
