A cold backend's share is rounded at random, so that those of many doors add up; trimmed

Danger: every door let one operation a window through to each cold backend, whatever its share; 250 doors are then 250 operations. Now the share, judged from warm backends, is rounded up or down at random by window. Estimates of what is late and overdue are taken once a batch, not at each look.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -72,6 +72,7 @@
 
 	// The guards that the rules need.
 	coldShare = 0.8  // share of a cold backend's budget that the doors use; the rest is for chance
+	coldBlind = 2.0  // operations that the doors together send a cold backend in a window, knowing no warm one
 	workSpan  = 10e3 // ms over which work sent to a backend is averaged
 	roomPower = 3.0  // how fast thought room falls with own work out; less leaves queues at some and others idle
 	askRest   = 1e3  // ms between calls for the fleet list after one failed
@@ -159,9 +160,7 @@
 // ---- Arrival: quota first, then the hold ----
 
 func (d *Door) arrive(e gate.Operation) {
-	for len(d.ops) <= e.Op {
-		d.ops = append(d.ops, operation{})
-	}
+	d.ops = grown(d.ops, e.Op)
 	o := &d.ops[e.Op]
 	*o = operation{profile: e.Profile, plan: e.Plan, customer: e.Customer, units: e.Units,
 		came: d.now, until: d.now + e.TTL, repeat: e.Repeat, sends: o.sends[:0]}
@@ -175,9 +174,6 @@
 	} else if o.units >= k.barredUnits {
 		wait = k.barred - d.now
 	}
-	if wait <= 0 && o.repeat && d.calling < countAll && !local && !d.terms.Counter {
-		wait = d.terms.MaxRetryAfter // a storm of repeats is not let into mail that it crowds
-	}
 	if wait > 0 {
 		d.reject(e.Op, wait)
 		return
@@ -196,9 +192,7 @@
 // fill brings a customer's bucket up to the clock. The ceiling's slice starts empty: a door that has just
 // started does not know what its former life sent, and slices that only fill add up to the ceiling.
 func (d *Door) fill(customer, plan, first, spread int) *bucket {
-	for len(d.buckets) <= customer {
-		d.buckets = append(d.buckets, bucket{})
-	}
+	d.buckets = grown(d.buckets, customer)
 	k, p := &d.buckets[customer], &d.terms.Plans[plan]
 	if !k.known || k.plan != plan || k.first != first || k.spread != max(1, spread) {
 		*k = bucket{known: true, plan: plan, first: first, spread: max(1, spread), level: p.Depth, filled: d.now,
@@ -232,18 +226,20 @@
 // shortfall tells how long the customer's quota or ceiling keeps the operation out, in ms; 0 lets it in.
 // The bucket is written in units of the whole quota: a charge of units/part against a fill at the whole
 // rate is the design's charge of units against a fill at rate x part.
-func (d *Door) shortfall(k *bucket, units float64) (wait float64) {
-	p := &d.terms.Plans[k.plan]
-	if short := units + k.promised - k.level; p.Rate > 0 && short > 0 {
-		wait = short / p.Rate
+func (d *Door) shortfall(k *bucket, units float64) float64 {
+	return max(d.quotaWait(k, units), d.ceilingWait(k, units))
+}
+
+func (d *Door) quotaWait(k *bucket, units float64) float64 {
+	if rate := d.terms.Plans[k.plan].Rate; rate > 0 {
+		return max(0, units+k.promised-k.level) / rate
 	}
-	return max(wait, d.ceilingWait(k, units))
+	return 0
 }
 
 func (d *Door) ceilingWait(k *bucket, units float64) float64 {
-	rate := d.terms.Plans[k.plan].CeilingRate * d.slice(k)
-	if short := units + k.promisedUnits - k.ceiling; rate > 0 && short > 0 {
-		return short / rate
+	if rate := d.terms.Plans[k.plan].CeilingRate * d.slice(k); rate > 0 {
+		return max(0, units+k.promisedUnits-k.ceiling) / rate
 	}
 	return 0
 }
@@ -352,7 +348,6 @@
 			return true
 		}
 		p := &d.peers[o.home]
-		d.crowd(true)
 		if p.unanswered++; p.unanswered >= askTwice {
 			p.mute = d.now + muteFor
 		} else {
@@ -382,19 +377,14 @@
 	p.unanswered, p.mute = 0, 0
 	if p.last.Seq != e.Seq {
 		k := d.fill(e.Customer, e.Plan, e.First, e.Spread)
-		wait := 0.0
 		k.level = min(k.level, e.Level)
-		if short := e.Units + k.promised - k.level; d.terms.Plans[k.plan].Rate > 0 && short > 0 {
-			wait = short / d.terms.Plans[k.plan].Rate
-		}
-		first, hold := d.place(k) == 0, 0.0
-		if wait == 0 && d.full(k) {
-			hold = openEvery
-		}
+		wait, hold, first := d.quotaWait(k, e.Units), 0.0, d.place(k) == 0
 		if first {
 			wait = max(wait, d.ceilingWait(k, e.Units))
 		}
-		if wait == 0 && hold == 0 {
+		if wait == 0 && d.full(k) {
+			hold = openEvery
+		} else if wait == 0 {
 			k.granted++
 			k.level -= e.Units
 			if first {
@@ -409,7 +399,6 @@
 // granted takes the home door's answer. What another than the first door grants, when that one is mute, must
 // fit this door's own slice of the ceiling.
 func (d *Door) granted(e gate.Granted) {
-	d.crowd(false)
 	d.peers[e.From].unanswered, d.peers[e.From].mute = 0, 0
 	for _, i := range d.live {
 		o := &d.ops[i]
@@ -419,16 +408,16 @@
 		k := d.refill(o.customer)
 		wait := e.Wait
 		k.level = e.Level
-		if wait == 0 && e.Hold > 0 && o.again > 0 {
-			wait = e.Hold
-		} else if wait == 0 && e.Hold > 0 {
-			o.seq, o.again = 0, d.now+e.Hold
-			return
-		}
-		if wait > 0 {
+		switch {
+		case wait > 0:
 			asks := barShare * float64(k.spread) * o.units / d.terms.Plans[k.plan].Rate
 			k.barred, k.barredUnits = d.now+max(wait, min(asks, barMost)), o.units
-		} else if e.From != k.first {
+		case e.Hold > 0 && o.again == 0:
+			o.seq, o.again = 0, d.now+e.Hold
+			return
+		case e.Hold > 0:
+			wait = e.Hold // more Asks for it would crowd out others'
+		case e.From != k.first:
 			if wait = d.ceilingWait(k, o.units); wait == 0 {
 				d.promise(k, o, false)
 			}
@@ -471,15 +460,6 @@
 	return n, (float64(n+1) - at) * span
 }
 
-// crowd follows how crowded the counter or the doors' mail is, by what was answered and what was not.
-func (d *Door) crowd(lost bool) {
-	if lost {
-		d.calling = max(countLeast, countCut*d.calling)
-	} else {
-		d.calling = min(1, d.calling+countGain)
-	}
-}
-
 // count takes an operation's units from what the counter has granted this door, or calls for more. It tells
 // how long the operation must stay out, in ms.
 func (d *Door) count(o *operation, k *bucket) (wait float64) {
@@ -526,7 +506,7 @@
 	}
 	c.calling = false
 	if e.Result != gate.Finished {
-		d.crowd(true)
+		d.calling = max(countLeast, countCut*d.calling)
 		for _, i := range d.live {
 			if o := &d.ops[i]; o.customer == e.Customer && o.held {
 				o.uncounted = true
@@ -534,7 +514,7 @@
 		}
 		return
 	}
-	d.crowd(false)
+	d.calling = min(1, d.calling+countGain)
 	_, left := d.window(k)
 	k.room = max(0, d.terms.Plans[k.plan].Depth-e.Total)
 	room := min(c.asked, d.terms.Plans[k.plan].Depth-e.Total+c.asked)
@@ -602,59 +582,50 @@
 }
 
 // drain is the time in which a profile's operations in flight finish at the recent best rate, ms; with too
-// few samples to know a rate, the low.
+// few samples to know a rate, the low. What is in flight by chance is no backlog.
 func (d *Door) drain(profile int) float64 {
-	if l := &d.lat[profile]; l.samples >= lowAfter {
-		n := float64(d.waiting(profile))
-		return (n - chance*math.Sqrt(n)) / l.best
-	}
-	return d.low(profile)
-}
-
-// waiting counts a profile's operations in flight, less those out for longer than the contract time. They
-// are late already, and where answers are lost on the way they never come: a few would otherwise look
-// like a backlog for as long as clients wait, and keep out all that the back end could take.
-func (d *Door) waiting(profile int) int {
-	n := d.out[profile]
-	for _, i := range d.live {
-		if o := &d.ops[i]; o.profile == profile {
-			for j := range o.sends {
-				if s := &o.sends[j]; s.out() && d.now-s.at > d.terms.Profiles[profile].Contract {
-					n--
-				}
-			}
-		}
+	l := &d.lat[profile]
+	if l.samples < lowAfter {
+		return d.low(profile)
 	}
-	return n
+	n := float64(max(0, d.out[profile]-l.late))
+	return (n - chance*math.Sqrt(n)) / l.best
 }
 
 // recent is a profile's recent latency. Silence gives no sample, so what is out longer than that adds its
-// excess, as one sample among those that the smoothing remembers. What waits at a judged backend is left
-// out, so that one silent backend does not look like a pressed fleet, and so is what is out for longer than
-// the contract time (see waiting).
+// excess, as one sample among those that the smoothing remembers.
 // A latency is seen only once it has passed: what is in flight will take its drain at least (Little's law),
 // and without that a surge is let in whole before its first slow answer.
 func (d *Door) recent(profile int) float64 {
-	l, contract := &d.lat[profile], d.terms.Profiles[profile].Contract
-	recent := l.recent
-	if l.samples == 0 {
-		recent = d.low(profile)
+	return max(d.smoothed(profile)+smoothing*d.lat[profile].overdue, d.drain(profile))
+}
+
+func (d *Door) smoothed(profile int) float64 {
+	if l := &d.lat[profile]; l.samples > 0 {
+		return l.recent
+	}
+	return d.low(profile)
+}
+
+// look takes in by how much what is out is out longer than is usual. What is out past the contract time is late
+// already, and where answers are lost on the way it would look like a backlog for as long as clients wait.
+// What waits at a judged backend is not overdue: one silent backend is no pressed fleet.
+func (d *Door) look() {
+	for p := range d.lat {
+		d.lat[p].late, d.lat[p].overdue = 0, 0
 	}
-	overdue := 0.0
 	for _, i := range d.live {
 		o := &d.ops[i]
-		if o.profile != profile {
-			continue
-		}
+		l := &d.lat[o.profile]
 		for j := range o.sends {
-			if s := &o.sends[j]; s.out() && !d.fleet.shunned(s.backend, profile) {
-				if age := d.now - s.at; age < contract {
-					overdue += max(0, age-recent)
-				}
+			s := &o.sends[j]
+			if age := d.now - s.at; s.out() && age > d.terms.Profiles[o.profile].Contract {
+				l.late++
+			} else if s.out() && !d.fleet.shunned(s.backend, o.profile) {
+				l.overdue += max(0, age-d.smoothed(o.profile))
 			}
 		}
 	}
-	return max(recent+smoothing*overdue, d.drain(profile))
 }
 
 // tooLong tells whether a hold eats the time left: the answer would come after the contract time, or
@@ -705,7 +676,8 @@
 	p, k := &d.terms.Plans[o.plan], &d.buckets[o.customer]
 	if d.home(k) >= 0 {
 		return false // asked with the units
-	} else if d.asks() && d.place(k) < homes {
+	}
+	if d.asks() && d.place(k) < homes {
 		return d.full(k)
 	}
 	return p.AtOnce > 0 && k.out >= max(1, int(math.Round(float64(p.AtOnce)*d.part(k))))
@@ -816,26 +788,24 @@
 	return min(1, d.terms.ColdFrom+(1-d.terms.ColdFrom)*age)
 }
 
-// coldRoom keeps the work sent to a cold backend under this door's share of what would push it over.
-// Its capacity is judged from the work that warm backends of like size take, which is at most theirs.
-// One operation in a window is always let through: how else would it warm.
+// coldRoom keeps what is sent to a cold backend under this door's share of what would push it over, window by
+// window. The share is judged from the work that warm backends of like size take, which is at most theirs. It
+// may be far under one operation: it is then rounded up or down at random, so that the shares of any number of
+// doors add up.
 func (d *Door) coldRoom(o *operation, b int) bool {
 	warm := d.warmth(b)
 	if warm >= 1 {
 		return true
 	}
 	f := &d.fleet
-	spent := 0.0
-	for _, w := range f.recent[b] {
-		if w.at > d.now-d.terms.FallWindow {
-			spent += w.ms
+	if d.now >= f.coldUntil[b] {
+		share := coldShare * d.terms.FallMultiple * warm * d.warmRate(b) * d.terms.FallWindow / d.low(o.profile)
+		if share == 0 { // no warm backend is known to compare with
+			share = coldBlind / float64(d.terms.Doors)
 		}
+		f.coldLeft[b], f.coldUntil[b] = int(share+d.dice.roll()), d.now+d.terms.FallWindow
 	}
-	if spent == 0 && f.out[b] == 0 && d.now > d.born+d.terms.FallWindow {
-		return true
-	}
-	budget := coldShare * d.terms.FallMultiple * warm * d.warmRate(b) * d.terms.FallWindow
-	return spent+d.low(o.profile) <= budget
+	return f.coldLeft[b] > 0 && d.now > d.born+d.terms.FallWindow
 }
 
 // warmRate is the work that warm backends take from this door, for a backend of b's size.
@@ -870,11 +840,7 @@
 	work := d.low(o.profile)
 	f.work[b] = f.work[b]*math.Exp((f.workAt[b]-d.now)/workSpan) + work
 	f.workAt[b] = d.now
-	if d.warmth(b) < 1 {
-		f.recent[b] = append(f.recent[b], workBit{d.now, work})
-	} else {
-		f.recent[b] = f.recent[b][:0]
-	}
+	f.coldLeft[b]--
 	d.touch(i)
 }
 
@@ -1033,6 +999,7 @@
 func (d *Door) tick() {
 	dt := d.now - d.ticked
 	d.ticked = d.now
+	d.look()
 	expected := make([]float64, len(d.lat))
 	for p := range d.lat {
 		expected[p] = max(1, d.recent(p))
--- a/policy/state.go
+++ b/policy/state.go
@@ -2,6 +2,14 @@
 
 import "github.com/swifthall/swifthall/gate"
 
+// grown returns s with index n in it.
+func grown[T any](s []T, n int) []T {
+	for len(s) <= n {
+		s = append(s, *new(T))
+	}
+	return s
+}
+
 // verdict is the final answer that an operation is wanted to have.
 type verdict uint8
 
@@ -114,7 +122,8 @@
 	fullUntil  [][]float64   // turned work of a plan away; left alone for it until then
 	work       []float64     // work sent lately, decaying, ms of work
 	workAt     []float64     // clock of that figure
-	recent     [][]workBit   // work sent while it was cold, for the cold budget
+	coldLeft   []int         // operations that it may still get in a window while it is cold
+	coldUntil  []float64     // end of that window, ms
 }
 
 // suspicion is the sequential test of one backend, for one profile or as a whole.
@@ -132,8 +141,6 @@
 	return f.cases[profile][b].judged || f.cases[f.whole()][b].judged
 }
 
-type workBit struct{ at, ms float64 }
-
 func (f *fleet) grow(n, plans int) {
 	for len(f.up) < n {
 		f.up, f.zone, f.cell = append(f.up, false), append(f.zone, 0), append(f.cell, 0)
@@ -143,7 +150,7 @@
 		}
 		f.pace, f.fullUntil = append(f.pace, 1), append(f.fullUntil, make([]float64, plans))
 		f.work, f.workAt = append(f.work, 0), append(f.workAt, 0)
-		f.recent = append(f.recent, nil)
+		f.coldLeft, f.coldUntil = append(f.coldLeft, 0), append(f.coldUntil, 0)
 	}
 }
 
@@ -154,6 +161,8 @@
 	lowAt       float64 // clock of the last sample, ms
 	spread      float64 // smoothed distance of a latency from the mean, ms
 	samples     int
+	late        int     // transmissions out past the contract time
+	overdue     float64 // sum of what the others are out beyond the usual, ms
 }
 
 // dice is a permuted congruential generator (PCG-XSH-RR 64/32).
