--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,6 @@
 	demandSpan  = 4e3  // ms over which demand is averaged; a few operations of a middling customer
 	priorDemand = 0.25 // share of the rate's worth of evidence that the even slice counts for
 	heardFor    = 15e3 // ms that a word of others' use is believed
-	meterLate   = 700  // ms from a meter period's end to its figure, where nothing better is known
 	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page)
 	sweepEvery  = 1e3  // ms between looks for idle buckets; there may be thousands
 	seqSpan     = 1e6  // Asks are numbered from a random number under this, apart from a former life's
@@ -45,7 +44,6 @@
 	countGain   = 0.03 // by which the share of calls made grows with each answer,
 	countCut    = 0.5  // and what is left of it after a call without one: a few calls in a hundred fail
 	countAll    = 0.9  // share of calls under which those are saved for customers whose part is small
-	countWide   = 1.0  // operations that an even slice of the depth holds at least where a part will do
 	countLeast  = 0.05 // least of that share
 	askFor      = 120. // ms to wait for another door's answer; a few ways there and back
 	askTwice    = 2    // Asks without an answer in a row after which a door counts as mute; one may be lost
@@ -107,16 +105,14 @@
 		case gate.Granted:
 			d.granted(e)
 		case gate.Released:
-			if k := &d.buckets[e.Customer]; d.terms.Plans[k.plan].AtOnce > 0 {
-				k.granted = max(0, k.granted-1)
-			}
+			d.buckets[e.Customer].granted = max(0, d.buckets[e.Customer].granted-1)
 		case gate.Counted:
 			d.counted(e)
 		case gate.Woken:
 			d.bell = false // not judged by the clock: a carrier may round the time asked for
 		case gate.Vanished:
 			d.ops[e.Op].want, d.ops[e.Op].given = answered, answered
-			d.unpromise(&d.ops[e.Op])
+			d.buckets[d.ops[e.Op].customer].unpromise(&d.ops[e.Op])
 			d.touch(e.Op)
 		}
 	}
@@ -148,11 +144,7 @@
 			f.size[b] = n.Size
 		}
 		if n.Since != f.since[b] { // a new process: nothing held against the old one counts
-			f.since[b], f.pace[b] = n.Since, 1
-			for r := range f.cases {
-				f.cases[r][b] = suspicion{}
-			}
-			clear(f.fullUntil[b])
+			f.renew(b, n.Since)
 		}
 	}
 }
@@ -194,11 +186,7 @@
 func (d *Door) fill(customer, plan, first, spread int) *bucket {
 	d.buckets = grown(d.buckets, customer)
 	k, p := &d.buckets[customer], &d.terms.Plans[plan]
-	if !k.known || k.plan != plan || k.first != first || k.spread != max(1, spread) {
-		*k = bucket{known: true, plan: plan, first: first, spread: max(1, spread), level: p.Depth, filled: d.now,
-			heard: math.Inf(-1), open: k.open, out: k.out, promised: k.promised,
-			promisedUnits: k.promisedUnits}
-	}
+	k.of(plan, first, max(1, spread), p.Depth, d.now)
 	dt := d.now - k.filled
 	k.filled = d.now
 	k.level = min(p.Depth, k.level+p.Rate*dt)
@@ -209,6 +197,7 @@
 	}
 	k.ceiling = min(most*part, k.ceiling+p.CeilingRate*dt*part)
 	k.demand *= math.Exp(-dt / demandSpan)
+	k.sent *= math.Exp(-dt / demandSpan)
 	return k
 }
 
@@ -260,25 +249,14 @@
 	k.promisedUnits += o.units
 }
 
-// unpromise ends a promise, kept or not.
-func (d *Door) unpromise(o *operation) {
-	if k := &d.buckets[o.customer]; o.promised {
-		o.promised = false
-		k.promised -= o.charge
-		k.promisedUnits -= o.units
-	}
-}
-
 func (d *Door) draw(o *operation) {
 	k := d.refill(o.customer)
 	if o.promised {
-		d.unpromise(o)
+		d.buckets[o.customer].unpromise(o)
 		k.level -= o.charge
 		k.ceiling -= o.units
 	}
-	if d.terms.MeterPeriod > 0 {
-		*k.sent.at(d.period(d.now)) += o.units
-	}
+	k.sent += o.units / demandSpan
 }
 
 // A customer's set may be so wide that a door's part holds less than one operation. Where doors may write to
@@ -305,10 +283,9 @@
 // slice is this door's part of a customer's ceiling. The home door grants from its own; the rest is for the
 // others, when they find it mute. Slices never move, so that they add up whatever is lost.
 func (d *Door) slice(k *bucket) float64 {
-	switch {
-	case !d.asks() || k.spread < 2:
+	if !d.asks() || k.spread < 2 {
 		return 1 / float64(k.spread)
-	case d.place(k) == 0:
+	} else if d.place(k) == 0 {
 		return homeCeiling
 	}
 	return (1 - homeCeiling) / float64(k.spread-1)
@@ -328,21 +305,24 @@
 	if d.counts(k) && !o.uncounted {
 		if wait := d.count(o, k); wait > 0 {
 			d.giveUp(i, wait)
+			return false
+		} else if !o.uncounted {
+			return o.granted
 		}
-		return o.granted
 	}
-	if wait := d.shortfall(k, o.units); wait > 0 {
+	wait := d.shortfall(k, o.units)
+	if wait > 0 {
 		d.giveUp(i, wait)
-		return false
+	} else {
+		d.promise(k, o, true)
 	}
-	d.promise(k, o, true)
-	return true
+	return wait == 0
 }
 
 // askHome asks the customer's home door and tells whether its answer is awaited. A door that leaves two Asks
-// in a row unanswered counts as mute and the next is asked; where none is left, this door decides by its part.
+// in a row unanswered counts as mute and the next is asked; where none is left, this door decides by its
+// part.
 func (d *Door) askHome(o *operation, k *bucket) bool {
-	seq := 0
 	if o.seq > 0 {
 		if d.now < o.asked+askFor {
 			return true
@@ -350,20 +330,19 @@
 		p := &d.peers[o.home]
 		if p.unanswered++; p.unanswered >= askTwice {
 			p.mute = d.now + muteFor
-		} else {
-			seq = o.seq // by which the home door knows that it may have granted this one
 		}
 	}
-	o.seq, o.home = 0, d.home(k)
-	if o.home < 0 {
+	home := d.home(k)
+	if home < 0 {
+		o.seq = 0
 		return false
 	}
-	if seq == 0 {
+	if o.seq == 0 || home != o.home { // else the same number: that Ask may have been granted
 		d.seq++
-		seq = d.seq
+		o.seq = d.seq
 	}
-	o.seq, o.asked = seq, d.now
-	d.mail = append(d.mail, letter{o.home, gate.Ask{To: o.home, Seq: seq, Customer: o.customer, Plan: o.plan,
+	o.home, o.asked = home, d.now
+	d.mail = append(d.mail, letter{home, gate.Ask{To: home, Seq: o.seq, Customer: o.customer, Plan: o.plan,
 		First: k.first, Spread: k.spread, Units: o.units,
 		Level: k.level + d.terms.Plans[o.plan].Rate*askFor}})
 	return true
@@ -446,8 +425,9 @@
 }
 
 // Where there is a shared counter, each customer has a number on it for each window, the time in which its
-// quota fills the whole depth, and the depth is what the doors may add to it: over windows that is the quota's
-// rate, with its depth at once. A crowded counter makes the door call for fewer operations; the others go by part.
+// quota fills the whole depth, and the depth is what the doors may add to it: over windows that is the
+// quota's rate, with its depth at once. A crowded counter makes the door call for fewer operations; the
+// others go by part.
 
 func (d *Door) counts(k *bucket) bool { return d.terms.Counter && d.terms.Plans[k.plan].Rate > 0 }
 
@@ -478,19 +458,19 @@
 	case c.calling:
 	case d.now < k.barred && o.units >= k.barredUnits:
 		return k.barred - d.now
-	case d.dice.roll() > d.calling || d.calling < countAll && (o.repeat ||
-		d.terms.Plans[k.plan].Depth >= countWide*float64(k.spread)*o.units):
+	case d.now < c.rest || d.dice.roll() > d.calling || d.calling < countAll && (o.repeat ||
+		d.terms.Plans[k.plan].Depth >= float64(k.spread)*o.units):
 		if o.uncounted = true; o.repeat { // a storm of repeats is not let past the counter that it crowds
 			return left
 		}
 	default:
 		c.calling, c.least, c.asked = true, o.units, max(o.units, countLump*k.room/float64(k.spread))
-		d.actions = append(d.actions, gate.Count{Customer: o.customer, Epoch: n, Add: c.asked, Keep: left + askFor})
+		d.calls = append(d.calls, gate.Count{Customer: o.customer, Epoch: n, Add: c.asked, Keep: left + askFor})
 	}
 	return wait
 }
 
-// counted takes a call's answer. Room that is too small for the operation is given back for smaller ones.
+// counted takes a call's answer.
 func (d *Door) counted(e gate.Counted) {
 	if e.Customer >= len(d.buckets) || !d.buckets[e.Customer].known {
 		return
@@ -500,33 +480,18 @@
 	if e.Epoch != c.window {
 		return
 	}
-	if c.returns > 0 { // answers come in the order of the calls
-		c.returns--
-		return
-	}
 	c.calling = false
 	if e.Result != gate.Finished {
 		d.calling = max(countLeast, countCut*d.calling)
-		for _, i := range d.live {
-			if o := &d.ops[i]; o.customer == e.Customer && o.held {
-				o.uncounted = true
-			}
-		}
+		c.rest = d.now + tickEvery // what waits for this call goes by part
 		return
 	}
 	d.calling = min(1, d.calling+countGain)
 	_, left := d.window(k)
 	k.room = max(0, d.terms.Plans[k.plan].Depth-e.Total)
 	room := min(c.asked, d.terms.Plans[k.plan].Depth-e.Total+c.asked)
-	if room >= c.least {
-		c.granted += room
-		return
-	}
-	k.barred, k.barredUnits = d.now+left, c.least
-	if room > 0 {
-		c.returns++
-		d.actions = append(d.actions,
-			gate.Count{Customer: e.Customer, Epoch: e.Epoch, Add: -c.asked, Keep: left + askFor})
+	if c.granted += max(0, room); room < c.least { // what is too little stays here for smaller ones
+		k.barred, k.barredUnits = d.now+left, c.least
 	}
 }
 
@@ -536,18 +501,14 @@
 	return d.fill(customer, k.plan, k.first, k.spread)
 }
 
-// hear takes in the meter's word on a customer. What this door sent in the period that the figure speaks
-// of is taken off; the rest is the others'.
+// hear takes in the meter's word on a customer. What this door sent of late is taken off; the rest is the
+// others'.
 func (d *Door) hear(k *bucket, use float64) {
 	p := &d.terms.Plans[k.plan]
 	if use < 0 || p.Rate == 0 || d.terms.MeterPeriod == 0 {
 		return
 	}
-	own := 0.0
-	if sum := k.sent.at(d.period(d.now-meterLate) - 1); sum != nil {
-		own = *sum / d.terms.MeterPeriod
-	}
-	o := max(0, use*p.Rate-own)
+	o := max(0, use*p.Rate-k.sent)
 	if d.now-k.heard > heardFor {
 		k.others = o
 	} else {
@@ -556,14 +517,11 @@
 	k.heard = d.now
 }
 
-func (d *Door) period(at float64) int64 { return int64(at / max(1, d.terms.MeterPeriod)) }
-
-// hold is alpha x the backlog estimate of the operation's profile: operations in flight times the
-// fraction by which recent latency exceeds its recent low, above a margin set from the contract time.
-// Alpha counts in the intervals at which this door finishes operations of the profile at its recent best, so
-// the hold is the time in which the backlog drains, whatever the traffic. An interval taken from the latest
-// latency or rate would grow as operations in flight fall and cancel them: once all were rejected, no
-// sample would ever lower the estimate again.
+// hold is alpha x the backlog estimate of the operation's profile: operations in flight times the fraction by
+// which recent latency exceeds its recent low, above a margin set from the contract time. Alpha counts in the
+// intervals at which this door finishes operations of the profile at its recent best: the hold is the time in
+// which the backlog drains, whatever the traffic. The latest latency or rate would not do: once all were
+// rejected, no sample would ever lower the estimate again.
 func (d *Door) hold(o *operation) float64 {
 	contract := d.terms.Profiles[o.profile].Contract
 	low, l := d.low(o.profile), &d.lat[o.profile]
@@ -572,8 +530,8 @@
 	return alpha * excess * d.drain(o.profile)
 }
 
-// low is a profile's recent low, or a guess until the smoothed latency means something: the first few
-// samples alone can be far under any true low, and would make all that follows look like backlog.
+// low is a profile's recent low, or a guess until the smoothed latency means something: the first few samples
+// can be far under any true low, and would make all that follows look like backlog.
 func (d *Door) low(profile int) float64 {
 	if l := &d.lat[profile]; l.low > 0 {
 		return l.low
@@ -607,9 +565,9 @@
 	return d.low(profile)
 }
 
-// look takes in by how much what is out is out longer than is usual. What is out past the contract time is late
-// already, and where answers are lost on the way it would look like a backlog for as long as clients wait.
-// What waits at a judged backend is not overdue: one silent backend is no pressed fleet.
+// look takes in by how much what is out is out longer than is usual. What is out past the contract time is
+// late already, and where answers are lost on the way it would look like a backlog for as long as clients
+// wait. What waits at a judged backend is not overdue: one silent backend is no pressed fleet.
 func (d *Door) look() {
 	for p := range d.lat {
 		d.lat[p].late, d.lat[p].overdue = 0, 0
@@ -644,8 +602,7 @@
 		d.giveUp(i, 0)
 		return
 	}
-	// The hold follows the estimate while it lasts. Fixed at arrival, holds given in a quiet moment would
-	// all end in the same later one, and put out a wave that no estimate had seen.
+	// Fixed at arrival, holds given in a quiet moment would all end in the same later one, in a wave.
 	if len(o.sends) == 0 && o.seq == 0 && !o.granted {
 		if rest := o.came + d.hold(o) - d.now; d.tooLong(o, rest) {
 			d.giveUp(i, d.drain(o.profile))
@@ -654,19 +611,16 @@
 			return
 		}
 	}
-	if d.now < o.again || d.crowded(o) {
+	if !o.granted && (d.now < o.again || d.crowded(o)) {
 		return
 	}
 	if len(o.sends) == 0 && !d.secure(i) {
 		return
 	}
-	if o.granted && !o.promised && len(o.sends) == 0 && d.now > o.asked+askFor &&
-		d.terms.Plans[o.plan].CeilingRate > 0 {
-		d.giveUp(i, 0) // the home door's ceiling has filled up since
-		return
-	}
-	if b := d.pick(o); b >= 0 {
+	if b, any := d.pick(o); b >= 0 {
 		d.send(i, b)
+	} else if o.granted && !o.promised || len(o.sends) > 0 && !any {
+		d.giveUp(i, d.drain(o.profile)) // the home door's ceiling fills up again; or nothing listed may have it
 	}
 }
 
@@ -674,17 +628,14 @@
 // home door, which is told what it granted and what has ended, its part of them elsewhere.
 func (d *Door) crowded(o *operation) bool {
 	p, k := &d.terms.Plans[o.plan], &d.buckets[o.customer]
-	if d.home(k) >= 0 {
-		return false // asked with the units
-	}
-	if d.asks() && d.place(k) < homes {
-		return d.full(k)
+	if d.asks() && d.place(k) < homes || d.home(k) >= 0 { // elsewhere it is asked with the units
+		return d.home(k) < 0 && d.full(k)
 	}
 	return p.AtOnce > 0 && k.out >= max(1, int(math.Round(float64(p.AtOnce)*d.part(k))))
 }
 
-// full tells whether all the transmissions that a customer may have out at once are thought to be out. What was
-// granted and never heard of again is forgotten in time.
+// full tells whether all the transmissions that a customer may have out at once are thought to be out. What
+// was granted and never heard of again is forgotten in time.
 func (d *Door) full(k *bucket) bool {
 	k.granted *= math.Exp((k.grantedAt - d.now) / grantedFor)
 	k.grantedAt = d.now
@@ -693,19 +644,18 @@
 }
 
 // pick draws a backend with odds in step with thought room. A judged backend whose trial is due comes
-// first, for an operation that can be sent again elsewhere.
-func (d *Door) pick(o *operation) int {
+// first, for an operation that can be sent again elsewhere. It also tells whether any may have the operation.
+func (d *Door) pick(o *operation) (b int, any bool) {
 	f := &d.fleet
 	fresh := len(o.sends) == 0
 	odds := make([]float64, len(f.up))
-	sum := 0.0
 	for b := range f.up {
 		if !d.allowed(o, b) {
 			continue
 		}
-		if f.shunned(b, o.profile) {
+		if any = true; f.shunned(b, o.profile) {
 			if fresh && d.trial(o, b) {
-				return b
+				return b, any
 			}
 			continue
 		}
@@ -715,22 +665,8 @@
 				odds[b] *= 1e-3
 			}
 		}
-		sum += odds[b]
-	}
-	if sum == 0 {
-		return -1
-	}
-	x := d.dice.roll() * sum
-	last := -1
-	for b, w := range odds {
-		if w > 0 {
-			last = b
-			if x -= w; x < 0 {
-				break
-			}
-		}
 	}
-	return last
+	return d.dice.draw(odds), any
 }
 
 // room is what a backend is thought to have free: its size and pace, less for own work out, and weighed
@@ -740,8 +676,8 @@
 	if d.now < f.fullUntil[b][o.plan] {
 		return 0
 	}
-	doubt := max(f.cases[o.profile][b].doubt, f.cases[f.whole()][b].doubt)
-	well := 1 / (1 + math.Exp(doubt-priorNats))
+	c := f.against(b, o.profile)
+	well := 1 / (1 + math.Exp(max(c[0].doubt, c[1].doubt)-priorNats))
 	return well * d.warmth(b) * f.size[b] / f.pace[b] / math.Pow(1+float64(f.out[b]), roomPower)
 }
 
@@ -790,8 +726,8 @@
 
 // coldRoom keeps what is sent to a cold backend under this door's share of what would push it over, window by
 // window. The share is judged from the work that warm backends of like size take, which is at most theirs. It
-// may be far under one operation: it is then rounded up or down at random, so that the shares of any number of
-// doors add up.
+// may be far under one operation: it is then rounded up or down at random, so that the shares of any number
+// of doors add up.
 func (d *Door) coldRoom(o *operation, b int) bool {
 	warm := d.warmth(b)
 	if warm >= 1 {
@@ -811,17 +747,16 @@
 // warmRate is the work that warm backends take from this door, for a backend of b's size.
 func (d *Door) warmRate(b int) float64 {
 	f := &d.fleet
-	work, size := 0.0, 0.0
+	size := 0.0
 	for c := range f.up {
-		if f.up[c] && !f.cases[f.whole()][c].judged && d.warmth(c) >= 1 {
-			work += f.work[c] * math.Exp((f.workAt[c]-d.now)/workSpan) / workSpan
+		if f.up[c] && !f.against(c, 0)[1].judged && d.warmth(c) >= 1 {
 			size += f.size[c]
 		}
 	}
 	if size == 0 {
 		return 0
 	}
-	return work / size * f.size[b]
+	return f.work * math.Exp((f.workAt-d.now)/workSpan) / workSpan / size * f.size[b]
 }
 
 // send wants an operation out at a backend.
@@ -837,10 +772,11 @@
 	k.out++
 	f.out[b]++
 	d.out[o.profile]++
-	work := d.low(o.profile)
-	f.work[b] = f.work[b]*math.Exp((f.workAt[b]-d.now)/workSpan) + work
-	f.workAt[b] = d.now
 	f.coldLeft[b]--
+	if d.warmth(b) >= 1 {
+		f.work = f.work*math.Exp((f.workAt-d.now)/workSpan) + d.low(o.profile)
+		f.workAt = d.now
+	}
 	d.touch(i)
 }
 
@@ -865,21 +801,9 @@
 	if o.want != undecided || o.out > 0 {
 		return
 	}
-	if len(o.sends) < d.terms.MaxTransmissions && d.now < o.until-lastLook && d.again(o) {
-		o.held = true
-		return
+	if o.held = len(o.sends) < d.terms.MaxTransmissions; !o.held {
+		d.giveUp(e.Op, d.drain(o.profile))
 	}
-	d.giveUp(e.Op, d.drain(o.profile))
-}
-
-// again tells whether any listed backend may get the operation once more.
-func (d *Door) again(o *operation) bool {
-	for b := range d.fleet.up {
-		if d.fleet.up[b] && d.allowed(o, b) {
-			return true
-		}
-	}
-	return false
 }
 
 // giveUp ends an operation at once: a rejection where trying again is harmless, else a scrapping.
@@ -897,7 +821,7 @@
 
 func (d *Door) reject(i int, retryAfter float64) {
 	o := &d.ops[i]
-	d.unpromise(o)
+	d.buckets[o.customer].unpromise(o)
 	o.want, o.held, o.retryAfter = rejected, false, min(retryAfter, d.terms.MaxRetryAfter)
 	d.touch(i)
 }
@@ -908,8 +832,7 @@
 	f, b := &d.fleet, s.backend
 	switch e.Result {
 	case gate.Finished:
-		for _, r := range []int{o.profile, f.whole()} {
-			c := &f.cases[r][b]
+		for _, c := range f.against(b, o.profile) {
 			c.doubt = max(0, c.doubt+math.Log(silentRate))
 			c.judged = c.judged && c.doubt >= priorNats
 		}
@@ -928,27 +851,14 @@
 	}
 }
 
-// doubt adds evidence against a backend, as a whole and for one profile: a backend may leave one profile alone
-// unanswered, and the answers to the others must not hide that. Where too many would stand judged at once the
-// trouble is the fleet's, and judging more would only crowd the rest.
+// doubt adds evidence against a backend, as a whole and for one profile: a backend may leave one profile
+// alone unanswered, and the answers to the others must not hide that. Where too many would stand judged at
+// once the trouble is the fleet's, and judging more would only crowd the rest.
 func (d *Door) doubt(b, profile int, nats float64) {
 	f := &d.fleet
-	for _, r := range []int{profile, f.whole()} {
-		c := &f.cases[r][b]
+	for i, c := range f.against(b, profile) {
 		c.doubt = min(c.doubt+nats, judgeAt)
-		if c.doubt < judgeAt || c.judged {
-			continue
-		}
-		listed, judged := 0, 1
-		for i := range f.up {
-			if f.up[i] {
-				listed++
-				if f.cases[r][i].judged {
-					judged++
-				}
-			}
-		}
-		if float64(judged) <= mostJudged*float64(listed) {
+		if c.doubt == judgeAt && !c.judged && f.judgedWith(i == 0, profile) <= mostJudged {
 			*c = suspicion{doubt: c.doubt, judged: true, trialAt: d.now + trialFirst, trialGap: trialFirst}
 		}
 	}
@@ -957,17 +867,16 @@
 // trial tells whether an operation is to try a judged backend. One that may run only once tries none that is
 // judged as a whole.
 func (d *Door) trial(o *operation, b int) bool {
-	f := &d.fleet
-	if !d.canRepeat(o) && f.cases[f.whole()][b].judged {
+	cs := d.fleet.against(b, o.profile)
+	if cs[1].judged && !d.canRepeat(o) {
 		return false
 	}
-	for _, r := range []int{o.profile, f.whole()} {
-		if c := &f.cases[r][b]; c.judged && d.now < c.trialAt {
+	for _, c := range cs {
+		if c.judged && d.now < c.trialAt {
 			return false
 		}
 	}
-	for _, r := range []int{o.profile, f.whole()} {
-		c := &f.cases[r][b]
+	for _, c := range cs {
 		c.trialAt, c.trialGap = d.now+c.trialGap, min(trialMost, 2*c.trialGap)
 	}
 	return true
@@ -1000,23 +909,19 @@
 	dt := d.now - d.ticked
 	d.ticked = d.now
 	d.look()
-	expected := make([]float64, len(d.lat))
-	for p := range d.lat {
-		expected[p] = max(1, d.recent(p))
-	}
 	keep := d.live[:0]
 	for _, i := range d.live {
 		o := &d.ops[i]
 		for j := range o.sends {
 			if s := &o.sends[j]; s.out() {
 				slow := max(1, d.fleet.pace[s.backend]) / d.warmth(s.backend)
-				d.doubt(s.backend, o.profile, (1-silentRate)*dt/(expected[o.profile]*slow))
+				d.doubt(s.backend, o.profile, (1-silentRate)*dt/(max(1, d.recent(o.profile))*slow))
 			}
 		}
 		if o.want == undecided && o.held {
 			d.release(i)
 		} else if o.want == undecided {
-			d.rescue(i, expected[o.profile])
+			d.rescue(i)
 		}
 		if o.want == undecided || o.out > 0 {
 			keep = append(keep, i)
@@ -1043,14 +948,14 @@
 
 // rescue sends a second copy of an operation that waits at a judged backend: silence, a stall or a lost
 // zone. It never acts on slowness that the whole fleet shares, since expected latency grows with it.
-func (d *Door) rescue(i int, expected float64) {
+func (d *Door) rescue(i int) {
 	o := &d.ops[i]
 	if o.streaming || o.out != 1 || len(o.sends) >= d.terms.MaxTransmissions || !d.terms.SecondCopies {
 		return
 	}
 	s := &o.sends[len(o.sends)-1]
-	if s.out() && d.fleet.shunned(s.backend, o.profile) && d.now-s.at > rescueAt*expected {
-		if b := d.pick(o); b >= 0 && b != s.backend {
+	if s.out() && d.fleet.shunned(s.backend, o.profile) && d.now-s.at > rescueAt*d.recent(o.profile) {
+		if b, _ := d.pick(o); b >= 0 && b != s.backend {
 			d.send(i, b)
 		}
 	}
@@ -1058,13 +963,6 @@
 
 // ---- The difference between what is wanted and what is ----
 
-func (d *Door) touch(i int) {
-	if o := &d.ops[i]; !o.queued {
-		o.queued = true
-		d.changed = append(d.changed, i)
-	}
-}
-
 // settle emits, for all that changed, the difference between the wanted state and the present one.
 func (d *Door) settle() {
 	if d.ask && d.now >= d.askAt {
@@ -1096,6 +994,8 @@
 	}
 	d.changed = d.changed[:0]
 	d.post()
+	d.actions = append(d.actions, d.calls...)
+	d.calls = d.calls[:0]
 	for _, c := range d.forgets {
 		d.actions = append(d.actions, gate.Forget{Customer: c})
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,10 @@
 package policy
 
-import "github.com/swifthall/swifthall/gate"
+import (
+	"math"
+
+	"github.com/swifthall/swifthall/gate"
+)
 
 // grown returns s with index n in it.
 func grown[T any](s []T, n int) []T {
@@ -72,12 +76,30 @@
 	demand        float64  // units asked here lately, units/ms
 	others        float64  // use by other doors as heard, units/ms
 	heard         float64  // clock when others was last heard, ms
-	sent          ring     // units first sent here, by meter period
+	sent          float64  // units first sent here lately, units/ms
 	count         counting // this customer's part of the shared counter
 	out           int      // transmissions out
 	open          int      // operations not over
 }
 
+// of makes k the bucket of a customer's plan and doors, full where it was another's.
+func (k *bucket) of(plan, first, spread int, depth, now float64) {
+	if !k.known || k.plan != plan || k.first != first || k.spread != spread {
+		*k = bucket{known: true, plan: plan, first: first, spread: spread, level: depth, filled: now,
+			heard: math.Inf(-1), open: k.open, out: k.out, promised: k.promised,
+			promisedUnits: k.promisedUnits}
+	}
+}
+
+// unpromise ends a promise, kept or not.
+func (k *bucket) unpromise(o *operation) {
+	if o.promised {
+		o.promised = false
+		k.promised -= o.charge
+		k.promisedUnits -= o.units
+	}
+}
+
 // counting is what this door knows of a customer's number on the shared counter.
 type counting struct {
 	window  int64   // of granted
@@ -85,29 +107,7 @@
 	calling bool    // a call is out
 	asked   float64 // units that it asks for
 	least   float64 // of these, for the operation that it was made for
-	returns int     // calls out that only take units off again
-}
-
-// ring holds sums for the latest slots of a numbered sequence.
-type ring struct {
-	last int64
-	sums [ringSlots]float64
-}
-
-const ringSlots = 16
-
-// at returns the sum of slot n, or nil where it is too old.
-func (r *ring) at(n int64) *float64 {
-	if n <= r.last-ringSlots {
-		return nil
-	}
-	for ; r.last < n; r.last++ {
-		if n-r.last > ringSlots {
-			*r = ring{last: n - ringSlots}
-		}
-		r.sums[(r.last+1)%ringSlots] = 0
-	}
-	return &r.sums[n%ringSlots]
+	rest    float64 // clock before which no call is made, ms
 }
 
 // fleet holds the figures about backends in parallel arrays under the carrier's dense index.
@@ -120,8 +120,8 @@
 	cases      [][]suspicion // by profile, then backend; the last row is for backends as a whole
 	pace       []float64     // its latency over the fleet's
 	fullUntil  [][]float64   // turned work of a plan away; left alone for it until then
-	work       []float64     // work sent lately, decaying, ms of work
-	workAt     []float64     // clock of that figure
+	work       float64       // work sent lately to warm backends, decaying, ms of work
+	workAt     float64       // clock of that figure, ms
 	coldLeft   []int         // operations that it may still get in a window while it is cold
 	coldUntil  []float64     // end of that window, ms
 }
@@ -134,11 +134,42 @@
 	trialGap float64 // time to the trial after that
 }
 
-// whole is the row of cases for backends as a whole, behind those for each profile.
-func (f *fleet) whole() int { return len(f.cases) - 1 }
+// renew clears what was held against a backend's former process.
+func (f *fleet) renew(b int, since float64) {
+	f.since[b], f.pace[b] = since, 1
+	for r := range f.cases {
+		f.cases[r][b] = suspicion{}
+	}
+	clear(f.fullUntil[b])
+}
+
+// against returns what is held against a backend: for the profile, and as a whole.
+func (f *fleet) against(b, profile int) [2]*suspicion {
+	return [2]*suspicion{&f.cases[profile][b], &f.cases[len(f.cases)-1][b]}
+}
 
 func (f *fleet) shunned(b, profile int) bool {
-	return f.cases[profile][b].judged || f.cases[f.whole()][b].judged
+	cs := f.against(b, profile)
+	return cs[0].judged || cs[1].judged
+}
+
+// judgedWith returns the share of the listed backends that stand judged, with one more; for the profile
+// alone, or as a whole.
+func (f *fleet) judgedWith(alone bool, profile int) float64 {
+	row := f.cases[len(f.cases)-1]
+	if alone {
+		row = f.cases[profile]
+	}
+	listed, judged := 0, 1
+	for b, up := range f.up {
+		if up {
+			listed++
+			if row[b].judged {
+				judged++
+			}
+		}
+	}
+	return float64(judged) / float64(max(1, listed))
 }
 
 func (f *fleet) grow(n, plans int) {
@@ -149,7 +180,6 @@
 			f.cases[r] = append(f.cases[r], suspicion{})
 		}
 		f.pace, f.fullUntil = append(f.pace, 1), append(f.fullUntil, make([]float64, plans))
-		f.work, f.workAt = append(f.work, 0), append(f.workAt, 0)
 		f.coldLeft, f.coldUntil = append(f.coldLeft, 0), append(f.coldUntil, 0)
 	}
 }
@@ -182,6 +212,24 @@
 	return float64(x>>r|x<<(-r&31)) / (1 << 32)
 }
 
+// draw returns an index at random, by odds, or -1 where there are none.
+func (d *dice) draw(odds []float64) int {
+	sum, last := 0.0, -1
+	for _, w := range odds {
+		sum += w
+	}
+	x := d.roll() * sum
+	for i, w := range odds {
+		if w > 0 {
+			last = i
+			if x -= w; x < 0 {
+				break
+			}
+		}
+	}
+	return last
+}
+
 // Door decides for one door.
 type Door struct {
 	terms   gate.Terms
@@ -200,11 +248,12 @@
 	ask     bool    // the list must be asked for
 	askAt   float64 // clock before which it is not asked for
 	forgets []int
-	peers   []peer   // by number
-	seq     int      // of the latest Ask
-	mail    []letter // waiting to be written
-	swept   float64  // clock of the last look for idle buckets
-	calling float64  // share of operations for which the counter is called
+	peers   []peer        // by number
+	seq     int           // of the latest Ask
+	mail    []letter      // waiting to be written
+	calls   []gate.Action // of the counter, likewise
+	swept   float64       // clock of the last look for idle buckets
+	calling float64       // share of operations for which the counter is called
 	actions []gate.Action
 }
 
@@ -220,3 +269,11 @@
 	wrote      float64    // clock of the latest message to it, ms
 	last       gate.Grant // the latest answer to it
 }
+
+// touch lists an operation as changed.
+func (d *Door) touch(i int) {
+	if o := &d.ops[i]; !o.queued {
+		o.queued = true
+		d.changed = append(d.changed, i)
+	}
+}
