A pressed fleet that answers nothing in time is seen: late and given-up transmissions count

Cause, seen in what the doors thought at each sending: all in flight was past the contract time and so left out of the backlog, transmissions given up gave no latency, and lows were learnt on the pressed fleet. Told apart from a broken backend by all backends being slow alike. Now late transmissions count while what comes back is slow, a transmission given up is a latency of its age, and a low is at most 0.3 of the contract time. Harm: where answers are lost and the rest is slow, the lost ones hold again.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,7 @@
 	leastKnown  = 0.1  // least share of finishSpan that a rate is taken to be averaged over, after a start
 	bestDrift   = 20e3 // ms in which a best rate gives way after part of the fleet is lost
 	lowDrift    = 60e3 // ms in which a low or a best rate gives way to a lastingly heavier mix
+	lowMost     = 0.3  // most that a low may be, as a share of the contract time: a door may start on a pressed fleet
 	firstGuess  = 0.1  // latency before any sample, as a share of the contract time
 	tickEvery   = 20.0 // ms between looks at what waits; small beside every contract time
 
@@ -533,10 +534,11 @@
 // low is a profile's recent low, or a guess until the smoothed latency means something: the first few samples
 // can be far under any true low, and would make all that follows look like backlog.
 func (d *Door) low(profile int) float64 {
+	contract := d.terms.Profiles[profile].Contract
 	if l := &d.lat[profile]; l.low > 0 {
-		return l.low
+		return min(l.low, lowMost*contract)
 	}
-	return firstGuess * d.terms.Profiles[profile].Contract
+	return firstGuess * contract
 }
 
 // drain is the time in which a profile's operations in flight finish at the recent best rate, ms; with too
@@ -546,7 +548,10 @@
 	if l.samples < lowAfter {
 		return d.low(profile)
 	}
-	n := float64(max(0, d.out[profile]-l.late))
+	n := float64(d.out[profile])
+	if contract := d.terms.Profiles[profile].Contract; l.recent < l.low+marginShare*contract {
+		n = max(0, n-float64(l.late)) // what does come back is fast: these are lost
+	}
 	return (n - chance*math.Sqrt(n)) / l.best
 }
 
@@ -846,6 +851,12 @@
 		f.fullUntil[b][o.plan] = d.now + fullRest
 		l := &d.lat[o.profile]
 		l.recent += smoothing * (d.terms.Profiles[o.profile].Contract - l.recent)
+	case gate.TimedOut, gate.Cancelled:
+		// All that is known is that the answer would have come later: where clients leave a pressed fleet
+		// unanswered, what does come back is the lucky rest. Covers lost answers in part, under the margin.
+		if l := &d.lat[o.profile]; e.Latency > l.recent && !f.shunned(b, o.profile) {
+			l.recent += smoothing * (min(e.Latency, d.terms.Profiles[o.profile].Contract) - l.recent)
+		}
 	case gate.Errored, gate.Unreachable, gate.Reset:
 		d.doubt(b, o.profile, failNats)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -417,3 +417,28 @@
 	assert.Equal(t, rejected, d.ops[1].want)
 	assert.Empty(t, d.ops[1].sends, "one never to be sent would count as out for ever")
 }
+
+func TestLateTransmissionsAreBacklogWhileAnswersAreSlow(t *testing.T) {
+	d := door(4)
+	for i := range 9 {
+		d.arrive(arriving(i, replayable, plain))
+		d.send(i, i%4)
+	}
+	d.settle()
+	d.lat[replayable].recent = 900
+	d.now += 1500
+	d.look()
+	assert.Positive(t, d.hold(&d.ops[0]), "else the door goes on sending into a fleet that answers nothing in time")
+}
+
+func TestALowLearntOnAPressedFleetHasAMost(t *testing.T) {
+	d := door(1)
+	d.lat[replayable].low = 900
+	assert.Equal(t, lowMost*1000, d.low(replayable))
+}
+
+func TestGivenUpIsALatencyOfItsAge(t *testing.T) {
+	d := sentOnce(replayable, 0)
+	d.ended(gate.Ended{Result: gate.TimedOut, Latency: 3000, Use: -1})
+	assert.InDelta(t, 100+smoothing*900, d.lat[replayable].recent, 1)
+}
