--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,9 +6,8 @@
 // state types are in state.go. The same events always give the same actions.
 //
 // To read it: Decide takes the events in, each changing what is wanted of an operation (held, out, ended);
-// tick lets time act; settle emits the difference between what is wanted and what is. The ordinary path
-// is arrive (quota, then hold), release (hold over) and pick (draw of a backend). docs/design.md tells
-// what comes from the paper and the design page, and when each exception acts.
+// tick lets time act; settle emits the difference. The ordinary path is arrive, release (hold over, units
+// secured) and pick (draw of a backend). docs/design.md tells what comes from where, and each exception.
 package policy
 
 import (
@@ -40,7 +39,7 @@
 	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page)
 	sweepEvery  = 1e3  // ms between looks for idle buckets; there may be thousands
 	seqSpan     = 1e6  // Asks are numbered from a random number under this, apart from a former life's
-	mailEvery   = 40.  // ms between messages to one door; three doors then fill two thirds of theirs
+	mailEvery   = 40.  // ms between messages to one door; three doors then fill two thirds of what each takes in
 	countLump   = 0.5  // of a door's even slice of the room last seen on the counter, that one call asks for
 	countGain   = 0.03 // by which the share of calls made grows with each answer,
 	countCut    = 0.5  // and what is left of it after a call without one: a few calls in a hundred fail
@@ -73,6 +72,7 @@
 	coldShare = 0.8  // share of a cold backend's budget that the doors use; the rest is for chance
 	coldBlind = 2.0  // operations that the doors together send a cold backend in a window, knowing no warm one
 	workSpan  = 10e3 // ms over which work sent to a backend is averaged
+	sameOdds  = 1e-3 // odds left to a backend that has had the operation, where there is another
 	roomPower = 3.0  // how fast thought room falls with own work out; less leaves queues at some and others idle
 	askRest   = 1e3  // ms between calls for the fleet list after one failed
 	lastLook  = 25.0 // ms before the client's wait ends at which a held operation gets its answer; over a tick
@@ -178,7 +178,6 @@
 		d.reject(e.Op, d.drain(o.profile))
 	} else {
 		o.held = true
-		d.touch(e.Op)
 	}
 }
 
@@ -510,11 +509,7 @@
 		return
 	}
 	o := max(0, use*p.Rate-k.sent)
-	if d.now-k.heard > heardFor {
-		k.others = o
-	} else {
-		k.others += (o - k.others) * min(1, (d.now-k.heard)/d.terms.MeterPeriod)
-	}
+	k.others += (o - k.others) * min(1, (d.now-k.heard)/d.terms.MeterPeriod)
 	k.heard = d.now
 }
 
@@ -667,7 +662,7 @@
 		odds[b] = d.room(b, o)
 		for j := range o.sends { // another backend than one that already had it, where there is one
 			if o.sends[j].backend == b {
-				odds[b] *= 1e-3
+				odds[b] *= sameOdds
 			}
 		}
 	}
@@ -841,9 +836,7 @@
 			c.doubt = max(0, c.doubt+math.Log(silentRate))
 			c.judged = c.judged && c.doubt >= priorNats
 		}
-		expected := d.recent(o.profile)
-		f.pace[b] += paceWeight * (e.Latency/expected - f.pace[b])
-		f.pace[b] = max(f.pace[b], 0.1)
+		f.pace[b] = max(0.1, f.pace[b]+paceWeight*(e.Latency/d.recent(o.profile)-f.pace[b]))
 		d.sample(o.profile, min(e.Latency, d.terms.Profiles[o.profile].Contract))
 	case gate.Full:
 		// A back end may turn away one plan alone, so each plan learns for itself; but being turned
