--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,7 +28,7 @@
 	leastKnown  = 0.1  // least share of finishSpan that a rate is taken to be averaged over, after a start
 	bestDrift   = 20e3 // ms in which a best rate gives way after part of the fleet is lost
 	lowDrift    = 60e3 // ms in which a low or a best rate gives way to a lastingly heavier mix
-	lowMost     = 0.3  // most that a low may be, as a share of the contract time: a door may start on a pressed fleet
+	lowMost     = 0.3  // most that a low may be, of the contract time: it may be learnt under pressure
 	firstGuess  = 0.1  // latency before any sample, as a share of the contract time
 	tickEvery   = 20.0 // ms between looks at what waits; small beside every contract time
 
@@ -133,9 +133,7 @@
 		return
 	}
 	if e.Complete {
-		for b := range f.up {
-			f.up[b] = false
-		}
+		clear(f.up)
 	}
 	for _, n := range e.Entries {
 		f.grow(n.Backend+1, len(d.terms.Plans))
@@ -445,8 +443,11 @@
 func (d *Door) count(o *operation, k *bucket) (wait float64) {
 	c := &k.count
 	n, left := d.window(k)
+	if c.window < n-1 {
+		c.room = 0
+	}
 	if c.window != n {
-		*c = counting{window: n}
+		*c = counting{window: n, before: c.room}
 	}
 	switch {
 	case c.granted >= o.units:
@@ -464,7 +465,7 @@
 			return left
 		}
 	default:
-		c.calling, c.least, c.asked = true, o.units, max(o.units, countLump*k.room/float64(k.spread))
+		c.calling, c.least, c.asked = true, o.units, max(o.units, countLump*c.room/float64(k.spread))
 		d.calls = append(d.calls, gate.Count{Customer: o.customer, Epoch: n, Add: c.asked, Keep: left + askFor})
 	}
 	return wait
@@ -472,11 +473,8 @@
 
 // counted takes a call's answer.
 func (d *Door) counted(e gate.Counted) {
-	if e.Customer >= len(d.buckets) || !d.buckets[e.Customer].known {
-		return
-	}
 	k := d.refill(e.Customer)
-	c := &k.count
+	c, p := &k.count, &d.terms.Plans[k.plan]
 	if e.Epoch != c.window {
 		return
 	}
@@ -488,8 +486,9 @@
 	}
 	d.calling = min(1, d.calling+countGain)
 	_, left := d.window(k)
-	k.room = max(0, d.terms.Plans[k.plan].Depth-e.Total)
-	room := min(c.asked, d.terms.Plans[k.plan].Depth-e.Total+c.asked)
+	// What was left of the window before is still there, and fills up: more than the depth late in this one.
+	c.room = p.Depth - e.Total + max(0, c.before-p.Rate*left)
+	room := min(c.asked, c.room+c.asked)
 	if c.granted += max(0, room); room < c.least { // what is too little stays here for smaller ones
 		k.barred, k.barredUnits = d.now+left, c.least
 	}
@@ -530,7 +529,7 @@
 // can be far under any true low, and would make all that follows look like backlog.
 func (d *Door) low(profile int) float64 {
 	contract := d.terms.Profiles[profile].Contract
-	if l := &d.lat[profile]; l.low > 0 {
+	if l := &d.lat[profile]; l.samples >= lowAfter {
 		return min(l.low, lowMost*contract)
 	}
 	return firstGuess * contract
@@ -900,9 +899,6 @@
 	if l.low += (l.recent - l.low) * drift; l.samples <= lowAfter || l.low > l.recent {
 		l.low = l.recent
 	}
-	if l.samples < lowAfter {
-		l.low = 0
-	}
 	l.lowAt = d.now
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -67,7 +67,6 @@
 	ceiling       float64  // what this door's slice of the ceiling holds, units
 	promised      float64  // charges of held operations, units
 	promisedUnits float64  // units of held operations
-	room          float64  // units last seen free on the counter
 	granted       float64  // operations granted to other doors and not heard to have ended
 	grantedAt     float64  // clock of that figure, ms
 	barred        float64  // clock before which the home door has no room, ms
@@ -105,6 +104,8 @@
 	window  int64   // of granted
 	granted float64 // units that the counter has granted and this door has not spent
 	calling bool    // a call is out
+	room    float64 // units last seen free on the counter
+	before  float64 // units last seen free in the window before
 	asked   float64 // units that it asks for
 	least   float64 // of these, for the operation that it was made for
 	rest    float64 // clock before which no call is made, ms
