On a pressed fleet what is late, and worth little late, is given up at once

Now such an operation gets its final answer when its contract time has passed, if a late answer earns under half and the hold of its profile is not zero; its transmission is cancelled. Also covers slow shared dependencies. Harm: a single-use operation that is late there is scrapped, though it may have run. All slices of a ceiling now hold a little less.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,6 +11,7 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 
 	"github.com/swifthall/swifthall/gate"
@@ -66,6 +67,7 @@
 	paceWeight = 0.1  // weight of a new latency in a backend's pace; some 10 samples
 	mostJudged = 0.6  // share of the listed backends that may stand judged; more is the fleet's trouble
 	rescueAt   = 1.5  // expected latencies after which an operation on a judged backend is sent elsewhere
+	lateLeast  = 0.5  // share of its gain that a late answer must earn to be waited for on a pressed fleet
 	fullRest   = 250. // ms a backend that turned work away is left alone
 
 	// The guards that the rules need.
@@ -139,9 +141,7 @@
 		f.grow(n.Backend+1, len(d.terms.Plans))
 		b := n.Backend
 		f.up[b], f.zone[b], f.cell[b] = n.Status == gate.Up, n.Zone, n.Cell
-		if n.Size > 0 {
-			f.size[b] = n.Size
-		}
+		f.size[b] = cmp.Or(n.Size, f.size[b])
 		if n.Since != f.since[b] { // a new process: nothing held against the old one counts
 			f.renew(b, n.Since)
 		}
@@ -188,19 +188,16 @@
 	dt := d.now - k.filled
 	k.filled = d.now
 	k.level = min(p.Depth, k.level+p.Rate*dt)
-	part := d.slice(k)
-	most := p.CeilingDepth
-	if d.asks() && d.place(k) == 0 { // what it grants is sent later, when the ceiling would have filled up
-		most -= 2 * askFor * p.CeilingRate
-	}
+	part := d.slice(k) // what is granted is sent later, when the ceiling would have filled up: it holds less
+	most := p.CeilingDepth - 2*askFor*p.CeilingRate
 	k.ceiling = min(most*part, k.ceiling+p.CeilingRate*dt*part)
 	k.demand *= math.Exp(-dt / demandSpan)
 	k.sent *= math.Exp(-dt / demandSpan)
 	return k
 }
 
-// part is this door's part of the customer's recent demand: local demand over local demand plus the use
-// heard of others, drawn to the even slice by a little prior weight, and wholly when nothing is heard.
+// part is this door's part of the customer's recent demand: local demand over local demand plus others'
+// metered use, drawn to the even slice by a little prior weight, and wholly when nothing is heard.
 func (d *Door) part(k *bucket) float64 {
 	even := 1 / float64(k.spread)
 	if d.now-k.heard > heardFor {
@@ -263,7 +260,6 @@
 
 func (d *Door) asks() bool { return d.terms.MailRate > 0 }
 
-// place is this door's place in a customer's set.
 func (d *Door) place(k *bucket) int {
 	return (d.terms.Number - k.first + d.terms.Doors) % d.terms.Doors
 }
@@ -429,8 +425,7 @@
 
 func (d *Door) counts(k *bucket) bool { return d.terms.Counter && d.terms.Plans[k.plan].Rate > 0 }
 
-// window numbers the windows and tells how much is left of the present one. Customers' windows turn at
-// different times, the same at every door.
+// window numbers a customer's windows, which turn at a time of its own, and tells what is left of this one.
 func (d *Door) window(k *bucket) (n int64, left float64) {
 	span := d.terms.Plans[k.plan].Depth / d.terms.Plans[k.plan].Rate
 	at := d.now/span + float64(k.first)/float64(d.terms.Doors)
@@ -723,10 +718,9 @@
 	return min(1, d.terms.ColdFrom+(1-d.terms.ColdFrom)*age)
 }
 
-// coldRoom keeps what is sent to a cold backend under this door's share of what would push it over, window by
-// window. The share is judged from the work that warm backends of like size take, which is at most theirs. It
-// may be far under one operation: it is then rounded up or down at random, so that the shares of any number
-// of doors add up.
+// coldRoom keeps what is sent to a cold backend under this door's share of what would push it over, window
+// by window, judged from the work that warm backends of like size take. A share under one operation is
+// rounded up or down at random, so that the shares of any number of doors add up.
 func (d *Door) coldRoom(o *operation, b int) bool {
 	warm := d.warmth(b)
 	if warm >= 1 {
@@ -946,10 +940,17 @@
 	}
 }
 
-// rescue sends a second copy of an operation that waits at a judged backend: silence, a stall or a lost
-// zone. It never acts on slowness that the whole fleet shares, since expected latency grows with it.
+// rescue gives up what is late on a pressed fleet, and sends a second copy of what waits at a judged backend:
+// silence, a stall, a lost zone. Slowness that all share calls for no copy: expected latency grows with it.
 func (d *Door) rescue(i int) {
 	o := &d.ops[i]
+	p := &d.terms.Profiles[o.profile]
+	// What can no longer come in time must not keep a pressed fleet from what can: without this a fleet that has
+	// fallen behind goes on working on what is late, for as long as clients wait.
+	if d.now > o.came+p.Contract && p.LateValue < lateLeast && !o.streaming && d.hold(o) > 0 {
+		d.giveUp(i, d.drain(o.profile))
+		return
+	}
 	if o.streaming || o.out != 1 || len(o.sends) >= d.terms.MaxTransmissions || !d.terms.SecondCopies {
 		return
 	}
