--- /dev/null
+++ b/config/deal.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/swifthall/swifthall/gate"
+)
+
+const msPerSecond = 1000
+
+// Deal is what the settings say: the terms of the decisions, the names of profiles and plans by their
+// indices, and what the carrier needs besides.
+type Deal struct {
+	Terms           gate.Terms
+	Profiles, Plans map[string]int
+	ConnIdle        float64 // a backend closes a connection idle for this long, ms; 0 where not told
+	ConnectTimeout  float64 // a connection that takes longer is given up, ms
+	CounterTimeout  float64 // a call of the counter that takes longer is given up, ms
+	LongestWait     float64 // no client waits longer, ms
+	MostUnits       float64 // no operation takes more; 0 where not told
+}
+
+var semantics = map[string]gate.Semantics{
+	"idempotent": gate.Replayable, "deduplicated": gate.Tokened, "at_most_once": gate.SingleUse,
+}
+
+var scopes = map[string]gate.Scope{
+	"": gate.ScopeAll, "all": gate.ScopeAll, "zone": gate.ScopeZone, "cell": gate.ScopeCell,
+}
+
+// settings has the names of the wire.
+type settings struct {
+	FleetSize int    `json:"fleet_size"`
+	MyNumber  int    `json:"my_number"`
+	Registry  string `json:"registry_mode"`
+	Profiles  []struct {
+		Name      string  `json:"name"`
+		Aim       float64 `json:"aim"`
+		GiveUp    float64 `json:"give_up"`
+		Semantics string  `json:"semantics"`
+		Scope     string  `json:"dedup_scope"`
+		Window    float64 `json:"window"`
+		LateValue float64 `json:"late_value"`
+		Worth     float64 `json:"worth"`
+	} `json:"profiles"`
+	Tariffs []struct {
+		Name         string  `json:"name"`
+		Rate         float64 `json:"rate"`
+		Depth        float64 `json:"depth"`
+		AtOnce       int     `json:"at_once"`
+		CeilingRate  float64 `json:"never_over_rate"`
+		CeilingBurst float64 `json:"ceiling_burst"`
+		Pays         float64 `json:"pays"`
+	} `json:"tariffs"`
+	Extra struct {
+		Metering       float64 `json:"metering"`
+		MailPerS       float64 `json:"mail_per_s"`
+		Counter        bool    `json:"counter"`
+		CounterTimeout float64 `json:"counter_timeout"`
+		UnitsTop       float64 `json:"units_top"`
+	} `json:"extra"`
+	Limits struct {
+		Cancel         bool    `json:"cancel"`
+		ConnIdle       float64 `json:"conn_idle"`
+		ConnectTimeout float64 `json:"connect_timeout"`
+		MaxAttempts    int     `json:"max_attempts"`
+		MayTell        bool    `json:"may_tell"`
+		MaxRetryAfter  float64 `json:"max_retry_after"`
+		RetryAfter     bool    `json:"retry_after"`
+		SecondCopies   bool    `json:"second_copies"`
+	} `json:"limits"`
+	Safety struct {
+		ColdFrom     float64 `json:"cold_from"`
+		Cold         float64 `json:"cold"`
+		FallMultiple float64 `json:"fall_multiple"`
+		TipAfter     float64 `json:"tip_after"`
+	} `json:"safety"`
+}
+
+// ReadDeal decodes the settings, which an adapter's first message and a door's configuration share.
+func ReadDeal(raw json.RawMessage) (Deal, error) {
+	var s settings
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return Deal{}, decodeFault("settings", err)
+	}
+	d := Deal{
+		Terms: gate.Terms{
+			Doors: s.FleetSize, Number: s.MyNumber,
+			MaxTransmissions: s.Limits.MaxAttempts, SecondCopies: s.Limits.SecondCopies,
+			MayCancel: s.Limits.Cancel, MeterPeriod: s.Extra.Metering * msPerSecond,
+			Counter: s.Extra.Counter, MustAsk: s.Registry == "ask",
+			ColdFrom: s.Safety.ColdFrom, ColdFor: s.Safety.Cold * msPerSecond,
+			FallMultiple: s.Safety.FallMultiple, FallWindow: s.Safety.TipAfter * msPerSecond,
+		},
+		Profiles: map[string]int{}, Plans: map[string]int{},
+		ConnIdle:       s.Limits.ConnIdle * msPerSecond,
+		ConnectTimeout: s.Limits.ConnectTimeout * msPerSecond,
+		CounterTimeout: s.Extra.CounterTimeout * msPerSecond,
+		MostUnits:      s.Extra.UnitsTop,
+	}
+	if s.Limits.RetryAfter {
+		d.Terms.MaxRetryAfter = s.Limits.MaxRetryAfter * msPerSecond
+	}
+	if s.Limits.MayTell {
+		d.Terms.MailRate = s.Extra.MailPerS / msPerSecond
+	}
+	for i, p := range s.Profiles {
+		sem, ok := semantics[p.Semantics]
+		if !ok {
+			return Deal{}, fmt.Errorf("key \"settings.profiles[%d].semantics\": unknown word %q", i, p.Semantics)
+		}
+		scope, ok := scopes[p.Scope]
+		if !ok {
+			return Deal{}, fmt.Errorf("key \"settings.profiles[%d].dedup_scope\": unknown word %q", i, p.Scope)
+		}
+		d.Profiles[p.Name] = i
+		d.LongestWait = max(d.LongestWait, p.GiveUp*msPerSecond)
+		d.Terms.Profiles = append(d.Terms.Profiles, gate.Profile{
+			Contract: p.Aim * msPerSecond, Semantics: sem, Scope: scope,
+			Window: p.Window * msPerSecond, LateValue: p.LateValue, Gain: p.Worth,
+		})
+	}
+	for i, p := range s.Tariffs {
+		d.Plans[p.Name] = i
+		d.Terms.Plans = append(d.Terms.Plans, gate.Plan{
+			Rate: p.Rate / msPerSecond, Depth: p.Depth, AtOnce: p.AtOnce,
+			CeilingRate: p.CeilingRate / msPerSecond, CeilingDepth: p.CeilingBurst, Price: p.Pays,
+		})
+	}
+	return d, nil
+}
+
+// decodeFault names the key that a JSON error is about.
+func decodeFault(under string, err error) error {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) && wrong.Field != "" {
+		if under != "" {
+			under += "."
+		}
+		return fmt.Errorf("key %q: %s where %s is wanted", under+wrong.Field, wrong.Value, wrong.Type)
+	}
+	return fmt.Errorf("key %q: %w", under, err)
+}
--- /dev/null
+++ b/frontdoor/backend.go
@@ -0,0 +1,276 @@
+package frontdoor
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/http1"
+	"github.com/swifthall/swifthall/internal/pool"
+)
+
+// flight is one transmission on its way.
+type flight struct {
+	op, number, backend int
+	at                  float64 // clock of its start, ms
+	link                *link
+	msg                 []byte
+	whole               atomic.Bool // its last byte may have been written
+	ended               bool
+}
+
+// expire ends a transmission whose time has run out.
+func (f *flight) expire(c *core) {
+	if !f.ended {
+		c.abandon(f, endLateUnsent, endLate)
+	}
+}
+
+// link is one connection to a backend. Its goroutine dials and reads.
+type link struct {
+	c       *core
+	backend int
+	addr    string
+	cancel  context.CancelFunc // ends the dial
+	owes    atomic.Bool        // an answer is awaited
+
+	mu   sync.Mutex
+	nc   net.Conn
+	dead bool
+
+	// The owner's.
+	cur       *flight
+	idleSince float64
+	closed    bool
+}
+
+// close ends the connection, whatever it is at.
+func (l *link) close() {
+	l.mu.Lock()
+	l.dead = true
+	nc := l.nc
+	l.mu.Unlock()
+	l.cancel()
+	if nc != nil {
+		nc.Close()
+	}
+}
+
+// dial brings the connection up; false where that failed or came too late.
+func (l *link) dial(ctx context.Context) bool {
+	nc, err := l.c.dialer.DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead {
+		nc.Close()
+		return false
+	}
+	l.nc = nc
+	return true
+}
+
+func (l *link) run(ctx context.Context, first *flight) {
+	defer l.c.budget.put()
+	defer l.cancel()
+	if !l.dial(ctx) {
+		l.c.notes <- cut{l, endNoConn}
+		return
+	}
+	defer l.nc.Close()
+	l.write(first)
+	l.c.notes <- cut{l, l.read()}
+}
+
+// write sends a transmission. It counts as whole from before the last byte can have left.
+func (l *link) write(f *flight) {
+	f.whole.Store(true)
+	n, err := l.nc.Write(f.msg)
+	if err != nil {
+		f.whole.Store(n == len(f.msg))
+		l.nc.Close()
+	}
+	pool.Put(f.msg)
+}
+
+// read passes answers on until the connection ends.
+func (l *link) read() end {
+	var in http1.Answers
+	defer in.Drop()
+	buf := pool.Get()[:pool.Size]
+	defer pool.Put(buf)
+	for {
+		n, err := l.nc.Read(buf)
+		at := l.c.clock.now()
+		for p := buf[:n]; len(p) > 0; {
+			if !l.owes.Load() {
+				return endGarbled // a second answer would be taken for the next one's
+			}
+			used, whole, err := in.Feed(p)
+			if err != nil {
+				return endGarbled
+			}
+			if p = p[used:]; whole {
+				l.owes.Store(false)
+				l.c.notes <- answered{l, in.Take(), at}
+			}
+		}
+		if err != nil {
+			if whole, _ := in.End(); whole {
+				l.c.notes <- answered{l, in.Take(), at}
+			}
+			return endCut
+		}
+	}
+}
+
+// endOf tells how a whole answer ends its transmission.
+func endOf(a *http1.Answer) end {
+	switch {
+	case a.Status == http.StatusOK:
+		return endWell
+	case a.TurnedAway && (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusGatewayTimeout):
+		return endTurnedAway
+	}
+	return endIll
+}
+
+// send starts a transmission, on an idle connection where there is one.
+func (c *core) send(a gate.Send) {
+	o := &c.ops[a.Op]
+	f := &flight{op: a.Op, number: len(o.flights), backend: a.Backend, at: c.now}
+	o.flights = append(o.flights, f)
+	o.out++
+	until := o.until
+	if a.Cap > 0 {
+		until = min(until, c.now+a.Cap)
+	}
+	b := &c.backends[a.Backend]
+	if n := len(b.idle); n > 0 {
+		f.link, b.idle = b.idle[n-1], b.idle[:n-1]
+	} else if c.budget.take(0) || c.spare() && c.budget.take(0) {
+		f.link = &link{c: c, backend: a.Backend, addr: b.addr}
+	} else {
+		c.finish(f, endNoSocket, c.now, -1)
+		return
+	}
+	l := f.link
+	l.cur = f
+	l.owes.Store(true)
+	f.msg = http1.AppendTransmission(pool.Get(), o.msg, l.addr, until-c.now)
+	c.due.add(until, f)
+	if l.nc != nil {
+		go l.write(f)
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	c.links[l] = struct{}{}
+	go l.run(ctx, f)
+}
+
+// spare closes the backend connection that has been idle longest, for one that is wanted now.
+func (c *core) spare() bool {
+	var oldest *link
+	for l := range c.links {
+		if l.cur == nil && (oldest == nil || l.idleSince < oldest.idleSince) {
+			oldest = l
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	c.retire(oldest)
+	return true
+}
+
+// retire closes a connection and forgets it.
+func (c *core) retire(l *link) {
+	idle := c.backends[l.backend].idle
+	for i := range idle {
+		if idle[i] == l {
+			c.backends[l.backend].idle = append(idle[:i], idle[i+1:]...)
+			break
+		}
+	}
+	l.closed = true
+	delete(c.links, l)
+	l.close()
+}
+
+// abandon stops waiting for a transmission, which closes its connection.
+func (c *core) abandon(f *flight, unsent, sent end) {
+	if f.ended {
+		return
+	}
+	how := unsent
+	if f.whole.Load() {
+		how = sent
+	}
+	c.retire(f.link)
+	c.finish(f, how, c.now, -1)
+}
+
+// finish tells the decisions how a transmission ended.
+func (c *core) finish(f *flight, how end, at, use float64) {
+	o := &c.ops[f.op]
+	f.ended = true
+	o.out--
+	c.closing = append(c.closing, f.op)
+	c.pending = append(c.pending, gate.Ended{Op: f.op, Transmission: f.number, Backend: f.backend,
+		Result: how.result(), Latency: at - f.at, Over: o.over, Use: use})
+}
+
+// answered is a whole answer of a backend.
+type answered struct {
+	l  *link
+	a  http1.Answer
+	at float64
+}
+
+func (n answered) take(c *core) {
+	defer n.a.Free()
+	l, f := n.l, n.l.cur
+	if l.closed || f == nil {
+		return
+	}
+	l.cur, l.idleSince = nil, c.now
+	if how := endOf(&n.a); how == endWell {
+		c.answer(f.op, http.StatusOK, 0, n.a.Body)
+		c.finish(f, how, n.at, n.a.Use)
+	} else {
+		c.finish(f, how, n.at, n.a.Use)
+	}
+	if b := &c.backends[l.backend]; n.a.Last || !b.up || b.addr != l.addr {
+		c.retire(l)
+	} else {
+		b.idle = append(b.idle, l)
+	}
+}
+
+// cut is the end of a backend connection.
+type cut struct {
+	l   *link
+	how end
+}
+
+func (n cut) take(c *core) {
+	l, f := n.l, n.l.cur
+	if l.closed {
+		return
+	}
+	l.cur = nil
+	c.retire(l)
+	if f == nil {
+		return
+	}
+	if n.how == endCut && !f.whole.Load() {
+		n.how = endCutUnsent
+	}
+	c.finish(f, n.how, c.now, -1)
+}
--- /dev/null
+++ b/frontdoor/budget.go
@@ -0,0 +1,35 @@
+package frontdoor
+
+import "sync"
+
+// budget shares out the sockets that a door may hold.
+type budget struct {
+	mu    sync.Mutex
+	free  int
+	freed chan struct{} // told when one comes back
+}
+
+func newBudget(sockets int) *budget {
+	return &budget{free: sockets, freed: make(chan struct{}, 1)}
+}
+
+// take takes a socket if more than keep are free.
+func (b *budget) take(keep int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.free <= keep {
+		return false
+	}
+	b.free--
+	return true
+}
+
+func (b *budget) put() {
+	b.mu.Lock()
+	b.free++
+	b.mu.Unlock()
+	select {
+	case b.freed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/frontdoor/client.go
@@ -0,0 +1,201 @@
+package frontdoor
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/http1"
+	"github.com/swifthall/swifthall/internal/pool"
+)
+
+// client is one client connection. Its goroutine reads; answers are written by one goroutine each.
+type client struct {
+	c     *core
+	nc    net.Conn
+	wrote chan struct{} // an answer has left
+	shut  atomic.Bool   // no more operations are wanted on it
+
+	// The owner's.
+	op        int // open operation; -1 is none
+	idleSince float64
+	served    bool // has brought an operation
+}
+
+func newClient(c *core, nc net.Conn) *client {
+	return &client{c: c, nc: nc, wrote: make(chan struct{}, 1), op: -1, idleSince: c.clock.now()}
+}
+
+// reading is the state of a client connection's goroutine.
+type reading struct {
+	in      http1.Operations
+	first   float64 // clock of the first byte of what is coming, ms
+	owed    bool    // an answer may not have left yet
+	limited bool    // a read deadline is set
+}
+
+func (cl *client) run() {
+	var r reading
+	buf := pool.Get()[:pool.Size]
+	defer func() {
+		cl.nc.Close()
+		r.in.Drop()
+		pool.Put(buf)
+		cl.c.budget.put()
+		cl.c.notes <- left{cl}
+	}()
+	for {
+		n, err := cl.nc.Read(buf)
+		if n > 0 && !cl.take(&r, buf[:n]) {
+			return
+		}
+		if err != nil && !cl.goOn(&r, err) {
+			return
+		}
+	}
+}
+
+// take feeds what came, and tells whether the connection goes on.
+func (cl *client) take(r *reading, p []byte) bool {
+	at := cl.c.clock.now()
+	for len(p) > 0 {
+		if !r.in.Begun() {
+			r.first = at
+		}
+		used, whole, err := r.in.Feed(p)
+		p = p[used:]
+		if err != nil {
+			cl.await(r)
+			cl.refuse(err, true)
+			return false
+		}
+		if !whole {
+			break
+		}
+		if r.limited {
+			r.limited = false
+			cl.nc.SetReadDeadline(time.Time{})
+		}
+		if cl.await(r); !cl.dispatch(r) {
+			return false
+		}
+	}
+	// One that dribbles its operation must not keep the connection for ever.
+	if r.in.Begun() && !r.limited {
+		r.limited = true
+		cl.nc.SetReadDeadline(time.Now().Add(span(cl.c.cfg.Pace.SlowInput)))
+	}
+	return true
+}
+
+// await waits until the answer to the operation before has left: clients get theirs in order.
+func (cl *client) await(r *reading) {
+	if r.owed {
+		<-cl.wrote
+		r.owed = false
+	}
+}
+
+// dispatch passes a whole operation on, or answers what is none.
+func (cl *client) dispatch(r *reading) bool {
+	op, err := r.in.Take()
+	if err == nil && (op.Path == http1.ReadyPath || op.Path == http1.LivePath) {
+		status := http.StatusOK
+		if op.Path == http1.ReadyPath && !cl.c.ready.Load() {
+			status = http.StatusServiceUnavailable
+		}
+		op.Free()
+		return cl.say(status, op.Last) && !op.Last
+	}
+	var ev gate.Operation
+	if err == nil {
+		if ev, err = cl.c.word(op); err != nil {
+			op.Free()
+		}
+	}
+	if err != nil {
+		return cl.refuse(err, op.Last) && !op.Last
+	}
+	r.owed = true
+	cl.c.notes <- arrived{cl, op, ev, r.first}
+	return true
+}
+
+// refuse answers a fault.
+func (cl *client) refuse(err error, last bool) bool {
+	status := http.StatusBadRequest
+	var f *http1.Fault
+	if errors.As(err, &f) {
+		status = f.Status
+	}
+	return cl.say(status, last)
+}
+
+func (cl *client) say(status int, last bool) bool {
+	return cl.write(http1.AppendAnswer(pool.Get(), status, 0, nil, last))
+}
+
+// write sends a whole answer. A client that does not read it is left.
+func (cl *client) write(answer []byte) bool {
+	cl.nc.SetWriteDeadline(time.Now().Add(span(cl.c.cfg.Pace.SlowInput)))
+	_, err := cl.nc.Write(answer)
+	pool.Put(answer)
+	return err == nil
+}
+
+// answer writes an operation's answer, and closes the connection behind the last one.
+func (cl *client) answer(answer []byte, last bool) {
+	if !cl.write(answer) || last {
+		cl.nc.Close()
+	}
+	cl.wrote <- struct{}{}
+}
+
+// goOn tells whether a connection goes on after a read that failed.
+func (cl *client) goOn(r *reading, err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	if r.in.Begun() {
+		if cl.c.clock.now() < r.first+cl.c.cfg.Pace.SlowInput { // a call to shut that came too late
+			cl.nc.SetReadDeadline(time.Now().Add(span(cl.c.cfg.Pace.SlowInput)))
+			return true
+		}
+		cl.await(r)
+		cl.say(http.StatusRequestTimeout, true)
+		return false
+	}
+	select {
+	case <-cl.wrote:
+		r.owed = false
+	default:
+	}
+	if r.owed || !cl.shut.Load() { // its answer will close it
+		cl.nc.SetReadDeadline(time.Time{})
+		return true
+	}
+	return cl.lastLook(r)
+}
+
+// lastLook reads once more before an idle connection is closed, so that no operation is crossed that has come.
+func (cl *client) lastLook(r *reading) bool {
+	cl.nc.SetReadDeadline(time.Now().Add(time.Millisecond))
+	buf := pool.Get()[:pool.Size]
+	defer pool.Put(buf)
+	n, _ := cl.nc.Read(buf)
+	if n == 0 {
+		return false
+	}
+	cl.nc.SetReadDeadline(time.Time{})
+	return cl.take(r, buf[:n])
+}
+
+// close asks an idle connection to end itself; what has come on it is answered first.
+func (cl *client) close() {
+	cl.shut.Store(true)
+	cl.nc.SetReadDeadline(time.Now())
+}
--- /dev/null
+++ b/frontdoor/core.go
@@ -0,0 +1,311 @@
+package frontdoor
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/swifthall/swifthall/config"
+	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/http1"
+	"github.com/swifthall/swifthall/internal/index"
+	"github.com/swifthall/swifthall/internal/pool"
+)
+
+// note is news for the owner of the decisions.
+type note interface{ take(*core) }
+
+// operation is what the carrier keeps of one operation. It is over once its client has an answer or has left.
+type operation struct {
+	client  *client
+	msg     *http1.Operation // nil where the slot is free
+	until   float64          // end of the client's wait, ms
+	over    bool
+	out     int
+	flights []*flight
+}
+
+// backend is what the carrier keeps of one backend.
+type backend struct {
+	addr string
+	up   bool
+	idle []*link // latest used last
+}
+
+// core is the goroutine that owns the decider, and what it shares with the others.
+type core struct {
+	cfg    config.Door
+	log    logrus.FieldLogger
+	clock  clock
+	budget *budget
+	dialer net.Dialer
+	notes  chan note
+	ready  atomic.Bool
+
+	// From here on the owner's.
+	decider   gate.Decider
+	now       float64
+	pending   []gate.Event
+	ops       []operation
+	free      []int
+	closing   []int // operations that may be droppable at the end of the batch
+	customers index.Table[uint64]
+	names     index.Table[string] // of backends
+	zones     index.Table[string]
+	cells     index.Table[int64]
+	backends  []backend
+	clients   map[*client]struct{}
+	links     map[*link]struct{}
+	due       dueList
+	wakeAt    float64 // 0 is none
+	sweepAt   float64
+	counters  []*counterConn
+	leaving   bool
+	lingering float64 // clock until which new connections are served, ms
+	accepting bool
+	asked     bool // discovery has been, once
+	listener  *net.TCPListener
+}
+
+const (
+	batch   = 256 // notes taken in before the decisions are asked; what waits stays in order
+	counted = 2   // connections to the counter: an answer in its turn holds up those behind it on the same one
+	margin  = 8   // descriptors left to the runtime and to connections on their way out
+)
+
+func newCore(cfg config.Door, decider gate.Decider, log logrus.FieldLogger) *core {
+	c := &core{cfg: cfg, log: log, decider: decider, clock: newClock(), budget: newBudget(cfg.Sockets - held() - margin),
+		notes: make(chan note, batch), customers: index.New[uint64](), names: index.New[string](),
+		zones: index.New[string](), cells: index.New[int64](),
+		clients: map[*client]struct{}{}, links: map[*link]struct{}{}}
+	c.dialer = net.Dialer{Timeout: span(cfg.Deal.ConnectTimeout), KeepAlive: -1}
+	return c
+}
+
+// word puts an operation in the terms of the decisions, but for the indices that the owner hands out.
+func (c *core) word(o *http1.Operation) (ev gate.Operation, err error) {
+	d := &c.cfg.Deal
+	profile, known := d.Profiles[o.Profile]
+	if !known {
+		return ev, &http1.Fault{Status: http.StatusNotFound, Text: "profile"}
+	}
+	plan, known := d.Plans[o.Plan]
+	switch {
+	case !known:
+		return ev, &http1.Fault{Status: http.StatusBadRequest, Text: "plan"}
+	case d.Terms.Profiles[profile].Semantics == gate.Tokened && o.Mark == "":
+		return ev, &http1.Fault{Status: http.StatusBadRequest, Text: "no mark"}
+	case o.First >= d.Terms.Doors || o.Spread > d.Terms.Doors || d.MostUnits > 0 && o.Units > d.MostUnits:
+		return ev, &http1.Fault{Status: http.StatusBadRequest, Text: "weight"}
+	}
+	return gate.Operation{Profile: profile, Plan: plan, TTL: o.TTL, Units: o.Units, Repeat: o.Repeat,
+		First: o.First, Spread: o.Spread}, nil
+}
+
+// run owns the decisions until the door has left.
+func (c *core) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	stop := ctx.Done()
+	for {
+		select {
+		case n := <-c.notes:
+			n.take(c)
+		case <-timer.C:
+		case <-stop:
+			stop = nil
+			c.leave()
+		}
+		for more := batch; more > 0; more-- {
+			select {
+			case n := <-c.notes:
+				n.take(c)
+				continue
+			default:
+			}
+			break
+		}
+		c.now = c.clock.now()
+		c.due.fire(c)
+		if c.wakeAt > 0 && c.now >= c.wakeAt {
+			c.wakeAt = 0
+			c.pending = append(c.pending, gate.Woken{})
+		}
+		for len(c.pending) > 0 {
+			c.decide()
+		}
+		if c.sweep(); c.gone() {
+			return
+		}
+		timer.Reset(span(c.next() - c.clock.now()))
+	}
+}
+
+// next is the clock at which something is due.
+func (c *core) next() float64 {
+	at := c.sweepAt
+	if c.wakeAt > 0 {
+		at = min(at, c.wakeAt)
+	}
+	if len(c.due) > 0 {
+		at = min(at, c.due[0].at)
+	}
+	return at
+}
+
+// decide asks the decisions about what is pending and carries out their actions.
+func (c *core) decide() {
+	events := c.pending
+	c.pending = nil
+	for _, a := range c.decider.Decide(c.now, events) {
+		c.act(a)
+	}
+	for _, op := range c.closing {
+		if o := &c.ops[op]; o.msg != nil && o.over && o.out == 0 {
+			o.msg.Free()
+			*o = operation{flights: o.flights[:0]}
+			c.free = append(c.free, op)
+		}
+	}
+	c.closing = c.closing[:0]
+}
+
+// act carries out one action.
+func (c *core) act(a gate.Action) {
+	switch a := a.(type) {
+	case gate.Send:
+		c.send(a)
+	case gate.Cancel:
+		c.abandon(c.ops[a.Op].flights[a.Transmission], endLeftUnsent, endLeft)
+	case gate.Reject:
+		c.answer(a.Op, http.StatusTooManyRequests, a.RetryAfter, nil)
+	case gate.Scrap:
+		c.answer(a.Op, http.StatusBadGateway, 0, nil)
+	case gate.Wake:
+		c.wakeAt = a.At
+	case gate.Count:
+		c.count(a)
+	case gate.Forget:
+		c.customers.Drop(a.Customer)
+	case gate.Track: // the watch runs from the start
+	case gate.Log:
+		c.log.Info(a.Text)
+	default:
+		panic(fmt.Sprintf("no way to carry out %T", a))
+	}
+}
+
+// answer gives an operation its one answer; for an operation that is over it does nothing.
+func (c *core) answer(op, status int, retryAfter float64, body []byte) {
+	o := &c.ops[op]
+	if o.over {
+		return
+	}
+	o.over = true
+	c.closing = append(c.closing, op)
+	cl := o.client
+	cl.op, cl.idleSince = -1, c.now
+	last := o.msg.Last || c.leaving || cl.shut.Load()
+	go cl.answer(http1.AppendAnswer(pool.Get(), status, retryAfter, body, last), last)
+}
+
+// arrived is an operation whose last byte has come.
+type arrived struct {
+	cl *client
+	op *http1.Operation
+	ev gate.Operation
+	at float64 // clock of its first byte, ms
+}
+
+func (n arrived) take(c *core) {
+	if len(c.free) == 0 {
+		c.free = append(c.free, len(c.ops))
+		c.ops = append(c.ops, operation{})
+	}
+	last := len(c.free) - 1
+	i := c.free[last]
+	c.free = c.free[:last]
+	o := &c.ops[i]
+	*o = operation{client: n.cl, msg: n.op, until: n.at + n.ev.TTL, flights: o.flights[:0]}
+	n.cl.op, n.cl.served = i, true
+	n.ev.Op, n.ev.Customer = i, c.customers.Add(n.op.Customer)
+	n.ev.TTL = max(0, o.until-c.clock.now())
+	c.pending = append(c.pending, n.ev)
+}
+
+// opened and left are the beginning and the end of a client connection.
+type opened struct{ cl *client }
+
+func (n opened) take(c *core) { c.clients[n.cl] = struct{}{} }
+
+type left struct{ cl *client }
+
+func (n left) take(c *core) {
+	delete(c.clients, n.cl)
+	if op := n.cl.op; op >= 0 {
+		n.cl.op = -1
+		c.ops[op].over = true
+		c.closing = append(c.closing, op)
+		c.pending = append(c.pending, gate.Vanished{Op: op})
+	}
+}
+
+// crowded says that a client waits for a socket: the client connection idle longest is closed for it.
+type crowded struct{}
+
+func (crowded) take(c *core) {
+	var oldest *client
+	for cl := range c.clients {
+		if cl.op < 0 && !cl.shut.Load() && (oldest == nil || cl.idleSince < oldest.idleSince) {
+			oldest = cl
+		}
+	}
+	if oldest != nil {
+		oldest.close()
+	}
+}
+
+// sweep closes backend connections idle for too long, and on the way out client connections that are idle.
+func (c *core) sweep() {
+	if c.now < c.sweepAt {
+		return
+	}
+	for l := range c.links {
+		if l.cur == nil && c.now-l.idleSince > c.cfg.Pace.IdleBackend {
+			c.retire(l)
+		}
+	}
+	if c.sweepAt = c.now + c.cfg.Pace.IdleBackend/8; !c.leaving {
+		return
+	}
+	c.sweepAt = c.now + c.cfg.Pace.Linger/16
+	late := c.now > c.lingering
+	if late {
+		c.listener.SetDeadline(time.Now()) // accepting ends once nothing waits any more
+	}
+	for cl := range c.clients {
+		if cl.op < 0 && (cl.served || late) {
+			cl.close()
+		}
+	}
+}
+
+// leave begins the way out: what still arrives is served, each connection's answer is its last.
+func (c *core) leave() {
+	c.log.Info("leaving")
+	c.leaving, c.lingering, c.sweepAt = true, c.clock.now()+c.cfg.Pace.Linger, 0
+	c.setReady()
+}
+
+// gone tells whether all that was taken is answered and nothing more can come.
+func (c *core) gone() bool {
+	if !c.leaving || c.accepting || len(c.clients) > 0 {
+		return c.leaving && c.now > c.lingering+c.cfg.Deal.LongestWait+c.cfg.Pace.SlowInput
+	}
+	return true
+}
--- /dev/null
+++ b/frontdoor/counter.go
@@ -0,0 +1,212 @@
+package frontdoor
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+
+	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/pool"
+	"github.com/swifthall/swifthall/internal/resp"
+)
+
+// call is one call of the counter.
+type call struct {
+	conn      *counterConn
+	customer  uint64
+	epoch     int64
+	add, keep float64
+
+	// The owner's.
+	at   float64
+	told bool // the decisions have its result
+	over bool // its connection owes nothing for it any more
+}
+
+// expire first ends the wait for a call, then a connection that owes its answer for too long: what comes over
+// one that is cut off would never be noticed otherwise.
+func (k *call) expire(c *core) {
+	switch dead := k.at + c.cfg.Pace.DeadCounter; {
+	case k.over:
+	case c.now < dead:
+		c.tell(k, endLate, 0)
+		c.due.add(dead, k)
+	default:
+		c.tell(k, endLate, 0)
+		k.conn.drop()
+	}
+}
+
+// tell gives the decisions a call's result, once.
+func (c *core) tell(k *call, how end, total float64) {
+	if k.told {
+		return
+	}
+	k.told = true
+	if customer, known := c.customers.Find(k.customer); known {
+		c.pending = append(c.pending, gate.Counted{Customer: customer, Epoch: k.epoch, Result: how.result(), Total: total})
+	}
+}
+
+// count makes a call over the connection that owes least.
+func (c *core) count(a gate.Count) {
+	k := &call{customer: c.customers.ID(a.Customer), epoch: a.Epoch, add: a.Add, keep: a.Keep, at: c.now}
+	for _, conn := range c.counters {
+		if k.conn == nil || conn.calls < k.conn.calls {
+			k.conn = conn
+		}
+	}
+	k.conn.calls++
+	c.due.add(k.at+c.cfg.Deal.CounterTimeout, k)
+	k.conn.put(k)
+}
+
+// called is the end of a call on its connection.
+type called struct {
+	k     *call
+	how   end
+	total float64
+}
+
+func (n called) take(c *core) {
+	n.k.over = true
+	n.k.conn.calls--
+	c.tell(n.k, n.how, n.total)
+}
+
+// counterConn is one connection to the counter, dialled when there are calls. One goroutine writes, one reads.
+type counterConn struct {
+	c     *core
+	kick  chan struct{}
+	calls int // the owner's: put and not over
+
+	mu     sync.Mutex
+	nc     net.Conn
+	queue  []*call // not written yet
+	flying []*call // written, oldest first
+}
+
+func newCounterConn(c *core) *counterConn { return &counterConn{c: c, kick: make(chan struct{}, 1)} }
+
+func (k *counterConn) put(a *call) {
+	k.mu.Lock()
+	k.queue = append(k.queue, a)
+	k.mu.Unlock()
+	select {
+	case k.kick <- struct{}{}:
+	default:
+	}
+}
+
+// drop ends the connection, if it is up.
+func (k *counterConn) drop() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.nc != nil {
+		k.nc.Close()
+	}
+}
+
+func (k *counterConn) run(ctx context.Context) {
+	defer context.AfterFunc(ctx, k.drop)()
+	for ctx.Err() == nil {
+		select {
+		case <-k.kick:
+		case <-ctx.Done():
+			return
+		}
+		nc, how := k.connect(ctx)
+		k.mu.Lock()
+		calls := k.queue
+		k.queue = nil
+		if nc != nil {
+			k.flying = append(k.flying, calls...)
+		}
+		k.mu.Unlock()
+		if nc == nil {
+			k.end(ctx, calls, how)
+			rest(ctx, k.c.cfg.Pace.Redial)
+			continue
+		}
+		msg := pool.Get()
+		for _, a := range calls {
+			msg = resp.AppendTally(msg, countName(a), a.add, a.keep)
+		}
+		if _, err := nc.Write(msg); err != nil {
+			nc.Close() // its reader ends the calls
+		}
+		pool.Put(msg)
+	}
+}
+
+// countName names a customer's number for an epoch, the same at every door.
+func countName(a *call) string {
+	return strconv.FormatUint(a.customer, 16) + "/" + strconv.FormatInt(a.epoch, 10)
+}
+
+// connect returns the connection, a new one where there is none.
+func (k *counterConn) connect(ctx context.Context) (net.Conn, end) {
+	k.mu.Lock()
+	nc := k.nc
+	k.mu.Unlock()
+	if nc != nil {
+		return nc, endWell
+	}
+	if !k.c.budget.take(0) {
+		return nil, endNoSocket
+	}
+	nc, err := k.c.dialer.DialContext(ctx, "tcp", k.c.cfg.Counter)
+	if err != nil {
+		k.c.budget.put()
+		return nil, endNoConn
+	}
+	k.mu.Lock()
+	k.nc = nc
+	k.mu.Unlock()
+	go k.read(ctx, nc)
+	return nc, endWell
+}
+
+func (k *counterConn) end(ctx context.Context, calls []*call, how end) {
+	for _, a := range calls {
+		k.c.post(ctx, called{a, how, 0})
+	}
+}
+
+// read takes replies, each for the oldest call, until the connection ends.
+func (k *counterConn) read(ctx context.Context, nc net.Conn) {
+	defer k.c.budget.put()
+	var in resp.Replies
+	buf := pool.Get()[:pool.Size]
+	defer pool.Put(buf)
+	for {
+		n, err := nc.Read(buf)
+		fault := in.Feed(buf[:n], func(r resp.Reply) { k.reply(ctx, r) })
+		if err != nil || fault != nil {
+			break
+		}
+	}
+	nc.Close()
+	k.mu.Lock()
+	calls := k.flying
+	k.nc, k.flying = nil, nil
+	k.mu.Unlock()
+	k.end(ctx, calls, endCut)
+}
+
+func (k *counterConn) reply(ctx context.Context, r resp.Reply) {
+	k.mu.Lock()
+	if len(k.flying) == 0 {
+		k.mu.Unlock()
+		return
+	}
+	a := k.flying[0]
+	k.flying = k.flying[1:]
+	k.mu.Unlock()
+	how := endWell
+	if r.Busy || r.Fault != "" {
+		how = endTurnedAway
+	}
+	k.c.post(ctx, called{a, how, r.Total})
+}
--- /dev/null
+++ b/frontdoor/frontdoor.go
@@ -0,0 +1,107 @@
+// Package frontdoor is a front door on sockets, built around the decisions. A door takes operations from
+// clients, has a gate.Decider decide on them, and carries its actions out; it decides nothing itself.
+//
+// One goroutine, core.run, owns the decider. Each connection has a goroutine that reads, feeds a state machine
+// (internal/http1, internal/resp, internal/registry) and passes what it yields on as notes.
+package frontdoor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/swifthall/swifthall/config"
+	"github.com/swifthall/swifthall/gate"
+)
+
+var (
+	errNoSocket  = errors.New("no socket is free")
+	errWatchOver = errors.New("the watch was ended")
+)
+
+// Door is one front door.
+type Door struct{ core *core }
+
+// New returns a door that will serve by the decider, which is its own from here on.
+func New(cfg config.Door, decider gate.Decider, log logrus.FieldLogger) *Door {
+	return &Door{newCore(cfg, decider, log)}
+}
+
+// Serve listens and serves until ctx ends; then it answers all that was taken, and what still comes for a
+// while, and returns. A door serves once.
+func (d *Door) Serve(ctx context.Context) error {
+	c := d.core
+	ln, err := net.Listen("tcp", c.cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listening: %w", err)
+	}
+	defer ln.Close()
+	c.listener, c.accepting = ln.(*net.TCPListener), true
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	listed{c.cfg.Known}.take(c)
+	if c.cfg.Deal.Terms.Counter {
+		for range counted {
+			conn := newCounterConn(c)
+			c.counters = append(c.counters, conn)
+			go conn.run(background)
+		}
+	}
+	go c.follow(background)
+	go c.accept(background)
+	c.log.WithFields(logrus.Fields{"name": c.cfg.Name, "listen": c.cfg.Listen}).Info("serving")
+	c.run(ctx)
+	c.log.Info("left")
+	return nil
+}
+
+// accepted says that no more connections are taken.
+type accepted struct{}
+
+func (accepted) take(c *core) { c.accepting = false }
+
+// accept takes connections in while there are sockets for them. A quarter of the sockets is kept for what
+// clients come for.
+func (c *core) accept(ctx context.Context) {
+	keep := c.budget.free / 4
+	for {
+		for !c.budget.take(keep) {
+			c.post(ctx, crowded{})
+			select {
+			case <-c.budget.freed:
+			case <-time.After(span(c.cfg.Pace.Redial)):
+			case <-ctx.Done():
+				return
+			}
+		}
+		nc, err := c.listener.Accept()
+		if err != nil {
+			c.budget.put()
+			if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
+				c.listener.Close()
+				c.post(ctx, accepted{})
+				return
+			}
+			c.log.WithError(err).Warn("accepting")
+			rest(ctx, c.cfg.Pace.Redial)
+			continue
+		}
+		cl := newClient(c, nc)
+		c.post(ctx, opened{cl})
+		go cl.run()
+	}
+}
+
+// held counts the descriptors that the process holds already.
+func held() int {
+	files, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return 3 // the standard ones
+	}
+	return len(files)
+}
--- a/internal/wire/door.go
+++ b/internal/wire/door.go
@@ -6,50 +6,15 @@
 	"hash/fnv"
 
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/index"
 )
 
-// index hands out small dense indices for ids and takes them back.
-type index struct {
-	of   map[string]int
-	ids  []string
-	free []int
-}
-
-func newIndex() index { return index{of: map[string]int{}} }
-
-func (x *index) add(id string) int {
-	if i, ok := x.of[id]; ok {
-		return i
-	}
-	var i int
-	if n := len(x.free); n > 0 {
-		i, x.free = x.free[n-1], x.free[:n-1]
-		x.ids[i] = id
-	} else {
-		i = len(x.ids)
-		x.ids = append(x.ids, id)
-	}
-	x.of[id] = i
-	return i
-}
-
-func (x *index) find(id string) (int, bool) {
-	i, ok := x.of[id]
-	return i, ok
-}
-
-func (x *index) drop(i int) {
-	delete(x.of, x.ids[i])
-	x.ids[i] = ""
-	x.free = append(x.free, i)
-}
-
 // door holds the ids of one instance; only the decider knows what they mean.
 type door struct {
 	decider                                gate.Decider
 	pending                                []gate.Event
 	profiles, plans                        map[string]int
-	ops, backends, customers, zones, cells index
+	ops, backends, customers, zones, cells index.Table[string]
 	out                                    []int  // transmissions outstanding, by operation
 	over                                   []bool // final answer known, by operation
 	counts                                 map[uint64]*counting
@@ -57,8 +22,8 @@
 }
 
 func newDoor(profiles, plans map[string]int) *door {
-	return &door{profiles: profiles, plans: plans, ops: newIndex(), backends: newIndex(),
-		customers: newIndex(), zones: newIndex(), cells: newIndex(),
+	return &door{profiles: profiles, plans: plans, ops: index.New[string](), backends: index.New[string](),
+		customers: index.New[string](), zones: index.New[string](), cells: index.New[string](),
 		counts: map[uint64]*counting{}}
 }
 
@@ -66,8 +31,8 @@
 func (d *door) endBatch() {
 	d.pending = d.pending[:0]
 	for _, op := range d.closing {
-		if d.ops.ids[op] != "" && d.over[op] && d.out[op] == 0 {
-			d.ops.drop(op)
+		if d.ops.ID(op) != "" && d.over[op] && d.out[op] == 0 {
+			d.ops.Drop(op)
 		}
 	}
 	d.closing = d.closing[:0]
@@ -108,7 +73,7 @@
 
 func (d *door) backend(f *fields) int {
 	id := need[string](f, "backend")
-	i, ok := d.backends.of[id]
+	i, ok := d.backends.Find(id)
 	if !ok {
 		f.fail("backend", "%q was never listed", id)
 	}
@@ -117,7 +82,7 @@
 
 // op finds an operation; known is false for one already dropped.
 func (d *door) op(f *fields) (i int, known bool) {
-	i, known = d.ops.of[need[string](f, "op_id")]
+	i, known = d.ops.Find(need[string](f, "op_id"))
 	return i, known
 }
 
@@ -134,9 +99,9 @@
 	}
 	for _, raw := range maybe[[]map[string]json.RawMessage](f, "nodes_list") {
 		ef := fields{m: raw}
-		e := gate.Entry{Backend: d.backends.add(need[string](&ef, "backend")),
-			Zone:   d.zones.add(maybe[string](&ef, "dc")),
-			Cell:   d.cells.add(fmt.Sprint(maybe[int64](&ef, "stripe"))),
+		e := gate.Entry{Backend: d.backends.Add(need[string](&ef, "backend")),
+			Zone:   d.zones.Add(maybe[string](&ef, "dc")),
+			Cell:   d.cells.Add(fmt.Sprint(maybe[int64](&ef, "stripe"))),
 			Status: choice(&ef, "status", statuses),
 			Since:  maybe[float64](&ef, "online_since") * msPerSecond,
 			Size:   maybe[float64](&ef, "units")}
@@ -159,7 +124,7 @@
 	if f.fault != nil {
 		return nil
 	}
-	ev.Op, ev.Customer = d.ops.add(id), d.customers.add(shortName(customer))
+	ev.Op, ev.Customer = d.ops.Add(id), d.customers.Add(shortName(customer))
 	for len(d.out) <= ev.Op {
 		d.out, d.over = append(d.out, 0), append(d.over, false)
 	}
@@ -213,14 +178,14 @@
 	}
 	var known bool
 	ev.Epoch = c.epoch
-	if ev.Customer, known = d.customers.find(c.customer); !known {
+	if ev.Customer, known = d.customers.Find(c.customer); !known {
 		return nil
 	}
 	return ev
 }
 
 func (d *door) count(a gate.Count) map[string]any {
-	id := d.customers.ids[a.Customer]
+	id := d.customers.ID(a.Customer)
 	name := countName(id, a.Epoch)
 	if d.counts[name] == nil {
 		d.counts[name] = &counting{customer: id, epoch: a.Epoch}
@@ -256,33 +221,33 @@
 	switch a := a.(type) {
 	case gate.Send:
 		d.out[a.Op]++
-		body := map[string]any{"op_id": d.ops.ids[a.Op], "backend": d.backends.ids[a.Backend]}
+		body := map[string]any{"op_id": d.ops.ID(a.Op), "backend": d.backends.ID(a.Backend)}
 		if a.Cap > 0 {
 			body["cap"] = a.Cap / msPerSecond
 		}
 		return map[string]any{"SUBMIT_TO": body}
 	case gate.Cancel:
-		return map[string]any{"ABANDON": map[string]any{"op_id": d.ops.ids[a.Op], "send_no": a.Transmission}}
+		return map[string]any{"ABANDON": map[string]any{"op_id": d.ops.ID(a.Op), "send_no": a.Transmission}}
 	case gate.Reject:
 		d.end(a.Op)
-		body := map[string]any{"op_id": d.ops.ids[a.Op]}
+		body := map[string]any{"op_id": d.ops.ID(a.Op)}
 		if a.RetryAfter > 0 {
 			body["not_before_for"] = a.RetryAfter / msPerSecond
 		}
 		return map[string]any{"REFUSE": body}
 	case gate.Scrap:
 		d.end(a.Op)
-		return map[string]any{"LOSE": map[string]any{"op_id": d.ops.ids[a.Op]}}
+		return map[string]any{"LOSE": map[string]any{"op_id": d.ops.ID(a.Op)}}
 	case gate.Wake:
 		return map[string]any{"SCHEDULE": map[string]any{"when": a.At / msPerSecond, "cookie": 0}}
 	case gate.Probe:
-		return map[string]any{"SOUND_OUT": map[string]any{"backend": d.backends.ids[a.Backend]}}
+		return map[string]any{"SOUND_OUT": map[string]any{"backend": d.backends.ID(a.Backend)}}
 	case gate.Count:
 		return d.count(a)
 	case gate.Track:
 		return map[string]any{"TRACK": map[string]any{"enable": true}}
 	case gate.Forget:
-		d.customers.drop(a.Customer)
+		d.customers.Drop(a.Customer)
 		return nil
 	case gate.Log:
 		return map[string]any{"DEBUG": map[string]any{"body_text": a.Text}}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 
+	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
 )
 
@@ -94,13 +95,13 @@
 			if m.fault != nil {
 				return nil, fmt.Errorf("event BORN: %w", m.fault)
 			}
-			t, profiles, plans, err := parseTerms(settings)
+			deal, err := config.ReadDeal(settings)
 			if err != nil {
 				return nil, fmt.Errorf("event BORN: %w", err)
 			}
-			d = newDoor(profiles, plans)
+			d = newDoor(deal.Profiles, deal.Plans)
 			h.doors[p.door] = d
-			if text := guard(func() { d.decider = h.build(t, seed) }); text != "" {
+			if text := guard(func() { d.decider = h.build(deal.Terms, seed) }); text != "" {
 				return append(out, giveIn(text)), nil
 			}
 			continue
@@ -137,7 +138,7 @@
 	}
 	var mail letters
 	for _, a := range actions {
-		if mail.add(a, d.customers.ids) {
+		if mail.add(a, d.customers.ID) {
 			continue
 		}
 		if msg := d.action(a); msg != nil {
--- a/internal/wire/mail.go
+++ b/internal/wire/mail.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/index"
 )
 
 // A message to another door is a line for each Ask and Grant: a mark and its figures, apart by commas.
@@ -24,17 +25,17 @@
 	texts []string
 }
 
-func (l *letters) add(a gate.Action, names []string) bool {
+func (l *letters) add(a gate.Action, name func(int) string) bool {
 	to, text := 0, ""
 	switch a := a.(type) {
 	case gate.Ask:
 		to = a.To
 		text = fmt.Sprintf("?%d,%d,%d,%d,%g,%.2f,%s;", a.Seq, a.Plan, a.First, a.Spread, a.Units, a.Level,
-			names[a.Customer])
+			name(a.Customer))
 	case gate.Grant:
 		to, text = a.To, fmt.Sprintf("!%d,%.1f,%.1f,%.2f;", a.Seq, a.Wait, a.Hold, a.Level)
 	case gate.Release:
-		to, text = a.To, "."+names[a.Customer]+";"
+		to, text = a.To, "."+name(a.Customer)+";"
 	default:
 		return false
 	}
@@ -56,9 +57,9 @@
 }
 
 // readMail reads a message; what was not written here is passed over.
-func readMail(from int, text string, customers *index, plans int) (events []gate.Event) {
+func readMail(from int, text string, customers *index.Table[string], plans int) (events []gate.Event) {
 	for _, line := range strings.Split(text, ";") {
-		if c, known := customers.find(strings.TrimPrefix(line, ".")); known {
+		if c, known := customers.Find(strings.TrimPrefix(line, ".")); known {
 			events = append(events, gate.Released{From: from, Customer: c})
 			continue
 		}
@@ -68,7 +69,7 @@
 			events = append(events, g)
 		} else if n, _ := fmt.Sscanf(line, "?%d,%d,%d,%d,%g,%g,%s", &a.Seq, &a.Plan, &a.First, &a.Spread,
 			&a.Units, &a.Level, &name); n == 7 && len(name) == nameDigits && a.Plan >= 0 && a.Plan < plans {
-			a.Customer = customers.add(name)
+			a.Customer = customers.Add(name)
 			events = append(events, a)
 		}
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/index"
 )
 
 // scripted answers every batch with what its function says.
@@ -107,15 +108,15 @@
 }
 
 func TestMailIsGatheredSplitAndReadBack(t *testing.T) {
-	x := newIndex()
-	x.add("91f03b7c5")
+	x := index.New[string]()
+	x.Add("91f03b7c5")
 	var mail letters
 	want := map[int]int{}
 	for n := range 30 {
 		to := n % 2
 		want[to]++
-		assert.True(t, mail.add(gate.Ask{To: to, Seq: n, Spread: 9, Units: 2, Level: 1.25}, x.ids))
-		assert.True(t, mail.add(gate.Grant{To: to, Seq: n, Wait: 250, Level: 3}, x.ids))
+		assert.True(t, mail.add(gate.Ask{To: to, Seq: n, Spread: 9, Units: 2, Level: 1.25}, x.ID))
+		assert.True(t, mail.add(gate.Grant{To: to, Seq: n, Wait: 250, Level: 3}, x.ID))
 	}
 	for i, text := range mail.texts {
 		assert.LessOrEqual(t, len(text), mailBytes)
