--- /dev/null
+++ b/frontdoor/core_test.go
@@ -0,0 +1,332 @@
+package frontdoor
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/swifthall/swifthall/config"
+	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/http1"
+	"github.com/swifthall/swifthall/internal/registry"
+)
+
+// scripted answers every batch with what its function says.
+type scripted func(now float64, events []gate.Event) []gate.Action
+
+func (s scripted) Decide(now float64, events []gate.Event) []gate.Action { return s(now, events) }
+
+// settled is a configuration with one replayable and one tokened profile and one plan.
+func settled() config.Door {
+	return config.Door{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Sockets: 100,
+		Deal: config.Deal{Terms: gate.Terms{Doors: 3, Profiles: []gate.Profile{{}, {Semantics: gate.Tokened}},
+			Plans: make([]gate.Plan, 1)}, Profiles: map[string]int{"look": 0, "book": 1}, Plans: map[string]int{"team": 0},
+			ConnectTimeout: 250, CounterTimeout: 80, LongestWait: 2000, MostUnits: 8},
+		Pace: config.Pace{SlowInput: 2000, IdleBackend: 5000, Silence: 3000, DeadCounter: 800, Redial: 20, Linger: 50}}
+}
+
+// owned is a core that no goroutine runs, with one backend and one open operation from a connected client.
+func owned(t *testing.T) (c *core, client net.Conn) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c = newCore(settled(), scripted(func(float64, []gate.Event) []gate.Action { return nil }), log)
+	c.now = c.clock.now()
+	listed{registry.List{Whole: true, Backends: []registry.Entry{{ID: "s", Addr: "127.0.0.1:1", State: "Ready"}}}}.take(c)
+	far, near := net.Pipe()
+	t.Cleanup(func() { far.Close(); near.Close() })
+	cl := newClient(c, near)
+	opened{cl}.take(c)
+	arrived{cl, &http1.Operation{Method: "GET", Target: "/look?key=1", ID: "x"}, gate.Operation{TTL: 500}, c.now}.take(c)
+	c.pending = nil
+	return c, far
+}
+
+// linked sends the open operation over an idle connection to the backend, whose end is returned.
+func linked(t *testing.T, c *core) (*flight, net.Conn) {
+	far, near := net.Pipe()
+	t.Cleanup(func() { far.Close(); near.Close() })
+	l := &link{c: c, addr: "127.0.0.1:1", nc: near, cancel: func() {}}
+	c.links[l] = struct{}{}
+	c.backends[0].idle = append(c.backends[0].idle, l)
+	c.send(gate.Send{})
+	return c.ops[0].flights[0], far
+}
+
+// written takes all of a transmission at the backend's end.
+func written(t *testing.T, f *flight, far net.Conn) {
+	_, err := io.ReadFull(far, make([]byte, len(f.msg)))
+	require.NoError(t, err)
+	for f.link.busy.Load() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// heard reads one answer.
+func heard(t *testing.T, nc net.Conn) http1.Answer {
+	var in http1.Answers
+	buf := make([]byte, 4096)
+	nc.SetReadDeadline(time.Now().Add(10 * time.Second))
+	for {
+		n, err := nc.Read(buf)
+		require.NoError(t, err)
+		if _, whole, err := in.Feed(buf[:n]); whole {
+			return in.Take()
+		} else {
+			require.NoError(t, err)
+		}
+	}
+}
+
+func TestEveryEndHasItsResult(t *testing.T) {
+	for e, want := range map[end]gate.Result{endWell: gate.Finished, endIll: gate.Errored, endTurnedAway: gate.Full,
+		endNoSocket: gate.Skipped, endNoConn: gate.Unreachable, endCutUnsent: gate.Unreachable, endCut: gate.Reset,
+		endGarbled: gate.Reset, endLateUnsent: gate.Skipped, endLate: gate.TimedOut, endLeftUnsent: gate.Skipped,
+		endLeft: gate.Cancelled} {
+		assert.Equal(t, want, e.result(), e)
+	}
+	for _, e := range []end{endNoSocket, endNoConn, endCutUnsent, endLateUnsent, endLeftUnsent, endTurnedAway} {
+		assert.True(t, e.result().NeverRan(), e)
+	}
+	for _, e := range []end{endIll, endCut, endGarbled, endLate, endLeft} {
+		assert.False(t, e.result().NeverRan(), e)
+	}
+}
+
+func TestOnlyAMarkedAnswerIsTurnedAway(t *testing.T) {
+	for a, want := range map[*http1.Answer]end{{Status: 200}: endWell, {Status: 500}: endIll, {Status: 503}: endIll,
+		{Status: 503, TurnedAway: true}: endTurnedAway, {Status: 504, TurnedAway: true}: endTurnedAway,
+		{Status: 500, TurnedAway: true}: endIll, {Status: 201}: endIll} {
+		assert.Equal(t, want, endOf(a))
+	}
+}
+
+func TestWhatTheTermsDoNotKnowIsAFault(t *testing.T) {
+	c, _ := owned(t)
+	good := http1.Operation{Profile: "book", Mark: "m", Plan: "team", Units: 2, Spread: 3, First: 2, TTL: 1e12}
+	ev, err := c.word(&good)
+	require.NoError(t, err)
+	assert.Equal(t, gate.Operation{Profile: 1, TTL: 2000, Units: 2, Spread: 3, First: 2}, ev, "no client waits longer")
+	for name, change := range map[string]func(*http1.Operation){
+		"profile": func(o *http1.Operation) { o.Profile = "odd" }, "plan": func(o *http1.Operation) { o.Plan = "odd" },
+		"mark": func(o *http1.Operation) { o.Mark = "" }, "first": func(o *http1.Operation) { o.First = 3 },
+		"spread": func(o *http1.Operation) { o.Spread = 4 }, "units": func(o *http1.Operation) { o.Units = 9 },
+	} {
+		bad := good
+		change(&bad)
+		_, err := c.word(&bad)
+		assert.Error(t, err, name)
+	}
+}
+
+func TestTimeLeftCountsFromTheFirstByte(t *testing.T) {
+	c, _ := owned(t)
+	cl := newClient(c, nil)
+	arrived{cl, &http1.Operation{}, gate.Operation{TTL: 500}, c.clock.now() - 200}.take(c)
+	ev := c.pending[0].(gate.Operation)
+	assert.LessOrEqual(t, ev.TTL, 300.0)
+	assert.Greater(t, ev.TTL, 0.0)
+}
+
+func TestAFinishedAnswerIsRelayedOnceAndFreesItsSlot(t *testing.T) {
+	c, client := owned(t)
+	f, far := linked(t, c)
+	written(t, f, far)
+	answered{f.link, http1.Answer{Status: 200, Use: 0.5, Body: []byte("hi")}, f.at + 30}.take(c)
+	assert.Equal(t, gate.Ended{Result: gate.Finished, Latency: 30, Over: true, Use: 0.5}, c.pending[0])
+	c.answer(0, http.StatusBadGateway, 0, nil) // a second answer
+	assert.Equal(t, http1.Answer{Status: 200, Use: -1, Body: []byte("hi")}, heard(t, client))
+	assert.Len(t, c.backends[0].idle, 1, "the connection is used again")
+	c.decide()
+	assert.Equal(t, []int{0}, c.free)
+	client.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	n, _ := client.Read(make([]byte, 1))
+	assert.Zero(t, n)
+}
+
+func TestOnlyWhatABackendAnsweredWellIsRelayed(t *testing.T) {
+	c, _ := owned(t)
+	f, _ := linked(t, c)
+	answered{f.link, http1.Answer{Status: 500, Use: -1, Body: []byte("secret")}, f.at}.take(c)
+	assert.False(t, c.ops[0].over, "the decisions say what becomes of it")
+	assert.Equal(t, gate.Errored, c.pending[0].(gate.Ended).Result)
+}
+
+func TestAWriterThatComesAfterGivingUpWritesNothing(t *testing.T) {
+	c, _ := owned(t)
+	f, far := linked(t, c)
+	other := &flight{op: 0, link: f.link, msg: []byte("late")}
+	c.ops[0].flights = append(c.ops[0].flights, other)
+	c.ops[0].out++
+	c.abandon(other, endLeftUnsent, endLeft)
+	assert.Equal(t, gate.Skipped, c.pending[0].(gate.Ended).Result)
+	go f.link.write(other)
+	got, _ := io.ReadAll(far)
+	assert.NotContains(t, string(got), "late")
+}
+
+func TestGivingUpWhatMayHaveLeftMayHaveRun(t *testing.T) {
+	c, _ := owned(t)
+	f, far := linked(t, c)
+	_, err := far.Read(make([]byte, 1)) // the writer has begun
+	require.NoError(t, err)
+	c.abandon(f, endLeftUnsent, endLeft)
+	assert.Equal(t, gate.Cancelled, c.pending[0].(gate.Ended).Result)
+	assert.Empty(t, c.links, "its connection is closed")
+	_, err = io.ReadAll(far)
+	assert.NoError(t, err)
+	c.abandon(f, endLeftUnsent, endLeft)
+	assert.Len(t, c.pending, 1, "one end each")
+}
+
+func TestATransmissionCutOffNeverRan(t *testing.T) {
+	c, _ := owned(t)
+	f, far := linked(t, c)
+	_, err := far.Read(make([]byte, 9))
+	require.NoError(t, err)
+	far.Close()
+	for f.stage.Load() != broken { // the writer finds out
+		time.Sleep(time.Millisecond)
+	}
+	cut{f.link, endCut}.take(c)
+	assert.Equal(t, gate.Unreachable, c.pending[0].(gate.Ended).Result)
+}
+
+func TestAnAnswerBeforeItsTransmissionHasLeftEndsTheConnection(t *testing.T) {
+	c, _ := owned(t)
+	f, far := linked(t, c)
+	_, err := far.Read(make([]byte, 1)) // the rest is stuck
+	require.NoError(t, err)
+	answered{f.link, http1.Answer{Status: 503, TurnedAway: true}, c.now}.take(c)
+	assert.Empty(t, c.backends[0].idle)
+}
+
+func TestAnAnswerNobodyAskedForEndsTheConnection(t *testing.T) {
+	c, _ := owned(t)
+	far, near := net.Pipe()
+	go far.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	assert.Equal(t, endGarbled, (&link{c: c, nc: near}).read())
+}
+
+func TestAnOldProcessGetsNothingNew(t *testing.T) {
+	c, _ := owned(t)
+	f, far := linked(t, c)
+	written(t, f, far)
+	answered{f.link, http1.Answer{Status: 500}, c.now}.take(c)
+	require.Len(t, c.backends[0].idle, 1)
+	listed{registry.List{Backends: []registry.Entry{{ID: "s", Addr: "127.0.0.1:1", State: "Ready", Started: 5}}}}.take(c)
+	assert.Empty(t, c.backends[0].idle)
+	assert.Empty(t, c.links)
+}
+
+func TestAnIdleConnectionIsRetiredInTime(t *testing.T) {
+	c, _ := owned(t)
+	f, far := linked(t, c)
+	written(t, f, far)
+	answered{f.link, http1.Answer{Status: 500}, c.now}.take(c)
+	c.now += c.cfg.Pace.IdleBackend + 1
+	c.sweep()
+	assert.Empty(t, c.links)
+}
+
+func TestASpentBudgetIsAResult(t *testing.T) {
+	c, _ := owned(t)
+	for c.budget.take(0) {
+	}
+	c.send(gate.Send{})
+	assert.Equal(t, gate.Skipped, c.pending[0].(gate.Ended).Result)
+	assert.Zero(t, c.ops[0].out)
+}
+
+func TestAnIdleConnectionGivesWayToOneThatIsWanted(t *testing.T) {
+	c, _ := owned(t)
+	f, far := linked(t, c)
+	written(t, f, far)
+	answered{f.link, http1.Answer{Status: 500}, c.now}.take(c)
+	for c.budget.take(0) {
+	}
+	assert.True(t, c.spare())
+	assert.Empty(t, c.links)
+	assert.False(t, c.spare())
+}
+
+func TestAClientThatLeavesIsReportedOnce(t *testing.T) {
+	c, _ := owned(t)
+	cl := c.ops[0].client
+	left{cl}.take(c)
+	assert.Equal(t, []gate.Event{gate.Vanished{Op: 0}}, c.pending)
+	c.answer(0, http.StatusOK, 0, []byte("hi"))
+	c.decide()
+	assert.Equal(t, []int{0}, c.free)
+	left{cl}.take(c)
+	assert.Empty(t, c.pending)
+}
+
+func TestTimeRunsOutForATransmission(t *testing.T) {
+	c, _ := owned(t)
+	f, far := linked(t, c)
+	_, err := far.Read(make([]byte, 1))
+	require.NoError(t, err)
+	c.now = c.ops[0].until
+	c.due.fire(c)
+	assert.True(t, f.ended)
+	assert.Equal(t, gate.TimedOut, c.pending[0].(gate.Ended).Result)
+	assert.False(t, c.pending[0].(gate.Ended).Over)
+}
+
+func TestReadyOnlyWhenItCanServe(t *testing.T) {
+	c, _ := owned(t)
+	assert.False(t, c.ready.Load(), "discovery was not asked")
+	asked{}.take(c)
+	assert.True(t, c.ready.Load())
+	listed{registry.List{Whole: true}}.take(c)
+	assert.False(t, c.ready.Load(), "no backend")
+	listed{registry.List{Backends: []registry.Entry{{ID: "s", Addr: "127.0.0.1:1", State: "Ready"}}}}.take(c)
+	c.leave()
+	assert.False(t, c.ready.Load())
+}
+
+func TestACallIsToldOnceAndItsCustomerMayBeForgotten(t *testing.T) {
+	c, _ := owned(t)
+	conn := newCounterConn(c)
+	c.counters = []*counterConn{conn}
+	c.count(gate.Count{Customer: 0, Epoch: 7, Add: 2, Keep: 4000})
+	k := conn.queue[0]
+	assert.Equal(t, "0/7", countName(k))
+	c.now += c.cfg.Deal.CounterTimeout
+	c.due.fire(c)
+	called{k, endWell, 5}.take(c)
+	assert.Equal(t, []gate.Event{gate.Counted{Epoch: 7, Result: gate.TimedOut}}, c.pending)
+	assert.Zero(t, conn.calls)
+	c.count(gate.Count{Customer: 0, Epoch: 8})
+	c.customers.Drop(0)
+	called{conn.queue[1], endWell, 5}.take(c)
+	assert.Len(t, c.pending, 1)
+}
+
+func TestCallsThatNobodyWaitsForAreNotMade(t *testing.T) {
+	c, _ := owned(t)
+	old, fresh := &call{at: c.clock.now() - 1000}, &call{at: c.clock.now() + 1000}
+	conn := newCounterConn(c)
+	conn.queue = []*call{old, fresh}
+	calls, late := conn.load(true)
+	assert.Equal(t, []*call{fresh}, calls)
+	assert.Equal(t, []*call{old}, late)
+	assert.Equal(t, calls, conn.flying)
+}
+
+func TestAConnectionThatOwesACallForTooLongIsClosed(t *testing.T) {
+	c, _ := owned(t)
+	far, near := net.Pipe()
+	conn := newCounterConn(c)
+	conn.nc = near
+	k := &call{conn: conn, at: c.now - c.cfg.Pace.DeadCounter}
+	k.expire(c)
+	_, err := far.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
