--- a/frontdoor/budget.go
+++ b/frontdoor/budget.go
@@ -4,13 +4,14 @@
 
 // budget shares out the sockets that a door may hold.
 type budget struct {
+	all   int
 	mu    sync.Mutex
 	free  int
 	freed chan struct{} // told when one comes back
 }
 
 func newBudget(sockets int) *budget {
-	return &budget{free: sockets, freed: make(chan struct{}, 1)}
+	return &budget{all: sockets, free: sockets, freed: make(chan struct{}, 1)}
 }
 
 // take takes a socket if more than keep are free.
--- a/frontdoor/counter.go
+++ b/frontdoor/counter.go
@@ -160,12 +160,16 @@
 	return strconv.FormatUint(a.customer, 16) + "/" + strconv.FormatInt(a.epoch, 10)
 }
 
+// up returns the connection, nil where there is none.
+func (k *counterConn) up() net.Conn {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.nc
+}
+
 // connect returns the connection, a new one where there is none.
 func (k *counterConn) connect(ctx context.Context) (net.Conn, end) {
-	k.mu.Lock()
-	nc := k.nc
-	k.mu.Unlock()
-	if nc != nil {
+	if nc := k.up(); nc != nil {
 		return nc, endWell
 	}
 	if !k.c.budget.take(0) {
