Short of sockets a door closes connections with their answer, and no idle one just come

Seen with a small probe (1,500 clients at once against 1,024 descriptors): 348 connections ended without an answer. Those were fresh ones, closed as the longest idle (crowded.take) while their operation was on its way. 600 half-sent operations of 60 kB held 50 honest clients up for 5.9 s, as each was kept for the whole 10 s of slow input. Now: with few sockets left an answer is its connection's last; only connections idle for the linger time are closed; a half-sent operation older than that gives way too. A stream of bare line ends is a malformed head.

--- a/frontdoor/budget.go
+++ b/frontdoor/budget.go
@@ -4,14 +4,14 @@
 
 // budget shares out the sockets that a door may hold.
 type budget struct {
-	all   int
+	kept  int // what clients leave for what they come for
 	mu    sync.Mutex
 	free  int
 	freed chan struct{} // told when one comes back
 }
 
 func newBudget(sockets int) *budget {
-	return &budget{all: sockets, free: sockets, freed: make(chan struct{}, 1)}
+	return &budget{kept: sockets / 4, free: sockets, freed: make(chan struct{}, 1)}
 }
 
 // take takes a socket if more than keep are free.
@@ -25,6 +25,13 @@
 	return true
 }
 
+// short tells whether no more than keep are free.
+func (b *budget) short(keep int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.free <= keep
+}
+
 func (b *budget) put() {
 	b.mu.Lock()
 	b.free++
--- a/frontdoor/client.go
+++ b/frontdoor/client.go
@@ -161,7 +161,12 @@
 		return false
 	}
 	if r.in.Begun() {
-		if rest := r.first + cl.c.cfg.Pace.SlowInput - cl.c.clock.now(); rest > 0 { // told to shut too late
+		pace := &cl.c.cfg.Pace
+		most := pace.SlowInput
+		if cl.shut.Load() {
+			most = min(most, pace.Linger) // others wait for its socket
+		}
+		if rest := r.first + most - cl.c.clock.now(); rest > 0 {
 			r.limited = true
 			cl.nc.SetReadDeadline(time.Now().Add(span(rest)))
 			return true
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -225,7 +225,7 @@
 	c.closing = append(c.closing, op)
 	cl := o.client
 	cl.op, cl.idleSince = -1, c.now
-	last := o.msg.Last || c.leaving || cl.shut.Load()
+	last := o.msg.Last || c.leaving || cl.shut.Load() || c.budget.short(c.budget.kept)
 	go cl.answer(http1.AppendAnswer(pool.Get(), status, retryAfter, body, last), last)
 }
 
@@ -270,7 +270,8 @@
 	}
 }
 
-// crowded says that a client waits for a socket: the client connection idle longest is closed for it.
+// crowded says that a client waits for a socket. The client connection idle longest is closed for it, but none
+// idle so briefly that an operation may be on its way there; else a backend connection gives way.
 type crowded struct{}
 
 func (crowded) take(c *core) {
@@ -280,8 +281,10 @@
 			oldest = cl
 		}
 	}
-	if oldest != nil {
+	if oldest != nil && c.clock.now()-oldest.idleSince > c.cfg.Pace.Linger {
 		oldest.close()
+	} else {
+		c.spare()
 	}
 }
 
--- a/frontdoor/core_test.go
+++ b/frontdoor/core_test.go
@@ -255,6 +255,30 @@
 	assert.False(t, c.spare())
 }
 
+func TestACrowdClosesTheLongestIdleClientButNoneJustCome(t *testing.T) {
+	c, _ := owned(t)
+	far, near := net.Pipe()
+	defer far.Close()
+	fresh, old := newClient(c, near), newClient(c, near)
+	old.idleSince -= c.cfg.Pace.Linger + 1
+	opened{fresh}.take(c)
+	crowded{}.take(c)
+	assert.False(t, fresh.shut.Load(), "an operation may be on its way")
+	opened{old}.take(c)
+	crowded{}.take(c)
+	assert.True(t, old.shut.Load())
+	assert.False(t, fresh.shut.Load())
+	assert.False(t, c.ops[0].client.shut.Load(), "one that is owed an answer stays")
+}
+
+func TestWhenSocketsAreShortAnAnswerIsItsConnectionsLast(t *testing.T) {
+	c, client := owned(t)
+	for c.budget.take(c.budget.kept) {
+	}
+	c.answer(0, http.StatusTooManyRequests, 250, nil)
+	assert.True(t, heard(t, client).Last)
+}
+
 func TestAClientThatLeavesIsReportedOnce(t *testing.T) {
 	c, _ := owned(t)
 	cl := c.ops[0].client
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -69,9 +69,8 @@
 // accept takes connections in while there are sockets for them. A quarter of the sockets is kept for what
 // clients come for.
 func (c *core) accept(ctx context.Context) {
-	keep := c.budget.all / 4
 	for {
-		for !c.budget.take(keep) {
+		for !c.budget.take(c.budget.kept) {
 			c.post(crowded{})
 			select {
 			case <-c.budget.freed:
--- a/frontdoor/serve_test.go
+++ b/frontdoor/serve_test.go
@@ -166,6 +166,18 @@
 	assert.Equal(t, http.StatusRequestTimeout, status)
 }
 
+func TestAnIdleConnectionThatIsClosedIsReadOnceMore(t *testing.T) {
+	c, _ := owned(t)
+	addr := standIn(t, func(nc net.Conn) {
+		cl := newClient(c, nc)
+		time.Sleep(20 * time.Millisecond) // the operation has come before the call to close
+		cl.close()
+		cl.run()
+	})
+	status, _ := say(t, dialled(t, addr), "GET /health/live HTTP/1.1\r\nHost: d\r\n\r\n")
+	assert.Equal(t, http.StatusOK, status)
+}
+
 func TestAClientThatLeavesVanishes(t *testing.T) {
 	events := make(chan gate.Event, 99)
 	addr, _, _ := serving(t, make(chan struct{}), sends(events))
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -22,12 +22,20 @@
 )
 
 // head gathers the bytes of one head.
-type head struct{ buf []byte }
+type head struct {
+	buf    []byte
+	passed int // bytes passed over before it
+}
+
+const mostPassed = 4 // two line ends: a client may leave one behind a body, but not send them for ever
 
 // feed takes bytes up to the empty line that ends the head; line ends before the first line are passed over.
 func (h *head) feed(p []byte) (used int, whole bool, err error) {
 	for len(h.buf) == 0 && used < len(p) && (p[used] == '\r' || p[used] == '\n') {
-		used++
+		if used++; h.passed == mostPassed {
+			return used, false, errHead
+		}
+		h.passed++
 	}
 	for used < len(p) {
 		i := bytes.IndexByte(p[used:], '\n')
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -75,6 +75,7 @@
 		"bad chunk":     {swap("Content-Length: 5", "Transfer-Encoding: chunked") + "zz\r\n", 400},
 		"long chunk":    {strings.Replace(swap("Content-Length: 5", "Transfer-Encoding: chunked"), "hello", strings.Repeat("1", 300), 1), 400},
 		"large chunks":  {strings.Replace(swap("Content-Length: 5", "Transfer-Encoding: chunked"), "hello", strings.Repeat("1000\r\n"+strings.Repeat("x", 4096)+"\r\n", 17), 1), 413},
+		"line ends":     {strings.Repeat("\r\n", 3) + asked, 400},
 		"endless head":  {"GET / HTTP/1.1\r\nA: " + strings.Repeat("x", 9000), 431},
 		"no id":         {swap("X-Txn: 9b1f03aa5c7e2d41\r\n", ""), 400},
 		"id with stop":  {swap("9b1f03aa5c7e2d41", "9b\rX: y"), 400},
