--- a/config/config.go
+++ b/config/config.go
@@ -142,6 +142,9 @@
 		}
 	}
 	for i, p := range t.Plans {
+		if p.Rate > 0 && p.Depth <= 0 {
+			return fmt.Errorf("key \"settings.tariffs[%d].depth\": %g, though there is a rate", i, p.Depth)
+		}
 		under := fmt.Sprintf("settings.tariffs[%d].", i)
 		least = append(least, []figure{{under + "rate", p.Rate}, {under + "depth", p.Depth}, {under + "never_over_rate", p.CeilingRate},
 			{under + "ceiling_burst", p.CeilingDepth}}...)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -54,6 +54,7 @@
 		`"settings.profiles[0].semantics"`:      {"deduplicated", "odd"},
 		`"settings.profiles[0].dedup_scope"`:    {`"zone"`, `"odd"`},
 		`"settings.profiles[0].aim"`:            {`"aim":0.5`, `"aim":0`},
+		`"settings.tariffs[0].depth"`:           {`"depth":8`, `"depth":0`},
 		`"settings.tariffs[0].rate"`:            {`"rate":2`, `"rate":-2`},
 		`"settings.limits.max_attempts"`:        {`"max_attempts":6`, `"max_attempts":0`},
 		`"settings.limits.retry_after": string`: {`"retry_after":true`, `"retry_after":"yes"`},
--- a/frontdoor/backend.go
+++ b/frontdoor/backend.go
@@ -258,12 +258,11 @@
 		return
 	}
 	l.cur, l.idleSince = nil, c.now
-	if how := endOf(&n.a); how == endWell {
+	how := endOf(&n.a)
+	if how == endWell {
 		c.answer(f.op, http.StatusOK, 0, n.a.Body)
-		c.finish(f, how, n.at, n.a.Use)
-	} else {
-		c.finish(f, how, n.at, n.a.Use)
 	}
+	c.finish(f, how, n.at, n.a.Use)
 	// An answer may come before all of its transmission has left.
 	if b := &c.backends[l.backend]; n.a.Last || l.busy.Load() || !b.takes(l) {
 		c.retire(l)
--- a/frontdoor/client.go
+++ b/frontdoor/client.go
@@ -24,7 +24,7 @@
 	// The owner's.
 	op        int // open operation; -1 is none
 	idleSince float64
-	served    bool // has brought an operation
+	known     bool // has brought an operation
 }
 
 func newClient(c *core, nc net.Conn) *client {
@@ -71,7 +71,7 @@
 		p = p[used:]
 		if err != nil {
 			cl.await(r)
-			cl.refuse(err, true)
+			cl.fault(err, true)
 			return false
 		}
 		if !whole {
@@ -119,15 +119,15 @@
 		}
 	}
 	if err != nil {
-		return cl.refuse(err, op.Last) && !op.Last
+		return cl.fault(err, op.Last) && !op.Last
 	}
 	r.owed = true
 	cl.c.post(arrived{cl, op, ev, r.first})
 	return true
 }
 
-// refuse answers a fault.
-func (cl *client) refuse(err error, last bool) bool {
+// fault answers what is no operation.
+func (cl *client) fault(err error, last bool) bool {
 	status := http.StatusBadRequest
 	var f *http1.Fault
 	if errors.As(err, &f) {
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -247,7 +247,7 @@
 	c.free = c.free[:last]
 	o := &c.ops[i]
 	*o = operation{client: n.cl, msg: n.op, until: n.at + n.ev.TTL, flights: o.flights[:0]}
-	n.cl.op, n.cl.served = i, true
+	n.cl.op, n.cl.known = i, true
 	n.ev.Op, n.ev.Customer = i, c.customers.Add(n.op.Customer)
 	n.ev.TTL = max(0, o.until-c.clock.now())
 	c.pending = append(c.pending, n.ev)
@@ -308,7 +308,7 @@
 		c.listener.SetDeadline(time.Now())
 	}
 	for cl := range c.clients {
-		if cl.op < 0 && (cl.served || late) {
+		if cl.op < 0 && (cl.known || late) {
 			cl.close()
 		}
 	}
