--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -302,13 +302,12 @@
 		return
 	}
 	c.sweepAt = c.now + c.cfg.Pace.Linger/16
-	late := c.now > c.lingering
-	if late && !c.deaf {
+	if c.now > c.lingering && !c.deaf {
 		c.deaf = true
 		c.listener.SetDeadline(time.Now())
 	}
-	for cl := range c.clients {
-		if cl.op < 0 && (cl.known || late) {
+	for cl := range c.clients { // a new connection has the linger time to bring its first operation
+		if cl.op < 0 && (cl.known || c.now-cl.idleSince > c.cfg.Pace.Linger) {
 			cl.close()
 		}
 	}
