A counter that was away is called as before; calls are saved for 3 s after one unanswered

Seen with a probe (100 operations a second, customers whose parts are fair): after the counter was silent for two calls a door never called it again. Cause (count): under countAll only operations too large for their part call, so where there are none no answer can ever raise the share of calls again. On sockets a counter is away more often than crowded. Now the saving ends 3 s after the latest unanswered call, and eight calls in a row without a word, which a crowd does not give, have calls made as before with the next answer. After: called again within 3 s.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,7 +4,6 @@
 // A carrier calls New once with the door's terms and seed, then Decide for each batch of events, with the
 // clock, and carries out the actions in order. Events, actions and terms are in package gate; the plain
 // state types are in state.go. The same events always give the same actions.
-//
 // To read it: Decide takes the events in, each changing what is wanted of an operation (held, out, ended);
 // tick lets time act; settle emits the difference. The ordinary path is arrive, release (hold over, units
 // secured) and pick (draw of a backend). docs/design.md tells what comes from where, and each exception.
@@ -46,6 +45,8 @@
 	countCut    = 0.5  // and what is left of it after a call without one: a few calls in a hundred fail
 	countAll    = 0.9  // share of calls under which those are saved for customers whose part is small
 	countLeast  = 0.05 // least of that share
+	crowdedFor  = 3e3  // ms in which calls are so saved after one unanswered; else none might be made again
+	awayAfter   = 8    // calls in a row without a word: the counter was away, as a crowded one answers some
 	askFor      = 120. // ms to wait for another door's answer; a few ways there and back
 	askTwice    = 2    // Asks without an answer in a row after which a door counts as mute; one may be lost
 	muteFor     = 1e3  // ms that a mute door is not asked
@@ -84,7 +85,7 @@
 func New(t gate.Terms, seed uint64) *Door {
 	return &Door{terms: t, dice: newDice(seed), ask: t.MustAsk, lat: make([]latency, len(t.Profiles)),
 		out: make([]int, len(t.Profiles)), born: -1, peers: make([]peer, t.Doors),
-		calling: 1, fleet: fleet{cases: make([][]suspicion, len(t.Profiles)+1)}}
+		calling: 1, before: 1, fleet: fleet{cases: make([][]suspicion, len(t.Profiles)+1)}}
 }
 
 // Decide takes in one batch and returns what is to be done.
@@ -285,8 +286,7 @@
 	return (1 - homeCeiling) / float64(k.spread-1)
 }
 
-// secure gets an operation its units, and tells whether it has them: from the customer's home door, from the
-// shared counter, or from this door's own part.
+// secure gets an operation its units, from home door, counter or own part, and tells whether it has them.
 func (d *Door) secure(i int) bool {
 	o := &d.ops[i]
 	k := d.refill(o.customer)
@@ -314,8 +314,7 @@
 }
 
 // askHome asks the customer's home door and tells whether its answer is awaited. A door that leaves two Asks
-// in a row unanswered counts as mute and the next is asked; where none is left, this door decides by its
-// part.
+// in a row unanswered counts as mute and the next is asked; where none is left, this door goes by its part.
 func (d *Door) askHome(o *operation, k *bucket) bool {
 	if o.seq > 0 {
 		if d.now < o.asked+askFor {
@@ -369,8 +368,7 @@
 	d.mail = append(d.mail, letter{e.From, p.last})
 }
 
-// granted takes the home door's answer. What another than the first door grants, when that one is mute, must
-// fit this door's own slice of the ceiling.
+// granted takes a home door's answer. One not from the first must fit this door's own slice of the ceiling.
 func (d *Door) granted(e gate.Granted) {
 	d.peers[e.From].unanswered, d.peers[e.From].mute = 0, 0
 	for _, i := range d.live {
@@ -420,8 +418,7 @@
 
 // Where there is a shared counter, each customer has a number on it for each window, the time in which its
 // quota fills the whole depth, and the depth is what the doors may add to it: over windows that is the
-// quota's rate, with its depth at once. A crowded counter makes the door call for fewer operations; the
-// others go by part.
+// quota's rate, with its depth at once. A crowded counter is called for fewer operations; others go by part.
 
 func (d *Door) counts(k *bucket) bool { return d.terms.Counter && d.terms.Plans[k.plan].Rate > 0 }
 
@@ -433,8 +430,7 @@
 	return n, (float64(n+1) - at) * span
 }
 
-// count takes an operation's units from what the counter has granted this door, or calls for more. It tells
-// how long the operation must stay out, in ms.
+// count takes units from what the counter has granted this door, or calls for more, and tells the wait in ms.
 func (d *Door) count(o *operation, k *bucket) (wait float64) {
 	c := &k.count
 	n, left := d.window(k)
@@ -454,8 +450,8 @@
 	case c.calling:
 	case d.now < k.barred && o.units >= k.barredUnits:
 		return k.barred - d.now
-	case d.now < c.rest || d.dice.roll() > d.calling || d.calling < countAll && (o.repeat ||
-		d.terms.Plans[k.plan].Depth >= float64(k.spread)*o.units):
+	case d.now < c.rest || d.dice.roll() > d.calling || d.calling < countAll &&
+		d.now < d.crowdedAt+crowdedFor && (o.repeat || d.terms.Plans[k.plan].Depth >= float64(k.spread)*o.units):
 		if o.uncounted = true; o.repeat { // a storm of repeats is not let past the counter that it crowds
 			return left
 		}
@@ -475,11 +471,18 @@
 	}
 	c.calling = false
 	if e.Result != gate.Finished {
-		d.calling = max(countLeast, countCut*d.calling)
+		d.calling, d.crowdedAt = max(countLeast, countCut*d.calling), d.now
+		if d.misses++; e.Result == gate.Full { // it is there
+			d.misses = 0
+		}
 		c.rest = d.now + tickEvery // what waits for this call goes by part
 		return
 	}
-	d.calling = min(1, d.calling+countGain)
+	if d.misses >= awayAfter {
+		d.calling = d.before
+	}
+	d.calling, d.misses = min(1, d.calling+countGain), 0
+	d.before = d.calling
 	_, left := d.window(k)
 	// What was left of the window before is still there, and fills up: more than the depth late in this one.
 	c.room = p.Depth - e.Total + max(0, c.before-p.Rate*left)
@@ -495,8 +498,7 @@
 	return d.fill(customer, k.plan, k.first, k.spread)
 }
 
-// hear takes in the meter's word on a customer. What this door sent of late is taken off; the rest is the
-// others'.
+// hear takes in the meter's word on a customer, less what this door sent of late: the rest is the others'.
 func (d *Door) hear(k *bucket, use float64) {
 	p := &d.terms.Plans[k.plan]
 	if use < 0 || p.Rate == 0 || d.terms.MeterPeriod == 0 {
@@ -663,8 +665,7 @@
 	return d.dice.draw(odds), any
 }
 
-// room is what a backend is thought to have free: its size and pace, less for own work out, and weighed
-// by the chance that it works at all.
+// room is what a backend is thought to have free: size and pace, less for own work out, if it works at all.
 func (d *Door) room(b int, o *operation) float64 {
 	f := &d.fleet
 	if d.now < f.fullUntil[b][o.plan] {
@@ -861,8 +862,7 @@
 	}
 }
 
-// trial tells whether an operation is to try a judged backend. One that may run only once tries none that is
-// judged as a whole.
+// trial tells whether an operation is to try a judged backend; a single-use one, none judged as a whole.
 func (d *Door) trial(o *operation, b int) bool {
 	cs := d.fleet.against(b, o.profile)
 	if cs[1].judged && !d.canRepeat(o) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -370,6 +370,41 @@
 	assert.Equal(t, 1, d.out[replayable], "decided by part")
 }
 
+func TestACounterThatWasAwayIsCalledAsBefore(t *testing.T) {
+	d := counting2()
+	epoch := d.calls[0].(gate.Count).Epoch
+	for range awayAfter {
+		d.counted(gate.Counted{Epoch: epoch, Result: gate.TimedOut})
+	}
+	assert.Equal(t, countLeast, d.calling)
+	d.counted(gate.Counted{Epoch: epoch})
+	assert.Equal(t, 1.0, d.calling)
+	for range awayAfter {
+		d.counted(gate.Counted{Epoch: epoch, Result: gate.TimedOut})
+		d.counted(gate.Counted{Epoch: epoch, Result: gate.Full}) // a crowd's word
+	}
+	d.counted(gate.Counted{Epoch: epoch})
+	assert.Less(t, d.calling, 0.1)
+}
+
+func TestCallsAreNotSavedForEver(t *testing.T) {
+	d := counting2()
+	d.calling, d.crowdedAt, d.calls = countAll-0.01, d.now, nil
+	e := arriving(1, replayable, plain) // of a customer whose part is fair
+	e.Customer = 1
+	d.arrive(e)
+	d.tick()
+	assert.Empty(t, d.calls)
+	d.now += crowdedFor
+	d.dice = newDice(1)
+	for op := 2; op < 12; op++ {
+		e.Op, e.Customer = op, op
+		d.arrive(e)
+	}
+	d.tick()
+	assert.NotEmpty(t, d.calls)
+}
+
 func TestFailedListIsAskedForAgainButNotAtOnce(t *testing.T) {
 	d := door(1)
 	d.terms.MustAsk = true
--- a/policy/state.go
+++ b/policy/state.go
@@ -233,29 +233,32 @@
 
 // Door decides for one door.
 type Door struct {
-	terms   gate.Terms
-	now     float64
-	born    float64
-	dice    dice
-	ops     []operation
-	live    []int // operations that may still need attention, in order of arrival
-	buckets []bucket
-	fleet   fleet
-	lat     []latency
-	out     []int // transmissions out, by profile
-	bell    bool  // a Wake is pending
-	ticked  float64
-	changed []int
-	ask     bool    // the list must be asked for
-	askAt   float64 // clock before which it is not asked for
-	forgets []int
-	peers   []peer        // by number
-	seq     int           // of the latest Ask
-	mail    []letter      // waiting to be written
-	calls   []gate.Action // of the counter, likewise
-	swept   float64       // clock of the last look for idle buckets
-	calling float64       // share of operations for which the counter is called
-	actions []gate.Action
+	terms     gate.Terms
+	now       float64
+	born      float64
+	dice      dice
+	ops       []operation
+	live      []int // operations that may still need attention, in order of arrival
+	buckets   []bucket
+	fleet     fleet
+	lat       []latency
+	out       []int // transmissions out, by profile
+	bell      bool  // a Wake is pending
+	ticked    float64
+	changed   []int
+	ask       bool    // the list must be asked for
+	askAt     float64 // clock before which it is not asked for
+	forgets   []int
+	peers     []peer        // by number
+	seq       int           // of the latest Ask
+	mail      []letter      // waiting to be written
+	calls     []gate.Action // of the counter, likewise
+	swept     float64       // clock of the last look for idle buckets
+	calling   float64       // share of operations for which the counter is called
+	before    float64       // that share at its latest answer
+	misses    int           // calls without any since
+	crowdedAt float64       // clock of the latest such, ms
+	actions   []gate.Action
 }
 
 type letter struct {
