The system's own limit counts for the socket budget; no socket here is not the backend's fault

Seen with a probe under 300 descriptors and a configuration of 1,024: no crash, but 20 s without an answer amid 1,400 idle clients, and failed dials (too many open files) judged backends (link.dial told every failure as no connection). Now the lower of both limits counts, such a dial is told as never sent, and a door without a socket to serve with says which key.

--- a/frontdoor/backend.go
+++ b/frontdoor/backend.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/swifthall/swifthall/gate"
 	"github.com/swifthall/swifthall/internal/http1"
@@ -71,27 +72,37 @@
 	}
 }
 
-// dial brings the connection up; false where that failed or came too late.
-func (l *link) dial(ctx context.Context) bool {
+// dial brings the connection up, and tells how it ended where that did not work or came too late.
+func (l *link) dial(ctx context.Context) (up bool, how end) {
 	nc, err := l.c.dialer.DialContext(ctx, "tcp", l.addr)
 	if err != nil {
-		return false
+		return false, endOfDial(err)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.dead {
 		nc.Close()
-		return false
+		return false, endNoConn
 	}
 	l.nc = nc
-	return true
+	return true, endWell
+}
+
+// endOfDial tells how a dial ended: that this machine has no socket to give is not held against the other.
+func endOfDial(err error) end {
+	for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS} {
+		if errors.Is(err, own) {
+			return endNoSocket
+		}
+	}
+	return endNoConn
 }
 
 func (l *link) run(ctx context.Context, first *flight) {
 	defer l.c.budget.put()
 	defer l.cancel()
-	if !l.dial(ctx) {
-		l.c.post(cut{l, endNoConn})
+	if up, how := l.dial(ctx); !up {
+		l.c.post(cut{l, how})
 		return
 	}
 	defer l.nc.Close()
@@ -287,7 +298,7 @@
 	if f == nil {
 		return
 	}
-	if n.how != endNoConn && f.stage.Load() == broken {
+	if f.stage.Load() == broken {
 		n.how = endCutUnsent
 	}
 	c.finish(f, n.how, c.now, -1)
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -85,7 +85,7 @@
 )
 
 func newCore(cfg config.Door, decider gate.Decider, log logrus.FieldLogger) *core {
-	c := &core{cfg: cfg, log: log, decider: decider, clock: newClock(), budget: newBudget(cfg.Sockets - held() - margin),
+	c := &core{cfg: cfg, log: log, decider: decider, clock: newClock(), budget: newBudget(room(cfg.Sockets)),
 		notes: make(chan note, batch), done: make(chan struct{}), customers: index.New[uint64](), names: index.New[string](),
 		zones: index.New[string](), cells: index.New[int64](),
 		clients: map[*client]struct{}{}, links: map[*link]struct{}{}}
--- a/frontdoor/core_test.go
+++ b/frontdoor/core_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -98,6 +100,17 @@
 	}
 }
 
+func TestAMachineOutOfSocketsIsNotTheBackendsFault(t *testing.T) {
+	assert.Equal(t, endNoSocket, endOfDial(&net.OpError{Err: os.NewSyscallError("socket", syscall.EMFILE)}))
+	assert.Equal(t, endNoConn, endOfDial(&net.OpError{Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}))
+}
+
+func TestADoorWithoutSocketsSaysSo(t *testing.T) {
+	cfg := settled()
+	cfg.Sockets = 3
+	assert.ErrorContains(t, New(cfg, nil, logrus.New()).Serve(t.Context()), `"limits.sockets"`)
+}
+
 func TestOnlyAMarkedAnswerIsTurnedAway(t *testing.T) {
 	for a, want := range map[*http1.Answer]end{{Status: 200}: endWell, {Status: 500}: endIll, {Status: 503}: endIll,
 		{Status: 503, TurnedAway: true}: endTurnedAway, {Status: 504, TurnedAway: true}: endTurnedAway,
--- a/frontdoor/counter.go
+++ b/frontdoor/counter.go
@@ -178,7 +178,7 @@
 	nc, err := k.c.dialer.DialContext(ctx, "tcp", k.c.cfg.Counter)
 	if err != nil {
 		k.c.budget.put()
-		return nil, endNoConn
+		return nil, endOfDial(err)
 	}
 	k.mu.Lock()
 	k.nc = nc
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -37,6 +38,9 @@
 // while, and returns. A door serves once.
 func (d *Door) Serve(ctx context.Context) error {
 	c := d.core
+	if c.budget.short(0) {
+		return fmt.Errorf("key \"limits.sockets\": %d, or what the system allows, leave none for connections", c.cfg.Sockets)
+	}
 	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", c.cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
@@ -88,6 +92,7 @@
 				return
 			}
 			c.log.WithError(err).Warn("accepting")
+			c.post(crowded{})
 			rest(ctx, c.cfg.Pace.Redial)
 			continue
 		}
@@ -97,6 +102,16 @@
 	}
 }
 
+// room is how many sockets there are for connections: of those allowed, by configuration and system, what the
+// process does not hold already, less a margin.
+func room(sockets int) int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
+		sockets = int(min(uint64(sockets), limit.Cur))
+	}
+	return sockets - held() - margin
+}
+
 // held counts the descriptors that the process holds already.
 func held() int {
 	files, err := os.ReadDir("/proc/self/fd")
