Units refill within a counter's window, by the even slice where its beginning was not seen

So it is the phase of the counter's windows, not the sockets. At fault (count, counted): a window gave its whole depth at once and then barred the customer to its end, though the store refills meanwhile; a quarter of the tries were rejected with half of the quota unused. Now a window lets in the level at its beginning and what refills; what was added in vain is taken off with the next call.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,5 @@
 // Package policy decides for one door of an admission gateway: which operations are held, sent, sent
 // again, rejected or scrapped, and to which backend they go.
-//
 // A carrier calls New once with the door's terms and seed, then Decide for each batch of events, with the
 // clock, and carries out the actions in order. Events, actions and terms are in package gate; the plain
 // state types are in state.go. The same events always give the same actions.
@@ -127,8 +126,7 @@
 
 // ---- The fleet list ----
 
-// list keeps up with the fleet. A backend that drains, is gone or is missing gets nothing new at once;
-// held operations choose their backend only when released.
+// list keeps up with the fleet. A backend that drains, is gone or is missing gets nothing new at once.
 func (d *Door) list(e gate.Fleet) {
 	f := &d.fleet
 	if e.Failed {
@@ -341,9 +339,8 @@
 	return true
 }
 
-// asked answers another door's Ask. An answer may be lost, so the same Ask again gets the same answer. The
-// asker's level is what it last heard, filled up since: no more can be there, and it is all that a door
-// knows which has just started or stands in for another.
+// asked answers another door's Ask, the same Ask again alike, as an answer may be lost. The asker's level is
+// what it last heard, filled up since: no more can be there, and a door just started knows nothing else.
 func (d *Door) asked(e gate.Asked) {
 	p := &d.peers[e.From]
 	p.unanswered, p.mute = 0, 0
@@ -417,8 +414,8 @@
 }
 
 // Where there is a shared counter, each customer has a number on it for each window, the time in which its
-// quota fills the whole depth, and the depth is what the doors may add to it: over windows that is the
-// quota's rate, with its depth at once. A crowded counter is called for fewer operations; others go by part.
+// quota fills the whole depth. The doors may add to it the level at its beginning, and what refills since.
+// A crowded counter is called for fewer operations; others go by part.
 
 func (d *Door) counts(k *bucket) bool { return d.terms.Counter && d.terms.Plans[k.plan].Rate > 0 }
 
@@ -434,11 +431,11 @@
 func (d *Door) count(o *operation, k *bucket) (wait float64) {
 	c := &k.count
 	n, left := d.window(k)
-	if c.window < n-1 {
-		c.room = 0
-	}
-	if c.window != n {
-		*c = counting{window: n, before: c.room}
+	if p := &d.terms.Plans[k.plan]; c.window == n-1 { // else others may have emptied it unseen
+		level := min(p.Depth, c.room+p.Rate*(d.now+left-c.seen)-p.Depth)
+		*c = counting{window: n, fill: p.Rate, before: level, room: level, seen: d.now + left - p.Depth/p.Rate}
+	} else if c.window != n {
+		*c = counting{window: n, fill: p.Rate / float64(k.spread), before: p.Depth}
 	}
 	switch {
 	case c.granted >= o.units:
@@ -457,7 +454,8 @@
 		}
 	default:
 		c.calling, c.least, c.asked = true, o.units, max(o.units, countLump*c.room/float64(k.spread))
-		d.calls = append(d.calls, gate.Count{Customer: o.customer, Epoch: n, Add: c.asked, Keep: left + askFor})
+		d.calls = append(d.calls, gate.Count{Customer: o.customer, Epoch: n, Add: c.asked - c.back,
+			Keep: left + askFor})
 	}
 	return wait
 }
@@ -484,11 +482,13 @@
 	d.calling, d.misses = min(1, d.calling+countGain), 0
 	d.before = d.calling
 	_, left := d.window(k)
-	// What was left of the window before is still there, and fills up: more than the depth late in this one.
-	c.room = p.Depth - e.Total + max(0, c.before-p.Rate*left)
-	room := min(c.asked, c.room+c.asked)
-	if c.granted += max(0, room); room < c.least { // what is too little stays here for smaller ones
-		k.barred, k.barredUnits = d.now+left, c.least
+	// What refills is let in as it does: at once it would pass the store, at the next window's turn stay unused.
+	c.room, c.seen = c.before+c.fill*(p.Depth/p.Rate-left)-e.Total, d.now
+	room := max(0, min(c.asked, c.room+c.asked))
+	c.back = c.asked - room
+	c.room += c.back
+	if c.granted += room; c.granted < c.least { // what is too little stays here for smaller ones
+		k.barred, k.barredUnits = d.now+min(left, (c.least-c.granted)/c.fill), c.least
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -354,14 +354,32 @@
 func TestRoomTooSmallOnTheCounterIsKeptForSmallerOperations(t *testing.T) {
 	d := counting2()
 	call := d.calls[0].(gate.Count)
-	d.counted(gate.Counted{Epoch: call.Epoch, Total: 13})
+	c := &d.buckets[0].count
+	d.counted(gate.Counted{Epoch: call.Epoch, Total: 12 + c.fill*4000 + 1}) // 4 s into the window
 	d.tick()
 	assert.Equal(t, rejected, d.ops[0].want)
+	assert.InDelta(t, 1, c.back, 1e-9, "the next call takes off what was not granted")
 	d.arrive(arriving(1, replayable, plain))
 	d.tick()
 	assert.Equal(t, 1, d.out[replayable])
 }
 
+func TestUnitsRefillWithinAWindowFromTheLevelLastSeen(t *testing.T) {
+	d := counting2()
+	c := &d.buckets[0].count
+	assert.InDelta(t, 0.002/3, c.fill, 1e-9, "beginning not seen: by the even slice")
+	c.room, c.seen, c.back = 3, d.now, 0.5
+	d.calls, c.calling = nil, false
+	d.now += 6000 // the same place in the next window, whose beginning was 4 s ago
+	d.count(&d.ops[0], &d.buckets[0])
+	assert.InDelta(t, 3+2000*0.002, c.before, 1e-9)
+	assert.InDelta(t, 0.002, c.fill, 1e-9)
+	d.counted(gate.Counted{Epoch: c.window, Total: 16})
+	assert.InDelta(t, 0, c.room, 1e-9)
+	assert.InDelta(t, 1, c.granted, 1e-9)
+	assert.InDelta(t, 500, d.buckets[0].barred-d.now, 1e-6, "until two units are there")
+}
+
 func TestACrowdedCounterIsCalledLess(t *testing.T) {
 	d := counting2()
 	d.counted(gate.Counted{Epoch: d.calls[0].(gate.Count).Epoch, Result: gate.Full})
--- a/policy/state.go
+++ b/policy/state.go
@@ -105,7 +105,10 @@
 	granted float64 // units that the counter has granted and this door has not spent
 	calling bool    // a call is out
 	room    float64 // units last seen free on the counter
-	before  float64 // units last seen free in the window before
+	before  float64 // units free when the window began
+	seen    float64 // clock of room, ms
+	fill    float64 // what refills in the window, units/ms; 0 where the level at its beginning is not known
+	back    float64 // units added to the number and not taken, which the next call takes off
 	asked   float64 // units that it asks for
 	least   float64 // of these, for the operation that it was made for
 	rest    float64 // clock before which no call is made, ms
