--- /dev/null
+++ b/lab/model/deal.go
@@ -0,0 +1,114 @@
+package model
+
+import (
+	"math"
+
+	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/lab/judge"
+	"github.com/swifthall/swifthall/lab/scenario"
+)
+
+var semantics = map[string]gate.Semantics{"replayable": gate.Replayable, "tokened": gate.Tokened, "single-use": gate.SingleUse}
+
+var scopes = map[string]gate.Scope{"all": gate.ScopeAll, "zone": gate.ScopeZone, "cell": gate.ScopeCell}
+
+// Terms are what a door of the scenario is told.
+func Terms(s *scenario.Scenario, number int) gate.Terms {
+	t := gate.Terms{Doors: s.Fleet.Doors, Number: number, MaxTransmissions: s.Allow.MaxTransmissions, SecondCopies: s.Allow.SecondCopies,
+		MayCancel: s.Allow.Cancel, MeterPeriod: s.Meter.PeriodMs, MailRate: s.Mail.PerS / 1000, Counter: s.Counter.On,
+		MustAsk: s.Discovery.Ask, ColdFrom: s.Rules.ColdFrom, ColdFor: s.Rules.ColdS * 1000, FallMultiple: s.Rules.FallMultiple,
+		FallWindow: s.Rules.FallMs}
+	if s.Allow.RetryAfter {
+		t.MaxRetryAfter = s.Clients.MaxRetryAfterMs
+	}
+	for _, p := range s.Profiles {
+		t.Profiles = append(t.Profiles, gate.Profile{Contract: p.ContractMs, Semantics: semantics[p.Semantics], Scope: scopes[p.Scope],
+			Window: p.WindowMs, LateValue: p.LateValue, Gain: p.Gain})
+	}
+	for _, p := range s.Plans {
+		t.Plans = append(t.Plans, gate.Plan{Rate: p.PerS / 1000, Depth: p.Depth, AtOnce: p.AtOnce, CeilingRate: p.CeilingPerS / 1000,
+			CeilingDepth: p.CeilingDepth, Price: p.Price})
+	}
+	return t
+}
+
+// Deal is what the judge is told of the scenario.
+func Deal(s *scenario.Scenario) *judge.Deal {
+	t := Terms(s, 0)
+	d := &judge.Deal{Profiles: t.Profiles, Plans: t.Plans, MaxTransmissions: t.MaxTransmissions, SecondCopies: t.SecondCopies,
+		AnswerSlack: s.Rules.AnswerSlackMs, DrainGrace: s.Rules.DrainGraceMs, FallMultiple: s.Rules.FallMultiple,
+		FallWindow: s.Rules.FallMs, Seconds: s.Day.Seconds, Goal: judge.Goal(s.Goal), Prices: judge.Prices(s.Prices)}
+	for _, p := range s.Profiles {
+		d.Outer = append(d.Outer, p.OuterMs)
+	}
+	for _, p := range s.Plans {
+		d.OverCost, d.CeilingSlack = append(d.OverCost, p.OverCost), append(d.CeilingSlack, p.CeilingSlack)
+	}
+	return d
+}
+
+// sight is the true state as one door's indices name it.
+type sight struct {
+	w *World
+	d *door
+}
+
+// Wait works out what a backend would take, from its queue as it stands.
+func (s sight) Wait(backend, profile int) float64 {
+	w := s.w
+	b := w.backends[s.d.names.ID(backend)]
+	_, hangs := b.hurting("hang", profile)
+	_, refuses := b.hurting("refuse", -1)
+	if !b.up || b.fallen || b.status != gate.Up || hangs || refuses || b.silent() || b.paused || w.cut(s.d.zone, b.zone) ||
+		len(b.work) >= b.slots && len(b.queue) >= b.room {
+		return math.Inf(1)
+	}
+	mean := w.s.Profiles[profile].WorkMs
+	now := b.capacity()
+	if b.budget != nil {
+		now = b.budget.Now(w.now)
+		if now*w.s.Rules.FallMs < mean*coldWorks {
+			return math.Inf(1)
+		}
+	}
+	for _, h := range b.hurts {
+		if h.fault.Kind == "slow" {
+			now /= max(1, h.fault.Much)
+		}
+	}
+	held := float64(b.owed)
+	alone := mean * float64(b.cores) / now
+	return max(alone, (held+1)*mean/now)
+}
+
+// Work is a profile's mean work.
+func (s sight) Work(profile int) float64 { return s.w.s.Profiles[profile].WorkMs }
+
+const coldWorks = 2 // works that a cold backend must have room for before it is sent anything
+
+func (s sight) Take(customer, plan int, units float64) bool {
+	return s.w.truth.take(s.w, s.d.customers.ID(customer), plan, units)
+}
+
+// truth holds the customers' true quotas, for deciders that may see them.
+type truth struct{ of map[int]level }
+
+type level struct{ units, at float64 }
+
+func (t *truth) take(w *World, customer, plan int, units float64) bool {
+	p := &w.s.Plans[plan]
+	if t.of == nil {
+		t.of = map[int]level{}
+	}
+	l, known := t.of[customer]
+	if !known {
+		l = level{p.Depth, w.now}
+	}
+	l.units, l.at = min(p.Depth, l.units+p.PerS/1000*(w.now-l.at)), w.now
+	has := l.units >= units
+	if has {
+		l.units -= units
+	}
+	t.of[customer] = l
+	return has
+}
--- /dev/null
+++ b/lab/model/faults.go
@@ -0,0 +1,237 @@
+package model
+
+import (
+	"math"
+	"slices"
+
+	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/lab/scenario"
+)
+
+// hurt is a fault that strikes now.
+type hurt struct {
+	fault   *scenario.Fault
+	index   int
+	profile int   // that it strikes alone; -1 for all
+	whom    []int // backends or doors that it struck
+}
+
+// pick draws the share of those from 0 to n-1 that may be struck, at least one where the share is above 0.
+func (w *World) pick(n int, share float64, may func(i int) bool) []int {
+	var all []int
+	for i := range n {
+		if may(i) {
+			all = append(all, i)
+		}
+	}
+	if share == 0 {
+		share = 1
+	}
+	w.dice.faults.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	all = all[:min(len(all), max(1, int(math.Round(share*float64(len(all))))))]
+	slices.Sort(all)
+	return all
+}
+
+// fault begins or ends a line of the schedule.
+func (w *World) fault(n int, begins bool) {
+	f := &w.s.Faults[n]
+	if begins {
+		h := &hurt{fault: f, index: n, profile: slices.IndexFunc(w.s.Profiles, func(p scenario.Profile) bool { return p.Name == f.Profile })}
+		if f.ForS > 0 {
+			w.hurts = append(w.hurts, h)
+			w.at(f.End()*1000, due{kind: dueFault, n: n})
+		}
+		w.strike(h)
+		return
+	}
+	for i, h := range w.hurts {
+		if h.index == n {
+			w.hurts = append(w.hurts[:i:i], w.hurts[i+1:]...)
+			w.relieve(h)
+			return
+		}
+	}
+}
+
+func (w *World) strike(h *hurt) {
+	f := h.fault
+	switch scenario.Kinds[f.Kind].Whom {
+	case scenario.Backends:
+		h.whom = w.pick(len(w.backends), f.Share, func(i int) bool {
+			b := w.backends[i]
+			return b.listed && b.status == gate.Up && b.up && (f.Zone == nil || b.zone == *f.Zone)
+		})
+		w.strikeBackends(h)
+	case scenario.Doors:
+		h.whom = w.pick(len(w.doors), f.Share, func(i int) bool {
+			return w.doors[i].up && (f.Zone == nil || w.doors[i].zone == *f.Zone)
+		})
+		w.strikeDoors(h)
+	case scenario.Clientele:
+		w.clients.strike(w, h)
+	default:
+		if f.Kind == "counter_empty" {
+			w.counter.empty()
+		}
+		if f.Kind == "counter_split" {
+			w.counter.split()
+		}
+	}
+}
+
+func (w *World) strikeBackends(h *hurt) {
+	f := h.fault
+	switch f.Kind {
+	case "replace", "pauses":
+		if f.Kind == "pauses" {
+			w.join(h)
+		}
+		w.faultStep(h.index, 0, h)
+	case "death", "zone_loss":
+		for _, i := range h.whom {
+			w.kill(w.backends[i])
+		}
+	default:
+		w.join(h)
+		if f.Kind == "silence" {
+			for _, i := range h.whom {
+				w.announce(w.backends[i], gate.Gone, w.s.Discovery.SilentMs.At(w.dice.faults.Float64()))
+			}
+		}
+	}
+}
+
+// join has a fault strike its backends from now on.
+func (w *World) join(h *hurt) {
+	for _, i := range h.whom {
+		b := w.backends[i]
+		b.settle(w.now)
+		b.hurts = append(b.hurts, h)
+		b.plan(w)
+	}
+}
+
+func (w *World) kill(b *backend) {
+	b.die(w)
+	w.announce(b, gate.Gone, w.s.Discovery.NoticeMs.At(w.dice.faults.Float64()))
+}
+
+// revive starts a backend's process anew, where it is.
+func (w *World) revive(b *backend) {
+	b.start(w)
+	b.plan(w)
+	w.announce(b, gate.Up, 0)
+}
+
+func (w *World) strikeDoors(h *hurt) {
+	if h.fault.Kind == "door_deaths" {
+		for _, i := range h.whom {
+			w.doors[i].die(w)
+		}
+		return
+	}
+	w.faultStep(h.index, 0, h)
+}
+
+func (w *World) relieve(h *hurt) {
+	f := h.fault
+	for _, i := range h.whom {
+		switch scenario.Kinds[f.Kind].Whom {
+		case scenario.Backends:
+			b := w.backends[i]
+			b.settle(w.now)
+			b.hurts = slices.DeleteFunc(slices.Clone(b.hurts), func(x *hurt) bool { return x == h })
+			switch f.Kind {
+			case "death", "zone_loss":
+				if !b.up {
+					w.revive(b)
+				}
+			case "silence": // the machine is back; what was open to it is reset
+				b.die(w)
+				w.revive(b)
+			case "pauses":
+				b.paused = false
+			case "hang": // those that hung are cut loose, and nothing comes of them
+			}
+			b.plan(w)
+		case scenario.Doors:
+			if f.Kind == "door_deaths" {
+				w.doors[i].start(w)
+			}
+		}
+	}
+	if f.Kind == "counter_split" {
+		w.counter.heal()
+	}
+	w.clients.relieve(w, h)
+}
+
+const (
+	leaveMost = 3700 // ms that a door which leaves is given to answer what it took
+	rollSteps = 10   // batches where the fault names none
+)
+
+// faultStep goes on with a fault that goes in steps.
+func (w *World) faultStep(n, step int, h *hurt) {
+	f := h.fault
+	if f.Kind == "pauses" {
+		w.pause(step, h)
+		return
+	}
+	batches := f.Batches
+	if batches == 0 {
+		batches = rollSteps
+	}
+	from, to := len(h.whom)*step/batches, len(h.whom)*(step+1)/batches
+	for _, i := range h.whom[from:to] {
+		if f.Kind == "replace" {
+			w.replace(w.backends[i], f.Much*1000)
+		} else if d := w.doors[i]; d.up {
+			d.withdraw(w, f.Much*1000)
+		}
+	}
+	if step+1 < batches {
+		w.at(w.now+f.ForS*1000/float64(batches), due{kind: dueStep, n: n, m: step + 1, p: h})
+	}
+}
+
+// pause stops the struck backends for a while, and lets them go on.
+func (w *World) pause(step int, h *hurt) {
+	f := h.fault
+	over := w.now >= f.End()*1000
+	for _, i := range h.whom {
+		b := w.backends[i]
+		b.settle(w.now)
+		b.paused = step%2 == 0 && !over
+		b.plan(w)
+	}
+	if over {
+		return
+	}
+	rest := f.Much
+	if step%2 == 1 {
+		rest = f.EveryMs - f.Much
+	}
+	w.at(w.now+rest, due{kind: dueStep, n: h.index, m: step + 1, p: h})
+}
+
+// replace drains a backend, ends it, and starts its successor on a machine of its own.
+func (w *World) replace(b *backend, drain float64) {
+	if !b.listed || b.status != gate.Up {
+		return
+	}
+	b.status = gate.Draining
+	w.announce(b, gate.Draining, 0)
+	next := w.addBackend(b.zone, b.cell, b.machine)
+	next.listed = true
+	next.start(w)
+	w.announce(next, gate.Up, 0)
+	w.at(w.now+drain, due{kind: dueStart, p: func() {
+		b.status, b.listed = gate.Gone, false
+		if b.up {
+			b.die(w)
+		}
+		w.announce(b, gate.Gone, 0)
+	}})
+}
--- /dev/null
+++ b/lab/report/report.go
@@ -0,0 +1,194 @@
+// Package report writes what a day came to as one HTML page that needs nothing else: figures, and plots as SVG.
+package report
+
+import (
+	"bytes"
+	_ "embed"
+	"fmt"
+	"html/template"
+	"image/color"
+	"math"
+	"os"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+
+	"github.com/swifthall/swifthall/lab/judge"
+	"github.com/swifthall/swifthall/lab/run"
+	"github.com/swifthall/swifthall/lab/scenario"
+)
+
+//go:embed report.html
+var page string
+
+var shape = template.Must(template.New("report").Funcs(template.FuncMap{
+	"share": func(x float64) string { return fmt.Sprintf("%.3f", x) },
+	"ms":    func(x float64) string { return fmt.Sprintf("%.1f", x) },
+	"says":  func(kind string) string { return scenario.Kinds[kind].Says },
+	"part": func(a, b int) string {
+		if b == 0 {
+			return "0%"
+		}
+		return fmt.Sprintf("%.1f%%", 100*float64(a)/float64(b))
+	},
+}).Parse(page))
+
+// Colours of the plots; they differ in brightness as well, for print.
+var (
+	blue   = color.RGBA{0x1f, 0x5a, 0xa6, 0xff}
+	green  = color.RGBA{0x2b, 0x8a, 0x3e, 0xff}
+	orange = color.RGBA{0xd9, 0x77, 0x06, 0xff}
+	red    = color.RGBA{0xb9, 0x1c, 0x1c, 0xff}
+	grey   = color.RGBA{0x88, 0x88, 0x88, 0xff}
+	band   = color.RGBA{0xd0, 0x80, 0x20, 0x28}
+)
+
+const (
+	wide = 9 * vg.Inch
+	high = 2.6 * vg.Inch
+)
+
+// line is one curve over the day's seconds.
+type line struct {
+	name string
+	ink  color.Color
+	of   func(s *judge.Second) float64
+}
+
+type figure struct {
+	Title string
+	SVG   template.HTML
+}
+
+// Write puts the page into the day's folder.
+func Write(r *run.Result, dir string) error {
+	figures, err := plots(r)
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	var out bytes.Buffer
+	err = shape.Execute(&out, struct {
+		*run.Result
+		Figures  []figure
+		Rules    []judge.Rule
+		KeptAll  bool
+		HasScore bool
+	}{r, figures, judge.AllRules, r.Kept(), r.Score != nil})
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "report.html"), out.Bytes(), 0o644); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return nil
+}
+
+func plots(r *run.Result) ([]figure, error) {
+	var figures []figure
+	for _, f := range []struct {
+		title, unit string
+		log         bool
+		lines       []line
+	}{
+		{"Gain asked inside the quotas, and earned", "gain a second", false, []line{
+			{"asked", grey, func(s *judge.Second) float64 { return s.Offered }},
+			{"earned", green, func(s *judge.Second) float64 { return s.Earned }},
+			{"cost beyond quotas", red, func(s *judge.Second) float64 { return s.Over }}}},
+		{"What became of the operations asked in each second", "operations a second", false, []line{
+			{"asked", grey, func(s *judge.Second) float64 { return float64(s.Asked) }},
+			{"in contract time", green, func(s *judge.Second) float64 { return float64(s.InTime) }},
+			{"late", orange, func(s *judge.Second) float64 { return float64(s.Late) }},
+			{"never served", red, func(s *judge.Second) float64 { return float64(s.Unserved) }}}},
+		{"Answers that gave a try up", "tries a second", false, []line{
+			{"rejected", blue, func(s *judge.Second) float64 { return float64(s.Rejected) }},
+			{"scrapped", red, func(s *judge.Second) float64 { return float64(s.Scrapped) }}}},
+		{"Time from the first try to the answer", "ms", true, []line{
+			{"p50", blue, func(s *judge.Second) float64 { return s.P50 }},
+			{"p99", orange, func(s *judge.Second) float64 { return s.P99 }}}},
+	} {
+		svg, err := curve(r, f.unit, f.log, f.lines)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", f.title, err)
+		}
+		figures = append(figures, figure{f.title, svg})
+	}
+	return figures, nil
+}
+
+// curve draws lines over the seconds, with the faults as bands behind them.
+func curve(r *run.Result, unit string, log bool, lines []line) (template.HTML, error) {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = "s", unit
+	p.X.Min, p.X.Max = 0, math.Max(1, float64(len(r.Seconds)))
+	p.Legend.Top = true
+	if log {
+		p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	}
+	p.Add(plotter.NewGrid())
+	top := 1.0
+	var curves []plot.Plotter
+	for _, l := range lines {
+		var xy plotter.XYs
+		for i := range r.Seconds {
+			y := l.of(&r.Seconds[i])
+			if log && y <= 0 {
+				continue
+			}
+			top = math.Max(top, y)
+			xy = append(xy, plotter.XY{X: float64(i) + 0.5, Y: y})
+		}
+		if len(xy) == 0 {
+			continue
+		}
+		c, err := plotter.NewLine(xy)
+		if err != nil {
+			return "", err
+		}
+		c.Color, c.Width = l.ink, vg.Points(1.4)
+		curves = append(curves, c)
+		p.Legend.Add(l.name, c)
+	}
+	if len(curves) == 0 {
+		return "<p>Nothing to plot.</p>", nil
+	}
+	low := 0.0
+	if log {
+		low = 1
+	}
+	for _, f := range r.Faults {
+		p.Add(strip{f.AtS, math.Max(f.End(), f.AtS+0.2)})
+	}
+	p.Add(curves...)
+	p.Y.Min, p.Y.Max = math.Min(low, p.Y.Min), top*1.15
+	if log {
+		p.Y.Min = 1
+	}
+	w, err := p.WriterTo(wide, high, "svg")
+	if err != nil {
+		return "", err
+	}
+	var out bytes.Buffer
+	if _, err := w.WriteTo(&out); err != nil {
+		return "", err
+	}
+	raw := out.Bytes()
+	if i := bytes.Index(raw, []byte("<svg")); i > 0 {
+		raw = raw[i:] // the page has its own head
+	}
+	return template.HTML(raw), nil
+}
+
+// strip is a band over the whole height, from one second to another.
+type strip struct{ from, to float64 }
+
+func (s strip) Plot(c draw.Canvas, p *plot.Plot) {
+	x, _ := p.Transforms(&c)
+	left, right := math.Max(s.from, p.X.Min), math.Min(s.to, p.X.Max)
+	if left >= right {
+		return
+	}
+	c.FillPolygon(band, []vg.Point{{X: x(left), Y: c.Min.Y}, {X: x(right), Y: c.Min.Y}, {X: x(right), Y: c.Max.Y}, {X: x(left), Y: c.Max.Y}})
+}
--- /dev/null
+++ b/lab/run/cores.go
@@ -0,0 +1,5 @@
+package run
+
+import "runtime"
+
+func cores() int { return runtime.GOMAXPROCS(0) }
--- /dev/null
+++ b/lab/scenario/tree.go
@@ -0,0 +1,98 @@
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// tree is a scenario as plain values, for keys given by name.
+type tree map[string]any
+
+func decodeTree(raw []byte) (tree, error) {
+	t := tree{}
+	if err := toml.Unmarshal(raw, &t); err != nil {
+		return nil, fmt.Errorf("toml: %w", err)
+	}
+	return t, nil
+}
+
+func (t tree) bytes() ([]byte, error) { return toml.Marshal(map[string]any(t)) }
+
+var errNoKey = errors.New("no such key")
+
+// set follows path, whose steps may carry an index, and replaces a value by one of the same kind.
+func (t tree) set(path []string, value string) error {
+	name, at, indexed, err := step(path[0])
+	if err != nil {
+		return err
+	}
+	old, known := t[name]
+	if !known {
+		return errNoKey
+	}
+	if indexed {
+		list, ok := old.([]any)
+		if !ok || at >= len(list) {
+			return errNoKey
+		}
+		if len(path) > 1 {
+			inner, ok := list[at].(map[string]any)
+			if !ok {
+				return errNoKey
+			}
+			return tree(inner).set(path[1:], value)
+		}
+		list[at], err = like(list[at], value)
+		return err
+	}
+	if len(path) > 1 {
+		inner, ok := old.(map[string]any)
+		if !ok {
+			return errNoKey
+		}
+		return tree(inner).set(path[1:], value)
+	}
+	t[name], err = like(old, value)
+	return err
+}
+
+func step(s string) (name string, at int, indexed bool, err error) {
+	name, rest, indexed := strings.Cut(s, "[")
+	if !indexed {
+		return name, 0, false, nil
+	}
+	at, err = strconv.Atoi(strings.TrimSuffix(rest, "]"))
+	if err != nil || at < 0 || !strings.HasSuffix(rest, "]") {
+		return "", 0, false, fmt.Errorf("%q is no index", "["+rest)
+	}
+	return name, at, true, nil
+}
+
+// like reads a value of the same kind as the one that stands there.
+func like(old any, value string) (any, error) {
+	switch old.(type) {
+	case bool:
+		return strconv.ParseBool(value)
+	case string:
+		return value, nil
+	case int64:
+		return strconv.ParseInt(value, 10, 64)
+	case float64:
+		return strconv.ParseFloat(value, 64)
+	case []any:
+		var span []any
+		for _, part := range strings.Split(value, ":") {
+			v, err := strconv.ParseFloat(part, 64)
+			if err != nil {
+				return nil, fmt.Errorf("%q is no span such as 0.5:2", value)
+			}
+			span = append(span, v)
+		}
+		return span, nil
+	}
+	return nil, errors.New("not a plain value")
+}
--- /dev/null
+++ b/lab/scenarios/scenarios.go
@@ -0,0 +1,44 @@
+// Package scenarios holds the scenarios that ship with the laboratory, each named for what it shows.
+package scenarios
+
+import (
+	"embed"
+	"fmt"
+	"os"
+	"path"
+	"strings"
+
+	"github.com/swifthall/swifthall/lab/scenario"
+)
+
+//go:embed *.toml
+var files embed.FS
+
+// Names lists them.
+func Names() []string {
+	entries, err := files.ReadDir(".")
+	if err != nil {
+		panic(err) // the folder is compiled in
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
+	}
+	return names
+}
+
+// Open reads a scenario file, or one that ships where there is no such file.
+func Open(name string) (scenario.Scenario, error) {
+	if _, err := os.Stat(name); err == nil {
+		return scenario.ReadFile(name)
+	}
+	raw, err := files.ReadFile(path.Base(name) + ".toml")
+	if err != nil || strings.ContainsRune(name, '/') {
+		return scenario.Scenario{}, fmt.Errorf("scenario %q: no such file, and none that ships; those are %s", name, strings.Join(Names(), ", "))
+	}
+	s, err := scenario.Read(raw)
+	if err != nil {
+		return scenario.Scenario{}, fmt.Errorf("scenario %s: %w", name, err)
+	}
+	return s, nil
+}
