Laboratory on sockets: stand-ins play the same scenario against real doors

lab/stand: backends, discovery, counter and clients on loopback, each door at addresses of its own, driven by the emulator's world in real time and judged by the same judge with the platform's slack. Doors within the process, or the built program.

--- a/lab/command/command.go
+++ b/lab/command/command.go
@@ -80,7 +80,7 @@
 func play() *cobra.Command {
 	var seed uint64
 	var doors int
-	var on, policy, out string
+	var on, policy, out, door, logs string
 	var alone bool
 	var sets []string
 	cmd := &cobra.Command{Use: "play SCENARIO", Short: "Play a scenario's day and write its figures and a report", Args: cobra.ExactArgs(1),
@@ -98,7 +98,7 @@
 			var r *run.Result
 			switch progress := func(done float64) { tell(done, 1) }; {
 			case on == "sockets":
-				r, err = playOnSockets(cmd.Context(), s, seed, policy, progress)
+				r, err = playOnSockets(cmd.Context(), s, seed, policy, door, logs, progress)
 			case on != "sim":
 				err = fmt.Errorf("--on %q: sim or sockets is wanted", on)
 			case alone:
@@ -129,6 +129,8 @@
 	f.StringVar(&on, "on", "sim", "sim or sockets")
 	f.StringVar(&policy, "policy", rival.Swifthall, strings.Join(rival.Names, ", "))
 	f.StringVar(&out, "out", "", "folder for the result and the report")
+	f.StringVar(&door, "door", "", "on sockets, the door's program; doors within the laboratory's process where empty")
+	f.StringVar(&logs, "logs", "", "on sockets, folder for the logs of the doors' programs")
 	f.BoolVar(&alone, "alone", false, "without floor, textbook and oracle beside it")
 	f.StringArrayVar(&sets, "set", nil, "KEY=VALUE, a key of the scenario file such as load.share=0.7; may be repeated")
 	_ = cmd.MarkFlagRequired("out")
--- a/lab/command/sockets.go
+++ b/lab/command/sockets.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/swifthall/swifthall/lab/run"
 	"github.com/swifthall/swifthall/lab/scenario"
+	"github.com/swifthall/swifthall/lab/stand"
 )
 
-func playOnSockets(ctx context.Context, s *scenario.Scenario, seed uint64, policy string, progress func(float64)) (*run.Result, error) {
-	return nil, errors.New("not yet")
+func playOnSockets(ctx context.Context, s *scenario.Scenario, seed uint64, policy, binary, logs string, progress func(float64)) (*run.Result, error) {
+	return stand.Play{Scenario: s, Seed: seed, Policy: policy, Binary: binary, Logs: logs}.Run(ctx, progress)
 }
--- a/lab/judge/rules.go
+++ b/lab/judge/rules.go
@@ -139,6 +139,11 @@
 		}
 	case trace.Answered:
 		r.answered(e)
+	case trace.Dropped:
+		if r.tries[e.Try] != nil {
+			r.breach(NoneLost, e, "the connection of try %d was ended without an answer", e.Try)
+			r.drop(e.Try)
+		}
 	case trace.Left:
 		if t := r.tries[e.Try]; t != nil {
 			if e.At > t.until+r.deal.AnswerSlack+r.deal.Slack {
--- a/lab/judge/service.go
+++ b/lab/judge/service.go
@@ -172,7 +172,7 @@
 			}
 			s.forget(e.Want, w)
 		}
-	case trace.Left:
+	case trace.Left, trace.Dropped:
 		s.end(e.Try)
 	case trace.Died:
 		for id, t := range s.tries {
--- a/lab/model/backend.go
+++ b/lab/model/backend.go
@@ -288,6 +288,7 @@
 	}
 	b.work, b.queue, b.open, b.rate = nil, nil, 0, 0
 	b.budget, b.fallen = nil, false
+	w.process(b)
 }
 
 // topple has a cold backend fall over: it stays up and does nothing more.
@@ -306,6 +307,7 @@
 		Multiple: w.s.Rules.FallMultiple, Window: w.s.Rules.FallMs}
 	w.tell(trace.Event{Kind: trace.Began, Backend: b.id, Work: b.capacity(), Cold: b.machine.ColdFrom, Span: b.machine.ColdS * 1000})
 	w.at(w.now+refreshEvery, due{kind: dueRefresh, n: b.id, m: b.life})
+	w.process(b)
 }
 
 const refreshEvery = 100 // ms between looks at the speed of a cold backend, which rises evenly
--- a/lab/model/clients.go
+++ b/lab/model/clients.go
@@ -178,7 +178,7 @@
 
 func (c *clients) begin(w *World) {
 	for i := range c.customers {
-		c.plan(w, i)
+		c.plan(w, i, w.now)
 		k := &c.customers[i]
 		if k.times > 0 {
 			w.at(w.now+c.s.Load.SpikeEveryS.At(c.dice.Float64())*1000*c.dice.Float64(), due{kind: dueSpike, n: i})
@@ -189,15 +189,16 @@
 	}
 }
 
-// plan draws a customer's next arrival.
-func (c *clients) plan(w *World, i int) {
+// plan draws a customer's next arrival after a clock. In real time that is the intended one, however late the world runs:
+// arrivals wait for nothing.
+func (c *clients) plan(w *World, i int, from float64) {
 	k := &c.customers[i]
 	rate := k.rate * (1 + c.s.Load.Swing)
 	if k.high {
 		rate *= k.times
 	}
 	if rate > 0 {
-		w.at(w.now+c.dice.ExpFloat64()/rate, due{kind: dueArrival, n: i, m: k.stamp})
+		w.at(from+c.dice.ExpFloat64()/rate, due{kind: dueArrival, n: i, m: k.stamp})
 	}
 }
 
@@ -236,28 +237,28 @@
 			return
 		}
 		if c.dice.Float64() < c.shape(w) {
-			c.ask(w, d.n)
+			c.ask(w, d.n, d.at)
 		}
-		c.plan(w, d.n)
+		c.plan(w, d.n, d.at)
 	case dueSpike:
 		k := &c.customers[d.n]
 		k.high = !k.high
 		k.stamp++
-		c.plan(w, d.n)
+		c.plan(w, d.n, d.at)
 		span := c.s.Load.SpikeEveryS
 		if k.high {
 			span = c.s.Load.SpikeS
 		}
 		if !w.closing {
-			w.at(w.now+span.At(c.dice.Float64())*1000, due{kind: dueSpike, n: d.n})
+			w.at(d.at+span.At(c.dice.Float64())*1000, due{kind: dueSpike, n: d.n})
 		}
 	case dueShift:
 		c.weigh(&c.customers[d.n])
 		if !w.closing {
-			w.at(w.now+c.s.Load.ShiftS.At(c.dice.Float64())*1000, due{kind: dueShift, n: d.n})
+			w.at(d.at+c.s.Load.ShiftS.At(c.dice.Float64())*1000, due{kind: dueShift, n: d.n})
 		}
 	case dueExtra:
-		c.extra(w, d.n)
+		c.extra(w, d.n, d.at)
 	case dueLeave:
 		c.leave(w, d.t)
 	case dueGot:
@@ -268,7 +269,7 @@
 }
 
 // extra makes one operation on top, and plans the next.
-func (c *clients) extra(w *World, n int) {
+func (c *clients) extra(w *World, n int, at float64) {
 	x := &c.extras[n]
 	if !x.on || w.closing {
 		return
@@ -279,13 +280,13 @@
 		k := customer{plan: plan, spread: min(c.s.Plans[plan].Spread, w.s.Fleet.Doors), first: c.dice.IntN(w.s.Fleet.Doors)}
 		c.weigh(&k)
 		c.customers = append(c.customers, k)
-		c.ask(w, len(c.customers)-1)
+		c.ask(w, len(c.customers)-1, at)
 	case "hot_customers":
-		c.ask(w, x.few[c.dice.IntN(len(x.few))])
+		c.ask(w, x.few[c.dice.IntN(len(x.few))], at)
 	default:
-		c.ask(w, c.dice.IntN(len(c.customers)))
+		c.ask(w, c.dice.IntN(len(c.customers)), at)
 	}
-	w.at(w.now+c.dice.ExpFloat64()/x.rate, due{kind: dueExtra, n: n})
+	w.at(at+c.dice.ExpFloat64()/x.rate, due{kind: dueExtra, n: n})
 }
 
 const hotCustomers = 3
@@ -323,16 +324,16 @@
 	}
 }
 
-// ask is a new operation of a customer.
-func (c *clients) ask(w *World, customer int) {
+// ask is a new operation of a customer, meant to be made at a clock.
+func (c *clients) ask(w *World, customer int, at float64) {
 	profile := draw(c.dice, c.profiles)
 	units, work := c.size(c.dice, &c.s.Profiles[profile])
 	k := &c.customers[customer]
-	n := &want{id: c.nextWant, customer: customer, profile: profile, units: units, work: work, at: w.now,
-		until: w.now + c.s.Profiles[profile].OuterMs}
+	n := &want{id: c.nextWant, customer: customer, profile: profile, units: units, work: work, at: at,
+		until: at + c.s.Profiles[profile].OuterMs}
 	c.nextWant++
 	w.waiting++
-	w.tell(trace.Event{Kind: trace.Asked, Want: n.id, Customer: customer, Plan: k.plan, Profile: profile, Units: units})
+	w.sink.Take(&trace.Event{Kind: trace.Asked, At: at, Want: n.id, Customer: customer, Plan: k.plan, Profile: profile, Units: units})
 	c.try(w, n, false)
 }
 
--- a/lab/model/counter.go
+++ b/lab/model/counter.go
@@ -40,6 +40,7 @@
 	at         float64
 	result     gate.Result
 	total      float64
+	reply      func(r gate.Result, total float64) // of a call from outside
 }
 
 func (c *counter) init(s *scenario.Scenario) {
@@ -96,8 +97,10 @@
 	late, _ := w.hurting("counter_late")
 	takes := begins - w.now + cf.ServeMs + way + late
 	lost, _ := w.hurting("counter_lost")
-	if patience := k.at + cf.TimeoutMs - w.now; takes > patience || lost > 0 && w.dice.net.Float64() < lost {
-		w.reply(k, max(0, patience), gate.TimedOut)
+	if patience := k.at + cf.TimeoutMs - w.now; k.reply == nil && takes > patience || lost > 0 && w.dice.net.Float64() < lost {
+		if k.reply == nil { // a real caller waits by itself
+			w.reply(k, max(0, patience), gate.TimedOut)
+		}
 		return
 	}
 	w.reply(k, takes, gate.Finished)
@@ -106,6 +109,10 @@
 // answer hands a call's end to its door, if that still lives.
 func (c *counter) answer(w *World, k *call) {
 	d := w.doors[k.door]
+	if k.reply != nil {
+		k.reply(k.result, k.total)
+		return
+	}
 	if !d.up || d.life != k.life {
 		return
 	}
--- a/lab/model/discovery.go
+++ b/lab/model/discovery.go
@@ -78,13 +78,33 @@
 	if !d.up || d.life != life {
 		return
 	}
+	if d.outer != nil {
+		w.outside(d, n)
+		d.outer.List(n.whole, lines(w, n))
+		return
+	}
 	d.listed = append(d.listed, n)
 	d.wake(w, w.now)
 }
 
-// hear words one piece of news for the decisions, and notes what the door knows from here on.
+// hear words one piece of news for the decisions.
 func (d *door) hear(w *World, n news) gate.Fleet {
+	d.note(w, n)
 	f := gate.Fleet{Complete: n.whole}
+	for _, l := range n.entries {
+		b := w.backends[l.backend]
+		since := 0.0
+		if l.since > -epoch {
+			since = l.since + epoch
+		}
+		f.Entries = append(f.Entries, gate.Entry{Backend: d.names.Add(l.backend), Zone: b.zone, Cell: b.cell, Status: l.status,
+			Since: since, Size: 1})
+	}
+	return f
+}
+
+// note books what the door knows from here on.
+func (d *door) note(w *World, n news) {
 	if n.whole {
 		named := make(map[int]bool, len(n.entries))
 		for _, l := range n.entries {
@@ -102,15 +122,7 @@
 			d.told = append(d.told, telling{})
 			d.idle = append(d.idle, idleConns{})
 		}
-		b := w.backends[l.backend]
 		d.told[l.backend] = telling{true, l.status, l.since}
 		w.tell(trace.Event{Kind: trace.Told, Door: d.id, Backend: l.backend, Status: l.status})
-		since := 0.0
-		if l.since > -epoch {
-			since = l.since + epoch
-		}
-		f.Entries = append(f.Entries, gate.Entry{Backend: d.names.Add(l.backend), Zone: b.zone, Cell: b.cell, Status: l.status,
-			Since: since, Size: 1})
 	}
-	return f
 }
--- a/lab/model/door.go
+++ b/lab/model/door.go
@@ -34,6 +34,7 @@
 	listDelay      float64
 	listAt         float64
 	tracking       bool
+	outer          Outer // carries a door outside of the world; nil where the world carries a decider
 }
 
 // op is an operation that the door holds.
@@ -91,6 +92,15 @@
 	if d.life == 0 {
 		known = w.whole()
 	}
+	if d.outer != nil {
+		d.life++
+		d.up, d.leaving, d.tracking = true, false, true
+		w.tell(trace.Event{Kind: trace.Started, Door: d.id})
+		w.outside(d, known)
+		d.outer.Start(lines(w, known))
+		w.pass(d, w.whole())
+		return
+	}
 	d.life++
 	d.up, d.leaving = true, false
 	d.customers, d.names = index.New[int](), index.New[int]()
@@ -116,6 +126,9 @@
 	}
 	d.up, d.diedAt = false, w.now
 	w.tell(trace.Event{Kind: trace.Died, Door: d.id})
+	if d.outer != nil {
+		d.outer.Kill()
+	}
 	for i := range d.ops {
 		o := &d.ops[i]
 		if o.try == nil {
@@ -142,6 +155,9 @@
 func (d *door) withdraw(w *World, rest float64) {
 	d.leaving = true
 	life := d.life
+	if d.outer != nil {
+		d.outer.Stop()
+	}
 	w.at(w.now+leaveMost, due{kind: dueStart, p: func() {
 		if d.life == life {
 			d.die(w)
@@ -172,12 +188,22 @@
 	if t.over {
 		return
 	}
+	t.life, t.slot = d.life, -1
+	if d.outer != nil {
+		d.outer.Submit(t)
+		return
+	}
+	w.taken(d, t)
+	d.came = append(d.came, t)
+	d.wake(w, w.now)
+}
+
+// taken marks a try as the door's own from here on.
+func (w *World) taken(d *door, t *Try) {
 	k := &w.clients.customers[t.want.customer]
-	t.taken, t.life, t.slot = true, d.life, -1
+	t.taken = true
 	w.tell(trace.Event{Kind: trace.Taken, Try: t.ID, Want: t.want.id, Door: d.id, Customer: t.want.customer, Plan: k.plan, Profile: t.Profile,
 		Units: t.want.units, Until: t.until})
-	d.came = append(d.came, t)
-	d.wake(w, w.now)
 }
 
 // leave is the news that a client has left.
@@ -190,6 +216,10 @@
 		return
 	}
 	t.answered = true
+	if d.outer != nil {
+		d.outer.Leave(t)
+		return
+	}
 	if t.slot < 0 { // it has not been looked at yet
 		for i, c := range d.came {
 			if c == t {
--- a/lab/model/world.go
+++ b/lab/model/world.go
@@ -71,6 +71,8 @@
 	waiting  int  // clients' operations that are not over
 	mailed   []float64
 	steps    int
+	posted   chan func() // from outside, in real time
+	outJobs  int
 }
 
 func chance(seed uint64, stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
--- a/lab/trace/trace.go
+++ b/lab/trace/trace.go
@@ -15,6 +15,7 @@
 	Closed                // a door learns how it ended, or gives it up: Try, Door, Number, Backend, Result, Result2 (Cancelled)
 	Answered              // the final answer leaves the door: Try, Door, Answer
 	Got                   // the client has it: Want, Answer, Since
+	Dropped               // a door ends a try's connection without a whole answer: Try, Door
 	Left                  // a door learns that the client left before it was answered: Try
 	GaveUp                // the client comes no more: Want
 	Died                  // a door dies with all that it holds: Door
