Command line of the door: serve, check, version, lab; tests of the laboratory

swifthall alone serves as before; check names every faulty key and warns of keys that nothing reads; the log has a level and a format by flag and key (log.level, log.format) and one vocabulary of fields.

--- /dev/null
+++ b/cmd/swifthall/commands.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/swifthall/swifthall/config"
+)
+
+func root() *cobra.Command {
+	var l logging
+	cmd := &cobra.Command{Use: "swifthall", Short: "An admission gateway for services sold by plan", Args: cobra.NoArgs,
+		Long: "Alone, swifthall serves as one front door, as swifthall serve does: it reads the file that GW_CONFIG names;\n" +
+			"GW_NAME, GW_LISTEN and GW_DISCOVERY win over its keys.",
+		SilenceUsage: true, SilenceErrors: true, RunE: func(*cobra.Command, []string) error { return serve(l) }}
+	cmd.PersistentFlags().StringVar(&l.level, "log-level", "", "debug, info, warn or error; wins over the key log.level")
+	cmd.PersistentFlags().StringVar(&l.format, "log-format", "", "text or json; wins over the key log.format")
+	cmd.AddCommand(
+		&cobra.Command{Use: "serve", Short: "Serve as one front door", Args: cobra.NoArgs,
+			RunE: func(*cobra.Command, []string) error { return serve(l) }},
+		&cobra.Command{Use: "check [FILE]", Short: "Say what is wrong with a configuration, key by key, without starting",
+			Long: "Reads FILE, or what GW_CONFIG names, with the environment as serve would. Exits with 1 where serve would not start.",
+			Args: cobra.MaximumNArgs(1), RunE: check},
+		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), version()) }},
+		&cobra.Command{Use: "lab", Short: "The laboratory: play, list, compare, sweep, hunt, load", DisableFlagParsing: true,
+			Long: "Starts swifthall-lab, which lies beside this program or on the path: the laboratory is a program of its own.",
+			RunE: func(_ *cobra.Command, args []string) error { return laboratory(args) }},
+	)
+	return cmd
+}
+
+func check(cmd *cobra.Command, args []string) error {
+	getenv := os.Getenv
+	if len(args) == 1 {
+		getenv = func(name string) string {
+			if name == "GW_CONFIG" {
+				return args[0]
+			}
+			return os.Getenv(name)
+		}
+	}
+	door, err := config.Load(getenv)
+	for _, odd := range door.Odd {
+		fmt.Fprintln(cmd.OutOrStdout(), "warning:", odd)
+	}
+	faults := config.Faults(err)
+	for _, f := range faults {
+		fmt.Fprintln(cmd.OutOrStdout(), f)
+	}
+	if len(faults) > 0 {
+		return errors.New("the configuration cannot be served")
+	}
+	fmt.Fprintln(cmd.OutOrStdout(), "ok")
+	return nil
+}
--- a/config/config.go
+++ b/config/config.go
@@ -4,9 +4,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 
 	"github.com/swifthall/swifthall/internal/registry"
@@ -22,6 +25,8 @@
 	Known                   registry.List
 	Deal                    Deal
 	Pace                    Pace
+	Log                     Log
+	Odd                     []string // keys that nothing reads, each with a word on it
 }
 
 // Pace holds the carrier's own times, ms. The key "pace" overrides the defaults.
@@ -35,6 +40,30 @@
 	Linger      float64 `json:"linger_ms"`       // new connections are served for this long after the call to stop
 }
 
+// Log is how the door logs. It never logs single operations.
+type Log struct {
+	Level  string `json:"level"`  // debug, info, warn or error
+	Format string `json:"format"` // text or json
+}
+
+// Formats of the log.
+const (
+	LogText = "text"
+	LogJSON = "json"
+)
+
+// Check tells what is wrong with the keys.
+func (l Log) Check() error {
+	var faults []error
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, l.Level) {
+		faults = append(faults, fmt.Errorf("key \"log.level\": %q, one of debug, info, warn, error is wanted", l.Level))
+	}
+	if l.Format != LogText && l.Format != LogJSON {
+		faults = append(faults, fmt.Errorf("key \"log.format\": %q, text or json is wanted", l.Format))
+	}
+	return errors.Join(faults...)
+}
+
 type file struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
@@ -49,6 +78,7 @@
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 	Pace     Pace            `json:"pace"`
+	Log      Log             `json:"log"`
 }
 
 // Again reads a file that has been replaced. Its discovery counts, as the environment is older than it.
@@ -74,7 +104,23 @@
 	return Read(raw, getenv)
 }
 
-// Read decodes and checks a configuration.
+// Faults takes apart what Load, Read or Again say is wrong: one fault for each key.
+func Faults(err error) []error {
+	var joined interface{ Unwrap() []error }
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &joined):
+		var all []error
+		for _, e := range joined.Unwrap() {
+			all = append(all, Faults(e)...)
+		}
+		return all
+	}
+	return []error{err}
+}
+
+// Read decodes and checks a configuration. Its error joins all that is wrong, key by key.
 func Read(raw []byte, getenv func(string) string) (Door, error) {
 	var f file
 	if err := json.Unmarshal(raw, &f); err != nil {
@@ -85,57 +131,94 @@
 			*into = v
 		}
 	}
-	d := Door{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter,
-		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Pace: f.Pace}
+	d := Door{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter, Cores: f.Limits.Cores,
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Pace: f.Pace, Log: f.Log, Odd: oddKeys(raw)}
+	var faults []error
 	for _, a := range []struct {
 		key, value string
 		may        bool
 	}{{"listen", d.Listen, false}, {"discovery", d.Discovery, false}, {"counter", d.Counter, true}} {
 		if _, port, err := net.SplitHostPort(a.value); (err != nil || port == "") && !(a.may && a.value == "") {
-			return Door{}, fmt.Errorf("key %q: %q is not an address with a port", a.key, a.value)
+			faults = append(faults, fmt.Errorf("key %q: %q is not an address with a port", a.key, a.value))
 		}
 	}
 	var err error
 	if f.Seed != "" {
 		if d.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
-			return Door{}, fmt.Errorf("key \"seed\": %q is not a hexadecimal number of 64 bits", f.Seed)
+			faults = append(faults, fmt.Errorf("key \"seed\": %q is not a hexadecimal number of 64 bits", f.Seed))
 		}
 	}
 	if len(f.Known) > 0 {
 		if d.Known, err = registry.ReadList(f.Known); err != nil {
-			return Door{}, fmt.Errorf("key \"known\": %w", err)
+			faults = append(faults, fmt.Errorf("key \"known\": %w", err))
 		}
 	}
+	d.logDefaults()
+	faults = append(faults, d.Log.Check())
 	if len(f.Settings) == 0 {
-		return Door{}, fmt.Errorf("key \"settings\": missing")
-	}
-	if d.Deal, err = ReadDeal(f.Settings); err != nil {
-		return Door{}, err
+		faults = append(faults, fmt.Errorf("key \"settings\": missing"))
+	} else if d.Deal, err = ReadDeal(f.Settings); err != nil {
+		faults = append(faults, err)
+	} else {
+		faults = append(faults, d.check()...)
 	}
-	if err := d.check(); err != nil {
-		return Door{}, err
+	if err := errors.Join(faults...); err != nil {
+		return Door{Odd: d.Odd}, err
 	}
 	d.defaults()
 	d.Deal.Terms.MailRate = 0 // the platform gives doors no way to each other
 	return d, nil
 }
 
+// oddKeys names the keys that nothing reads. Those of the settings are the platform's, which may add some.
+func oddKeys(raw []byte) []string {
+	var tree map[string]json.RawMessage
+	if json.Unmarshal(raw, &tree) != nil {
+		return nil
+	}
+	var odd []string
+	look := func(under string, of map[string]json.RawMessage, into any) {
+		known := map[string]bool{}
+		for t, i := reflect.TypeOf(into), 0; i < t.NumField(); i++ {
+			known[t.Field(i).Tag.Get("json")] = true
+		}
+		for key := range of {
+			if !known[key] {
+				odd = append(odd, fmt.Sprintf("key %q: nothing reads it", under+key))
+			}
+		}
+	}
+	look("", tree, file{})
+	for under, into := range map[string]any{"limits": file{}.Limits, "pace": Pace{}, "log": Log{}} {
+		var inner map[string]json.RawMessage
+		if json.Unmarshal(tree[under], &inner) == nil {
+			look(under+".", inner, into)
+		}
+	}
+	slices.Sort(odd)
+	return odd
+}
+
 // check holds what serving needs, over what the simulator's first message must have.
-func (d *Door) check() error {
+func (d *Door) check() (faults []error) {
 	t := &d.Deal.Terms
-	switch {
-	case t.Doors < 1:
-		return fmt.Errorf("key \"settings.fleet_size\": %d doors", t.Doors)
-	case t.Number < 0 || t.Number >= t.Doors:
-		return fmt.Errorf("key \"settings.my_number\": %d of %d doors", t.Number, t.Doors)
-	case len(t.Profiles) == 0:
-		return fmt.Errorf("key \"settings.profiles\": none")
-	case len(t.Plans) == 0:
-		return fmt.Errorf("key \"settings.tariffs\": none")
-	case t.MaxTransmissions < 1:
-		return fmt.Errorf("key \"settings.limits.max_attempts\": %d", t.MaxTransmissions)
-	case t.Counter && d.Counter == "":
-		return fmt.Errorf("key \"counter\": missing, though settings.extra.counter is true")
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
+	if t.Doors < 1 {
+		fault("key \"settings.fleet_size\": %d doors", t.Doors)
+	} else if t.Number < 0 || t.Number >= t.Doors {
+		fault("key \"settings.my_number\": %d of %d doors", t.Number, t.Doors)
+	}
+	if len(t.Profiles) == 0 {
+		fault("key \"settings.profiles\": none")
+	}
+	if len(t.Plans) == 0 {
+		fault("key \"settings.tariffs\": none")
+	}
+	if t.MaxTransmissions < 1 {
+		fault("key \"settings.limits.max_attempts\": %d", t.MaxTransmissions)
+	}
+	if t.Counter && d.Counter == "" {
+		fault("key \"counter\": missing, though settings.extra.counter is true")
 	}
 	type figure struct {
 		key   string
@@ -149,12 +232,12 @@
 		{"settings.extra.counter_timeout", d.Deal.CounterTimeout}, {"settings.extra.units_top", d.Deal.MostUnits}}
 	for i, p := range t.Profiles {
 		if p.Contract <= 0 {
-			return fmt.Errorf("key \"settings.profiles[%d].aim\": %g", i, p.Contract/msPerSecond)
+			fault("key \"settings.profiles[%d].aim\": %g", i, p.Contract/msPerSecond)
 		}
 	}
 	for i, p := range t.Plans {
 		if p.Rate > 0 && p.Depth <= 0 {
-			return fmt.Errorf("key \"settings.tariffs[%d].depth\": %g, though there is a rate", i, p.Depth)
+			fault("key \"settings.tariffs[%d].depth\": %g, though there is a rate", i, p.Depth)
 		}
 		under := fmt.Sprintf("settings.tariffs[%d].", i)
 		least = append(least, []figure{{under + "rate", p.Rate}, {under + "depth", p.Depth}, {under + "never_over_rate", p.CeilingRate},
@@ -162,10 +245,19 @@
 	}
 	for _, l := range least {
 		if l.value < 0 {
-			return fmt.Errorf("key %q: below 0", l.key)
+			fault("key %q: below 0", l.key)
 		}
 	}
-	return nil
+	return faults
+}
+
+func (d *Door) logDefaults() {
+	if d.Log.Level == "" {
+		d.Log.Level = "info"
+	}
+	if d.Log.Format == "" {
+		d.Log.Format = LogText
+	}
 }
 
 // or returns v, or the default where v is not told.
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -18,6 +18,7 @@
 
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/fields"
 )
 
 var (
@@ -56,7 +57,7 @@
 	}
 	c.watchOn(c.cfg.Discovery, c.cfg.Known.Version)
 	go c.accept(background)
-	c.log.WithFields(logrus.Fields{"name": c.cfg.Name, "listen": c.cfg.Listen}).Info("serving")
+	c.log.WithFields(logrus.Fields{fields.Door: c.cfg.Name, fields.Listen: c.cfg.Listen}).Info("serving")
 	c.run(ctx)
 	c.log.Info("left")
 	return nil
@@ -77,7 +78,7 @@
 		c.cfg.Counter = n.counter
 		c.countOn(n.counter)
 	}
-	c.log.WithFields(logrus.Fields{"discovery": n.discovery, "counter": n.counter}).Info("configuration read again")
+	c.log.WithFields(logrus.Fields{fields.Discovery: n.discovery, fields.Counter: n.counter}).Info("configuration read again")
 }
 
 // accepted says that no more connections are taken.
--- a/lab/model/clients.go
+++ b/lab/model/clients.go
@@ -17,6 +17,7 @@
 	at                    float64
 	until                 float64 // the client wants nothing after that, ms
 	tries                 int
+	door                  int // of the latest try
 	effects               []effect
 }
 
@@ -378,7 +379,10 @@
 	n.tries++
 	k := &c.customers[n.customer]
 	p := &c.s.Profiles[n.profile]
-	t := &Try{ID: w.tries, Door: c.door(w, k), Profile: n.profile, want: n, at: w.now, retry: retry,
+	if !retry || c.mood.Float64() < c.s.Clients.Elsewhere || !w.doors[n.door].seen(w.now, c.s.Clients.NoticeMs) {
+		n.door = c.door(w, k)
+	}
+	t := &Try{ID: w.tries, Door: n.door, Profile: n.profile, want: n, at: w.now, retry: retry,
 		until: min(n.until, w.now+p.OuterMs*c.s.Clients.TryShare)}
 	w.tries++
 	patience := t.until + c.s.Rules.AnswerSlackMs
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -307,6 +307,9 @@
 
 // fill puts in what the lists leave out.
 func (s *Scenario) fill() {
+	if len(s.Faults) == 0 {
+		s.Faults = nil
+	}
 	for i := range s.Machines {
 		m := &s.Machines[i]
 		m.Share, m.Cores = or(m.Share, 1), or(m.Cores, 2)
--- /dev/null
+++ b/lab/scenario/scenario_test.go
@@ -0,0 +1,85 @@
+package scenario
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const small = `
+name = "small"
+[[profile]]
+name = "look"
+work_ms = 50.0
+contract_ms = 500.0
+outer_ms = 2000.0
+[[plan]]
+name = "basic"
+per_s = 2.0
+depth = 4.0
+`
+
+func TestWhatIsWrongIsNamedByItsKey(t *testing.T) {
+	_, err := Read([]byte(small))
+	require.NoError(t, err)
+	for more, key := range map[string]string{
+		"\n[load]\nshape = \"zigzag\"":                                        `"load.shape"`,
+		"\n[load]\nshaep = \"wave\"":                                          `"load.shaep"`,
+		"\n[fleet]\ndoors = 0":                                                `"fleet.doors"`,
+		"\n[net]\njitter = 2.0":                                               `"net.jitter"`,
+		"\n[net]\nsame_ms = [3.0, 1.0]":                                       `"net.same_ms"`,
+		"\n[[fault]]\nkind = \"gremlins\"\nat_s = 1.0\nfor_s = 1.0":           `"fault[0].kind"`,
+		"\n[[fault]]\nkind = \"hang\"\nat_s = 1.0":                            `"fault[0].for_s"`,
+		"\n[[fault]]\nkind = \"hang\"\nat_s = 99.0\nfor_s = 1.0":              `"fault[0].at_s"`,
+		"\n[[fault]]\nkind = \"slow\"\nat_s = 1.0\nfor_s = 1.0\nmuch = 0.5":   `"fault[0].much"`,
+		"\n[[fault]]\nkind = \"counter_down\"\nat_s = 1.0\nfor_s = 1.0":       `counter.on is false`,
+		"\n[[fault]]\nkind = \"zone_cut\"\nat_s = 1.0\nfor_s = 1.0\nzone = 7": `"fault[0].zone"`,
+		"\n[day]\nseconds = nan":                                              `"day.seconds"`,
+	} {
+		_, err := Read([]byte(small + more))
+		assert.ErrorContains(t, err, key, more)
+	}
+}
+
+func TestContradictoryFaultsAreRefusedWithBothKeys(t *testing.T) {
+	two := "\n[[fault]]\nkind = \"death\"\nat_s = 1.0\nfor_s = 5.0\n[[fault]]\nkind = \"silence\"\nfor_s = 5.0\nat_s = "
+	_, err := Read([]byte(small + two + "4.0"))
+	assert.ErrorContains(t, err, `keys "fault[0]" and "fault[1]"`)
+	_, err = Read([]byte(small + two + "6.0"))
+	assert.NoError(t, err, "one after the other is no contradiction")
+}
+
+func TestAKeyIsSetByItsName(t *testing.T) {
+	s, err := Read([]byte(small + "\n[[fault]]\nkind = \"slow\"\nat_s = 1.0\nfor_s = 1.0\nmuch = 2.0"))
+	require.NoError(t, err)
+	for key, value := range map[string]string{"load.share": "0.7", "fault[0].much": "3", "net.same_ms": "0.5:2", "fleet.doors": "5"} {
+		s, err = s.Set(key, value)
+		require.NoError(t, err, key)
+	}
+	assert.Equal(t, 0.7, s.Load.Share)
+	assert.Equal(t, 3.0, s.Faults[0].Much)
+	assert.Equal(t, Span{0.5, 2}, s.Net.SameMs)
+	assert.Equal(t, 5, s.Fleet.Doors)
+	_, err = s.Set("load.shaer", "1")
+	assert.ErrorContains(t, err, `"load.shaer"`)
+	_, err = s.Set("fleet.doors", "many")
+	assert.Error(t, err)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(small))
+	if calm, err := os.ReadFile("../scenarios/sick-backends.toml"); err == nil {
+		f.Add(calm)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s, err := Read(raw)
+		if err != nil {
+			return
+		}
+		again, err := s.Clone()
+		require.NoError(t, err, "what was read can be written and read again")
+		assert.Equal(t, s, again)
+	})
+}
