--- a/lab/stand/stand.go
+++ b/lab/stand/stand.go
@@ -139,9 +139,9 @@
 	}
 }
 
-// post has the world do something, for as long as it plays.
+// post has the world do something, for as long as there is one that plays.
 func (f *fleet) post(do func()) {
-	if !f.over.Load() {
+	if f.w != nil && !f.over.Load() {
 		f.w.Post(f.ctx, do)
 	}
 }
--- /dev/null
+++ b/lab/stand/stand_test.go
@@ -0,0 +1,154 @@
+package stand
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/registry"
+	"github.com/swifthall/swifthall/lab/judge"
+	"github.com/swifthall/swifthall/lab/model"
+	"github.com/swifthall/swifthall/lab/rival"
+	"github.com/swifthall/swifthall/lab/run"
+	"github.com/swifthall/swifthall/lab/scenario"
+)
+
+const town = `
+name = "town"
+[day]
+seconds = 3
+[fleet]
+doors = 2
+backends = 3
+[load]
+per_s = 60.0
+[[profile]]
+name = "look"
+work_ms = 10.0
+contract_ms = 1000.0
+outer_ms = 2500.0
+[[profile]]
+name = "book"
+work_ms = 10.0
+contract_ms = 1000.0
+outer_ms = 2500.0
+semantics = "tokened"
+window_ms = 5000.0
+[[plan]]
+name = "basic"
+per_s = 20.0
+depth = 40.0
+[counter]
+on = true
+[meter]
+period_ms = 1000.0
+`
+
+func read(t *testing.T, more string) *scenario.Scenario {
+	s, err := scenario.Read([]byte(town + more))
+	require.NoError(t, err)
+	return &s
+}
+
+func TestOneScenarioIsAskedAlikeSimulatedAndOnSockets(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	s := read(t, "")
+	here, err := run.One{Scenario: s, Seed: 2, Policy: rival.Swifthall}.Play(context.Background(), nil)
+	require.NoError(t, err)
+	there, err := Play{Scenario: s, Seed: 2, Policy: rival.Swifthall}.Run(context.Background(), nil)
+	require.NoError(t, err)
+	assert.Equal(t, here.Whole.Asked, there.Whole.Asked)
+	assert.InDelta(t, here.Whole.Offered, there.Whole.Offered, 1e-6)
+	assert.Greater(t, there.Whole.InTime+there.Whole.Late, there.Whole.Asked/2)
+	assert.Empty(t, there.Notes)
+	assert.Equal(t, run.OnSockets, there.On)
+}
+
+func TestDoorsThatDieNeedAProgram(t *testing.T) {
+	_, err := Play{Scenario: read(t, "\n[[fault]]\nkind = \"door_deaths\"\nat_s = 1.0\nfor_s = 1.0"), Policy: rival.Swifthall}.Run(context.Background(), nil)
+	assert.ErrorIs(t, err, errEmbedded)
+	_, err = Play{Scenario: read(t, ""), Policy: rival.Oracle}.Run(context.Background(), nil)
+	assert.ErrorContains(t, err, "oracle")
+}
+
+func TestBackendsThatDieRefuseAndComeBack(t *testing.T) {
+	s := read(t, "\n[[fault]]\nkind = \"death\"\nat_s = 0.5\nfor_s = 1.0\nshare = 0.4")
+	r, err := Play{Scenario: s, Seed: 1, Policy: rival.Swifthall}.Run(context.Background(), nil)
+	require.NoError(t, err)
+	assert.Zero(t, r.Broken[judge.NoneTwice])
+	assert.Zero(t, r.Broken[judge.DrainsKept])
+	assert.Greater(t, r.Whole.InTime, r.Whole.Asked/3)
+}
+
+func TestDiscoveryTellsTheWholeThenEachChange(t *testing.T) {
+	d := newDiscovery()
+	line := func(b int, s gate.Status) ([]registry.Entry, []model.Line) {
+		return []registry.Entry{{ID: "b", Addr: "127.0.0.1:1", State: lifecycles[s]}}, []model.Line{{Backend: b, Status: s}}
+	}
+	e, of := line(0, gate.Up)
+	d.tell(true, e, of)
+	srv := httptest.NewServer(d)
+	defer srv.Close()
+	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, srv.URL+"/registry/instances?stream=1&index=0", nil)
+	require.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	r := bufio.NewReader(resp.Body)
+	text, err := r.ReadString('\n')
+	require.NoError(t, err)
+	whole, err := registry.ReadList([]byte(text))
+	require.NoError(t, err)
+	assert.True(t, whole.Whole)
+	assert.Len(t, whole.Backends, 1)
+	e, of = line(0, gate.Gone)
+	d.tell(false, e, of)
+	text, err = r.ReadString('\n')
+	require.NoError(t, err)
+	change, err := registry.ReadList([]byte(text))
+	require.NoError(t, err)
+	assert.Equal(t, gate.Gone, change.Backends[0].Status())
+	assert.Equal(t, whole.Version+1, change.Version)
+}
+
+func TestACallOfTheCounterIsReadAndNoiseIsNot(t *testing.T) {
+	words, err := readCall(bufio.NewReader(strings.NewReader("*4\r\n$5\r\nTALLY\r\n$3\r\na/1\r\n$4\r\n-2.5\r\n$4\r\n4000\r\n")))
+	require.NoError(t, err)
+	assert.Equal(t, []string{"TALLY", "a/1", "-2.5", "4000"}, words)
+	for _, noise := range []string{"GET / HTTP/1.1\r\n", "*0\r\n", "*99999\r\n", "*1\r\n$-1\r\n", "*1\r\n$9\r\nshort"} {
+		_, err := readCall(bufio.NewReader(strings.NewReader(noise)))
+		assert.Error(t, err, noise)
+	}
+}
+
+func TestAnAddressWhoseProcessEndedRefuses(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	f := &fleet{ctx: ctx, play: &Play{}}
+	f.over.Store(true) // no world plays here
+	a, err := newAddress(f, 0, 0)
+	require.NoError(t, err)
+	a.set(false, true)
+	_, err = net.Dial("tcp", a.at)
+	assert.Error(t, err)
+	f.over.Store(false)
+	a.set(true, true)
+	nc, err := net.Dial("tcp", a.at)
+	require.NoError(t, err)
+	f.over.Store(true)
+	nc.Close()
+	stop()
+	f.close()
+	f.group.Wait()
+}
