--- /dev/null
+++ b/internal/http1/fuzz_test.go
@@ -0,0 +1,73 @@
+package http1
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// reader is a machine fed bytes, with the end of one message.
+type reader interface {
+	Feed(p []byte) (used int, whole bool, err error)
+}
+
+// fed feeds p in steps until a message is whole or at fault.
+func fed(r reader, p []byte, step int) (used int, whole, failed bool) {
+	for used < len(p) {
+		n, whole, err := r.Feed(p[used:min(len(p), used+step)])
+		used += n
+		if whole || err != nil {
+			return used, whole, err != nil
+		}
+		if n == 0 {
+			return used, false, false
+		}
+	}
+	return used, false, false
+}
+
+func FuzzOperations(f *testing.F) {
+	f.Add([]byte(asked))
+	f.Add([]byte("GET /look?key=1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nhe\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, p []byte) {
+		var whole, bytewise Operations
+		defer whole.Drop()
+		defer bytewise.Drop()
+		used, is, failed := fed(&whole, p, len(p))
+		usedB, isB, failedB := fed(&bytewise, p, 1)
+		require.Equal(t, is, isB, "however its bytes come")
+		require.Equal(t, failed, failedB)
+		if !is {
+			return
+		}
+		require.Equal(t, used, usedB)
+		a, err := whole.Take()
+		b, errB := bytewise.Take()
+		require.Equal(t, err == nil, errB == nil)
+		if err == nil {
+			require.Equal(t, *a, *b)
+			require.GreaterOrEqual(t, a.Units, 0.0)
+			require.GreaterOrEqual(t, a.Spread, 1)
+			require.GreaterOrEqual(t, a.First, 0)
+			require.GreaterOrEqual(t, a.TTL, 0.0)
+		}
+	})
+}
+
+func FuzzAnswers(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Allowance-Used: 31.5\r\nContent-Length: 2\r\n\r\nhi"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, p []byte) {
+		var whole, bytewise Answers
+		defer whole.Drop()
+		defer bytewise.Drop()
+		used, is, failed := fed(&whole, p, len(p))
+		usedB, isB, failedB := fed(&bytewise, p, 1)
+		require.Equal(t, is, isB, "however its bytes come")
+		require.Equal(t, failed, failedB)
+		if is {
+			require.Equal(t, used, usedB)
+			require.Equal(t, whole.Take(), bytewise.Take())
+		}
+	})
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/swifthall/swifthall/gate"
@@ -215,22 +216,13 @@
 	overdue     float64 // sum of what the others are out beyond the usual, ms
 }
 
-// dice is a permuted congruential generator (PCG-XSH-RR 64/32).
-type dice struct{ state uint64 }
+// dice is a permuted congruential generator, the library's.
+type dice struct{ pcg *rand.Rand }
 
-func newDice(seed uint64) dice {
-	d := dice{seed + 1442695040888963407}
-	d.roll()
-	return d
-}
+func newDice(seed uint64) dice { return dice{rand.New(rand.NewPCG(seed, 0))} }
 
 // roll returns a number in [0, 1).
-func (d *dice) roll() float64 {
-	s := d.state
-	d.state = s*6364136223846793005 + 1442695040888963407
-	x, r := uint32((s>>18^s)>>27), uint(s>>59)
-	return float64(x>>r|x<<(-r&31)) / (1 << 32)
-}
+func (d *dice) roll() float64 { return d.pcg.Float64() }
 
 // draw returns an index at random, by odds, or -1 where there are none.
 func (d *dice) draw(odds []float64) int {
