--- a/lab/judge/rules.go
+++ b/lab/judge/rules.go
@@ -35,7 +35,6 @@
 // Deal is what the checkers and the service need to know of a day.
 type Deal struct {
 	Profiles         []gate.Profile
-	Outer            []float64 // by profile, ms
 	Plans            []gate.Plan
 	OverCost         []float64 // by plan
 	CeilingSlack     []float64 // by plan, units
--- a/lab/model/clients.go
+++ b/lab/model/clients.go
@@ -23,18 +23,17 @@
 
 // Try is one of a client's tries, at one door.
 type Try struct {
-	ID, Door          int
-	Profile           int
-	want              *want
-	at, until         float64 // made, and given up by the client, ms
-	retry             bool
-	taken             bool
-	answered          bool // its door has answered
-	over              bool // its client has the answer, or has left
-	life, slot        int  // of the door that holds it
-	answer            trace.Answer
-	retryAfter        float64
-	customerAtTheDoor int
+	ID, Door   int
+	Profile    int
+	want       *want
+	at, until  float64 // made, and given up by the client, ms
+	retry      bool
+	taken      bool
+	answered   bool // its door has answered
+	over       bool // its client has the answer, or has left
+	life, slot int  // of the door that holds it
+	answer     trace.Answer
+	retryAfter float64
 }
 
 // customer comes through some doors, unevenly, at a rate that sessions move.
--- a/lab/model/deal.go
+++ b/lab/model/deal.go
@@ -38,9 +38,6 @@
 	d := &judge.Deal{Profiles: t.Profiles, Plans: t.Plans, MaxTransmissions: t.MaxTransmissions, SecondCopies: t.SecondCopies,
 		AnswerSlack: s.Rules.AnswerSlackMs, DrainGrace: s.Rules.DrainGraceMs, FallMultiple: s.Rules.FallMultiple,
 		FallWindow: s.Rules.FallMs, Seconds: s.Day.Seconds, Goal: judge.Goal(s.Goal), Prices: judge.Prices(s.Prices)}
-	for _, p := range s.Profiles {
-		d.Outer = append(d.Outer, p.OuterMs)
-	}
 	for _, p := range s.Plans {
 		d.OverCost, d.CeilingSlack = append(d.OverCost, p.OverCost), append(d.CeilingSlack, p.CeilingSlack)
 	}
--- a/lab/model/door.go
+++ b/lab/model/door.go
@@ -59,10 +59,8 @@
 	used    float64 // when one was last, ms
 }
 
-type letter struct {
-	event gate.Event
-	to    func(d *door) gate.Event
-}
+// letter is a message from another door, worded by the one that takes it.
+type letter struct{ to func(d *door) gate.Event }
 
 type probe struct {
 	at     float64
--- a/lab/model/outer.go
+++ b/lab/model/outer.go
@@ -273,12 +273,6 @@
 // Life is the number of a backend's present process.
 func (w *World) Life(backend int) int { return w.backends[backend].life }
 
-// Up tells whether a backend's process runs.
-func (w *World) Up(backend int) bool { return w.backends[backend].up }
-
-// Backends is how many there have been so far.
-func (w *World) Backends() int { return len(w.backends) }
-
 // OutCall is a call of the counter from outside; reply is called once, unless the call or its answer is lost.
 func (w *World) OutCall(door int, id string, add, keep float64, reply func(r gate.Result, total float64)) {
 	w.tell(trace.Event{Kind: trace.Counted, Door: door})
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -25,28 +25,27 @@
 
 // Result is what a day came to. The same scenario, seed and policy give the same bytes where it is simulated.
 type Result struct {
-	Scenario  string             `json:"scenario"`
-	Shows     string             `json:"shows"`
-	On        string             `json:"on"`
-	Policy    string             `json:"policy"`
-	Seed      uint64             `json:"seed"`
-	Doors     int                `json:"doors"`
-	Backends  int                `json:"backends"`
-	Length    float64            `json:"seconds"`
-	Events    int                `json:"events"`
-	Parts     judge.Parts        `json:"parts"`
-	Score     *Score             `json:"score,omitempty"`
-	Broken    map[judge.Rule]int `json:"broken"`
-	Breaches  []judge.Breach     `json:"breaches"`
-	Whole     judge.Tally        `json:"whole"`
-	Plans     []Named            `json:"plans"`
-	Profiles  []Named            `json:"profiles"`
-	Costs     judge.Costs        `json:"costs"`
-	Seconds   []judge.Second     `json:"by_second"`
-	Faults    []scenario.Fault   `json:"faults"`
-	Behind    float64            `json:"behind_ms,omitempty"` // on sockets, how late the laboratory itself ran at the worst
-	Notes     []string           `json:"notes,omitempty"`
-	quantiles []*hdrhistogram.Histogram
+	Scenario string             `json:"scenario"`
+	Shows    string             `json:"shows"`
+	On       string             `json:"on"`
+	Policy   string             `json:"policy"`
+	Seed     uint64             `json:"seed"`
+	Doors    int                `json:"doors"`
+	Backends int                `json:"backends"`
+	Length   float64            `json:"seconds"`
+	Events   int                `json:"events"`
+	Parts    judge.Parts        `json:"parts"`
+	Score    *Score             `json:"score,omitempty"`
+	Broken   map[judge.Rule]int `json:"broken"`
+	Breaches []judge.Breach     `json:"breaches"`
+	Whole    judge.Tally        `json:"whole"`
+	Plans    []Named            `json:"plans"`
+	Profiles []Named            `json:"profiles"`
+	Costs    judge.Costs        `json:"costs"`
+	Seconds  []judge.Second     `json:"by_second"`
+	Faults   []scenario.Fault   `json:"faults"`
+	Behind   float64            `json:"behind_ms,omitempty"` // on sockets, how late the laboratory itself ran at the worst
+	Notes    []string           `json:"notes,omitempty"`
 }
 
 // Named is the tally of a plan or a profile.
@@ -126,7 +125,7 @@
 func Sum(s *scenario.Scenario, seed uint64, policy, on string, j *judge.Judge) *Result {
 	r := &Result{Scenario: s.Name, Shows: s.Shows, On: on, Policy: policy, Seed: seed, Doors: s.Fleet.Doors, Backends: s.Fleet.Backends,
 		Length: s.Day.Seconds, Events: j.Events, Parts: j.Service.Parts(), Broken: j.Rules.Count, Breaches: j.Rules.Breaches,
-		Whole: j.Service.Whole, Costs: j.Service.Costs, Seconds: j.Service.Seconds, Faults: s.Faults, quantiles: j.Service.Latency}
+		Whole: j.Service.Whole, Costs: j.Service.Costs, Seconds: j.Service.Seconds, Faults: s.Faults}
 	for i, p := range s.Plans {
 		r.Plans = append(r.Plans, Named{Name: p.Name, Tally: j.Service.Plans[i]})
 	}
--- a/lab/stand/stand.go
+++ b/lab/stand/stand.go
@@ -66,6 +66,9 @@
 		return nil, fmt.Errorf("%d doors and %d backends need %d addresses, more than %d: play it with fewer, or simulated", s.Fleet.Doors, most,
 			n, mostListeners)
 	}
+	if p.Binary != "" && p.Policy != rival.Swifthall {
+		return nil, fmt.Errorf("policy %q: a door's program decides by itself", p.Policy)
+	}
 	if p.Binary == "" {
 		if p.Policy == rival.Oracle {
 			return nil, errors.New("the oracle sees the true state, which no door on sockets can")
--- a/lab/trace/trace.go
+++ b/lab/trace/trace.go
@@ -73,8 +73,3 @@
 
 // Sink takes a day's events in.
 type Sink interface{ Take(e *Event) }
-
-// Both hands every event to two sinks.
-type Both struct{ A, B Sink }
-
-func (b Both) Take(e *Event) { b.A.Take(e); b.B.Take(e) }
