--- a/gate/gate.go
+++ b/gate/gate.go
@@ -183,14 +183,39 @@
 // Cancel stops waiting for one transmission.
 type Cancel struct{ Op, Transmission int }
 
+// Cause says why an operation is given up. It is for accounts alone: carriers count it and act alike whatever it is.
+type Cause uint8
+
+const (
+	Unsaid    Cause = iota
+	OverPart        // this door's part of the customer's quota does not hold it
+	OverQuota       // nor does what the customer's doors share, as this door last heard
+	AtCeiling       // its slice of the plan's ceiling does not hold it
+	Pressed         // its hold would eat the time left
+	Nowhere         // no backend on the list may have it
+	TimeUp          // its client's wait is nearly over
+	Late            // it can no longer come in its contract time, on a pressed fleet
+	Failed          // its transmissions failed, and it may have no more
+	Causes          // how many there are
+)
+
+// String names the cause as accounts and logs do.
+func (c Cause) String() string {
+	return [...]string{"unsaid", "over_part", "over_quota", "at_ceiling", "pressed", "nowhere", "time_up", "late", "failed"}[c]
+}
+
 // Reject is a final answer: trying again is harmless, best after RetryAfter.
 type Reject struct {
 	Op         int
 	RetryAfter float64 // ms; 0 gives no advice
+	Why        Cause
 }
 
 // Scrap is a final answer that promises nothing.
-type Scrap struct{ Op int }
+type Scrap struct {
+	Op  int
+	Why Cause
+}
 
 // Wake asks for a Woken at the given clock.
 type Wake struct{ At float64 }
--- a/lab/command/command.go
+++ b/lab/command/command.go
@@ -33,7 +33,7 @@
 func New() *cobra.Command {
 	root := &cobra.Command{Use: "lab", Short: "The laboratory: play scenarios, compare, sweep, hunt, load",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(play(), list(), compare(), sweep(), hunt(), loads(), beside(), proxy())
+	root.AddCommand(play(), list(), accounts(), compare(), sweep(), hunt(), loads(), beside(), proxy())
 	return root
 }
 
@@ -156,6 +156,21 @@
 	t.Flush()
 }
 
+func accounts() *cobra.Command {
+	return &cobra.Command{Use: "account DIR", Short: "Say where the gain of a played day went: how much, when, at which doors", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			r, err := run.Load(args[0])
+			if err != nil {
+				return err
+			}
+			if r.Account == nil {
+				return fmt.Errorf("%s: a day on sockets has no account", args[0])
+			}
+			r.Account.Print(cmd.OutOrStdout())
+			return nil
+		}}
+}
+
 func list() *cobra.Command {
 	return &cobra.Command{Use: "list", Short: "List the scenarios that ship, and the kinds of fault", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/lab/model/door.go
+++ b/lab/model/door.go
@@ -307,7 +307,7 @@
 		o.out--
 		d.closing = append(d.closing, t.slot)
 		if e.result == gate.Finished && !o.over {
-			d.answer(w, t.slot, trace.Finished, 0)
+			d.answer(w, t.slot, trace.Finished, 0, gate.Unsaid)
 		}
 		w.tell(trace.Event{Kind: trace.Closed, Try: t.ID, Door: d.id, Number: e.job.Number, Backend: e.job.Backend, Result: e.result})
 		b, _ := d.names.Find(e.job.Backend)
@@ -349,9 +349,9 @@
 				d.Ended(w, j, gate.Cancelled)
 			}
 		case gate.Reject:
-			d.answer(w, a.Op, trace.Rejected, a.RetryAfter)
+			d.answer(w, a.Op, trace.Rejected, a.RetryAfter, a.Why)
 		case gate.Scrap:
-			d.answer(w, a.Op, trace.Scrapped, 0)
+			d.answer(w, a.Op, trace.Scrapped, 0, a.Why)
 		case gate.Wake:
 			d.wakeAt = max(a.At-epoch, w.now+w.s.Day.TickMs) // a tick is the shortest rest
 			d.wake(w, d.wakeAt)
@@ -385,13 +385,13 @@
 }
 
 // answer gives an operation its one answer.
-func (d *door) answer(w *World, slot int, a trace.Answer, retryAfter float64) {
+func (d *door) answer(w *World, slot int, a trace.Answer, retryAfter float64, why gate.Cause) {
 	o := &d.ops[slot]
 	if o.try == nil || o.over { // it is over: what a decider says of it no longer matters
 		return
 	}
 	t := o.try
-	w.tell(trace.Event{Kind: trace.Answered, Try: t.ID, Door: d.id, Answer: a})
+	w.tell(trace.Event{Kind: trace.Answered, Try: t.ID, Door: d.id, Answer: a, Why: why})
 	t.answered, o.over = true, true
 	t.answer, t.retryAfter = a, retryAfter
 	d.closing = append(d.closing, slot)
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -11,10 +11,12 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/swifthall/swifthall/lab/account"
 	"github.com/swifthall/swifthall/lab/judge"
 	"github.com/swifthall/swifthall/lab/model"
 	"github.com/swifthall/swifthall/lab/rival"
 	"github.com/swifthall/swifthall/lab/scenario"
+	"github.com/swifthall/swifthall/lab/trace"
 )
 
 // Where a day was played.
@@ -44,6 +46,7 @@
 	Costs    judge.Costs        `json:"costs"`
 	Seconds  []judge.Second     `json:"by_second"`
 	Faults   []scenario.Fault   `json:"faults"`
+	Account  *account.Account   `json:"account,omitempty"`
 	Behind   float64            `json:"behind_ms,omitempty"` // on sockets, how late the laboratory itself ran at the worst
 	Notes    []string           `json:"notes,omitempty"`
 }
@@ -114,13 +117,24 @@
 	if !known {
 		return nil, fmt.Errorf("policy %q: one of %v is wanted", o.Policy, rival.Names)
 	}
-	j := judge.New(model.Deal(o.Scenario))
-	if err := model.New(o.Scenario, o.Seed, maker, j).Run(ctx, progress); err != nil {
+	deal := model.Deal(o.Scenario)
+	j, book := judge.New(deal), account.NewBook(deal)
+	if err := model.New(o.Scenario, o.Seed, maker, both{j, book}).Run(ctx, progress); err != nil {
 		return nil, fmt.Errorf("playing %s: %w", o.Scenario.Name, err)
 	}
-	return Sum(o.Scenario, o.Seed, o.Policy, Simulated, j), nil
+	r := Sum(o.Scenario, o.Seed, o.Policy, Simulated, j)
+	r.Account = book.Sum()
+	return r, nil
+}
+
+// both hands a day's events to the judge and to the account.
+type both struct {
+	judge *judge.Judge
+	book  *account.Book
 }
 
+func (b both) Take(e *trace.Event) { b.judge.Take(e); b.book.Take(e) }
+
 // Sum puts a judged day together.
 func Sum(s *scenario.Scenario, seed uint64, policy, on string, j *judge.Judge) *Result {
 	r := &Result{Scenario: s.Name, Shows: s.Shows, On: on, Policy: policy, Seed: seed, Doors: s.Fleet.Doors, Backends: s.Fleet.Backends,
--- a/lab/trace/trace.go
+++ b/lab/trace/trace.go
@@ -13,7 +13,7 @@
 	Sent                  // a door sends a transmission: Try, Door, Number, Backend, Zone, Cell
 	Came                  // it has come whole to a backend: Try, Door, Number, Backend, Work, Told
 	Closed                // a door learns how it ended, or gives it up: Try, Door, Number, Backend, Result, Result2 (Cancelled)
-	Answered              // the final answer leaves the door: Try, Door, Answer
+	Answered              // the final answer leaves the door: Try, Door, Answer, Why
 	Got                   // the client has it: Want, Answer, Since
 	Dropped               // a door ends a try's connection without a whole answer: Try, Door
 	Left                  // a door learns that the client left before it was answered: Try
@@ -66,9 +66,10 @@
 	Result   gate.Result
 	Status   gate.Status
 	Answer   Answer
-	Told     bool // the door had been told of the backend's latest start
-	Crosses  bool // Sent to another zone
-	Twice    bool // the effect had happened already
+	Why      gate.Cause // that the decider gave; accounts alone may read it
+	Told     bool       // the door had been told of the backend's latest start
+	Crosses  bool       // Sent to another zone
+	Twice    bool       // the effect had happened already
 }
 
 // Sink takes a day's events in.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -166,21 +166,21 @@
 	k.demand += o.units / demandSpan
 	k.phase = e.Phase
 	k.open++
-	local, wait := d.home(k) < 0 && !d.counts(k), 0.0
+	local, wait, why := d.home(k) < 0 && !d.counts(k), 0.0, gate.OverQuota
 	if local {
-		wait = d.shortfall(k, o.units)
+		wait, why = d.shortfall(k, o.units)
 	} else if o.units >= k.barredUnits {
 		wait = k.barred - d.now
 	}
 	if wait > 0 {
-		d.reject(e.Op, wait)
+		d.reject(e.Op, wait, why)
 		return
 	}
 	if local {
 		d.promise(k, o, true)
 	}
 	if hold := d.hold(o); d.tooLong(o, hold) {
-		d.reject(e.Op, d.drain(o.profile))
+		d.reject(e.Op, d.drain(o.profile), gate.Pressed)
 	} else {
 		o.held = true
 	}
@@ -217,8 +217,12 @@
 // shortfall tells how long the customer's quota or ceiling keeps the operation out, in ms; 0 lets it in.
 // The bucket is written in units of the whole quota: a charge of units/part against a fill at the whole
 // rate is the design's charge of units against a fill at rate x part.
-func (d *Door) shortfall(k *bucket, units float64) float64 {
-	return max(d.quotaWait(k, units), d.ceilingWait(k, units))
+func (d *Door) shortfall(k *bucket, units float64) (wait float64, why gate.Cause) {
+	quota, ceiling := d.quotaWait(k, units), d.ceilingWait(k, units)
+	if ceiling > quota {
+		return ceiling, gate.AtCeiling
+	}
+	return quota, gate.OverPart
 }
 
 func (d *Door) quotaWait(k *bucket, units float64) float64 {
@@ -304,15 +308,15 @@
 	}
 	if d.counts(k) && !o.uncounted {
 		if wait := d.count(o, k); wait > 0 {
-			d.giveUp(i, wait)
+			d.giveUp(i, wait, gate.OverQuota)
 			return false
 		} else if !o.uncounted {
 			return o.granted
 		}
 	}
-	wait := d.shortfall(k, o.units)
+	wait, why := d.shortfall(k, o.units)
 	if wait > 0 {
-		d.giveUp(i, wait)
+		d.giveUp(i, wait, why)
 	} else {
 		d.promise(k, o, true)
 	}
@@ -399,7 +403,7 @@
 			}
 		}
 		if wait > 0 {
-			d.giveUp(i, wait)
+			d.giveUp(i, wait, gate.OverQuota)
 			return
 		}
 		o.granted, o.asked = true, d.now
@@ -598,13 +602,13 @@
 func (d *Door) release(i int) {
 	o := &d.ops[i]
 	if d.now >= o.until-lastLook {
-		d.giveUp(i, 0)
+		d.giveUp(i, 0, gate.TimeUp)
 		return
 	}
 	// Fixed at arrival, holds given in a quiet moment would all end in the same later one, in a wave.
 	if len(o.sends) == 0 && o.seq == 0 && !o.granted {
 		if rest := o.came + d.hold(o) - d.now; d.tooLong(o, rest) {
-			d.giveUp(i, d.drain(o.profile))
+			d.giveUp(i, d.drain(o.profile), gate.Pressed)
 			return
 		} else if rest > 0 {
 			return
@@ -619,7 +623,8 @@
 	if b, any := d.pick(o); b >= 0 {
 		d.send(i, b)
 	} else if o.granted && !o.promised || len(o.sends) > 0 && !any {
-		d.giveUp(i, d.drain(o.profile)) // the home door's ceiling fills up again; or nothing listed may have it
+		// The home door's ceiling fills up again; or nothing listed may have it.
+		d.giveUp(i, d.drain(o.profile), gate.Nowhere)
 	}
 }
 
@@ -799,13 +804,14 @@
 		return
 	}
 	if o.held = len(o.sends) < d.terms.MaxTransmissions; !o.held {
-		d.giveUp(e.Op, d.drain(o.profile))
+		d.giveUp(e.Op, d.drain(o.profile), gate.Failed)
 	}
 }
 
 // giveUp ends an operation at once: a rejection where trying again is harmless, else a scrapping.
-func (d *Door) giveUp(i int, retryAfter float64) {
+func (d *Door) giveUp(i int, retryAfter float64, why gate.Cause) {
 	o := &d.ops[i]
+	o.why = why
 	for j := range o.sends {
 		if !o.sends[j].proven && !d.canRepeat(o) {
 			o.want, o.held = scrapped, false
@@ -813,13 +819,13 @@
 			return
 		}
 	}
-	d.reject(i, retryAfter)
+	d.reject(i, retryAfter, why)
 }
 
-func (d *Door) reject(i int, retryAfter float64) {
+func (d *Door) reject(i int, retryAfter float64, why gate.Cause) {
 	o := &d.ops[i]
 	d.buckets[o.customer].unpromise(o)
-	o.want, o.held, o.retryAfter = rejected, false, min(retryAfter, d.terms.MaxRetryAfter)
+	o.want, o.held, o.retryAfter, o.why = rejected, false, min(retryAfter, d.terms.MaxRetryAfter), why
 	d.touch(i)
 }
 
@@ -945,7 +951,7 @@
 	// What can no longer come in time must not keep a pressed fleet from what can: without this a fleet that has
 	// fallen behind goes on working on what is late, for as long as clients wait.
 	if d.now > o.came+p.Contract && p.LateValue < lateLeast && !o.streaming && d.hold(o) > 0 {
-		d.giveUp(i, d.drain(o.profile))
+		d.giveUp(i, d.drain(o.profile), gate.Late)
 		return
 	}
 	if o.streaming || o.out != 1 || len(o.sends) >= d.terms.MaxTransmissions || !d.terms.SecondCopies {
@@ -984,9 +990,9 @@
 		}
 		if o.given == undecided && o.want != undecided {
 			if o.given = o.want; o.want == rejected {
-				d.actions = append(d.actions, gate.Reject{Op: i, RetryAfter: o.retryAfter})
+				d.actions = append(d.actions, gate.Reject{Op: i, RetryAfter: o.retryAfter, Why: o.why})
 			} else {
-				d.actions = append(d.actions, gate.Scrap{Op: i})
+				d.actions = append(d.actions, gate.Scrap{Op: i, Why: o.why})
 			}
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -55,6 +55,7 @@
 	repeat                  bool // of a try that was not answered well
 	want, given             verdict
 	retryAfter              float64
+	why                     gate.Cause
 	out                     int
 	sends                   []transmission
 	queued                  bool // listed as changed in this batch
