Each door keeps to members of the fleet, so many as its traffic reaches

Change: pick goes over backends by a rank that the door draws once for each, and stops at as many as it reaches every 2 s (eight at least); what is judged, full or not allowed is stood in for by the next. A lost member moves no other. Tried beside it and not kept: numbers on the counter that hold what the store lacks (first caller reads the window before).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -79,6 +79,8 @@
 	coldBlind = 2.0  // operations that the doors together send a cold backend in a window, knowing no warm one
 	workSpan  = 10e3 // ms over which work sent to a backend is averaged
 	sameOdds  = 1e-3 // odds left to a backend that has had the operation, where there is another
+	memberGap = 2e3  // ms between operations to one member: idle connections are closed, evidence ages
+	memberMin = 8    // members at least; as many as may fail at once and leave some
 	roomPower = 3.0  // how fast thought room falls with own work out; less leaves queues at some and others idle
 	askRest   = 1e3  // ms between calls for the fleet list after one failed
 	lastLook  = 25.0 // ms before the client's wait ends at which a held operation gets its answer; over a tick
@@ -145,6 +147,9 @@
 	for _, n := range e.Entries {
 		f.grow(n.Backend+1, len(d.terms.Plans))
 		b := n.Backend
+		if !f.known[b] {
+			f.rank[b] = d.dice.roll()
+		}
 		f.up[b], f.zone[b], f.cell[b] = n.Status == gate.Up, n.Zone, n.Cell
 		f.gone[b] = n.Status == gate.Gone
 		if !f.known[b] || n.Since != f.since[b] { // a new process: nothing held against the old one counts
@@ -152,6 +157,7 @@
 		}
 		f.size[b] = cmp.Or(n.Size, f.size[b])
 	}
+	f.rerank()
 }
 
 // ---- Arrival: quota first, then the hold ----
@@ -647,13 +653,23 @@
 	return most > 0 && k.granted+float64(k.out) > float64(most)-0.5
 }
 
-// pick draws a backend with odds in step with thought room. A judged backend whose trial is due comes
+// members is how many backends this door keeps to: so many that it comes to each often enough to keep a
+// connection and know it. At a small site that is all of them. Who they are is each door's own chance, so
+// that the doors spread evenly, and one that is lost changes no other.
+func (d *Door) members() int {
+	rate := d.fleet.sends * math.Exp((d.fleet.sendsAt-d.now)/finishSpan)
+	return max(memberMin, int(rate*memberGap))
+}
+
+// pick draws a backend with odds in step with thought room, among this door's members; one that may not have
+// the operation, or is judged or full, is stood in for by the next. A judged backend whose trial is due comes
 // first, for an operation that can be sent again elsewhere. It also tells whether any may have the operation.
 func (d *Door) pick(o *operation) (b int, any bool) {
 	f := &d.fleet
 	fresh := len(o.sends) == 0
 	odds := make([]float64, len(f.up))
-	for b := range f.up {
+	left := d.members()
+	for _, b := range f.order {
 		if !d.allowed(o, b) {
 			continue
 		}
@@ -667,6 +683,12 @@
 		for j := range o.sends { // another backend than one that already had it, where there is one
 			if o.sends[j].backend == b {
 				odds[b] *= sameOdds
+				left++
+			}
+		}
+		if odds[b] > 0 {
+			if left--; left <= 0 {
+				break
 			}
 		}
 	}
@@ -773,6 +795,7 @@
 	o.out++
 	k.out++
 	f.out[b]++
+	f.sends, f.sendsAt = f.sends*math.Exp((f.sendsAt-d.now)/finishSpan)+1/finishSpan, d.now
 	d.out[o.profile]++
 	f.coldLeft[b]--
 	if d.warmth(b) >= 1 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/swifthall/swifthall/gate"
 )
@@ -641,3 +642,79 @@
 	d.delist()
 	assert.Len(t, d.forgets, 4, "what a whole list leaves out is gone")
 }
+
+// Hundreds of doors with some tens of operations a second each: over all backends, connections are opened anew for
+// half of them, and a backend is met too seldom to be known.
+func TestADoorKeepsToSoManyMembersAsItsTrafficReaches(t *testing.T) {
+	d := door(100)
+	met := func() map[int]bool {
+		met := map[int]bool{}
+		for range 400 {
+			o := operation{profile: replayable, plan: plain}
+			b, any := d.pick(&o)
+			require.True(t, any)
+			met[b] = true
+		}
+		return met
+	}
+	few := met()
+	assert.Len(t, few, memberMin)
+	d.fleet.sends, d.fleet.sendsAt = 0.02, d.now // 20 a second
+	more := met()
+	assert.Len(t, more, 40)
+	for b := range few {
+		assert.True(t, more[b], "those that there are stay")
+	}
+	d.now += 60e3
+	assert.Equal(t, memberMin, d.members(), "quiet again")
+}
+
+func TestWhatFailsIsStoodInForByTheNext(t *testing.T) {
+	d := door(30)
+	o := operation{profile: replayable, plan: plain}
+	f := &d.fleet
+	first := append([]int(nil), f.order[:memberMin]...)
+	for _, b := range first { // the whole lot is lost with its zone
+		f.cases[replayable][b] = suspicion{judged: true, doubt: judgeAt, trialAt: d.now + 1e3}
+	}
+	for range 100 {
+		b, _ := d.pick(&o)
+		assert.NotContains(t, first, b)
+	}
+	d.list(gate.Fleet{Entries: []gate.Entry{{Backend: f.order[memberMin], Status: gate.Draining}}})
+	assert.Len(t, f.order, 29)
+	for range 100 {
+		b, _ := d.pick(&o)
+		assert.True(t, f.up[b])
+	}
+}
+
+func TestMembersSpreadEvenlyOverTheDoors(t *testing.T) {
+	const doors, backends = 300, 100
+	at := make([]int, backends)
+	for n := range doors {
+		d := New(terms(), uint64(n))
+		var e gate.Fleet
+		for b := range backends {
+			e.Entries = append(e.Entries, gate.Entry{Backend: b})
+		}
+		d.list(e)
+		for _, b := range d.fleet.order[:memberMin] {
+			at[b]++
+		}
+	}
+	for _, n := range at {
+		assert.InDelta(t, doors*memberMin/backends, n, 20, "the deviation of chance is 4.7")
+	}
+}
+
+func TestASuccessorUnderAUsedIndexIsDrawnAnew(t *testing.T) {
+	d := door(3)
+	rank := d.fleet.rank[1]
+	d.list(gate.Fleet{Entries: []gate.Entry{{Backend: 1, Since: 5}}})
+	assert.Equal(t, rank, d.fleet.rank[1], "the same one, restarted")
+	d.list(gate.Fleet{Entries: []gate.Entry{{Backend: 1, Status: gate.Gone}}})
+	d.delist()
+	d.list(gate.Fleet{Entries: []gate.Entry{{Backend: 1}}})
+	assert.NotEqual(t, rank, d.fleet.rank[1])
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -142,6 +143,10 @@
 	workAt     float64       // clock of that figure, ms
 	coldLeft   []int         // operations that it may still get in a window while it is cold
 	coldUntil  []float64     // end of that window, ms
+	rank       []float64     // drawn once; the door keeps to the lowest
+	order      []int         // backends by rank
+	sends      float64       // transmissions per ms, averaged
+	sendsAt    float64       // clock of that figure, ms
 }
 
 // suspicion is the sequential test of one backend, for one profile or as a whole.
@@ -193,6 +198,17 @@
 	return float64(judged) / float64(max(1, listed))
 }
 
+// rerank puts the listed backends in order.
+func (f *fleet) rerank() {
+	f.order = f.order[:0]
+	for b, up := range f.up {
+		if up {
+			f.order = append(f.order, b)
+		}
+	}
+	slices.SortFunc(f.order, func(a, b int) int { return cmp.Compare(f.rank[a], f.rank[b]) })
+}
+
 func (f *fleet) grow(n, plans int) {
 	for len(f.up) < n {
 		f.up, f.zone, f.cell = append(f.up, false), append(f.zone, 0), append(f.cell, 0)
@@ -201,6 +217,7 @@
 		for r := range f.cases {
 			f.cases[r] = append(f.cases[r], suspicion{})
 		}
+		f.rank = append(f.rank, 0)
 		f.pace, f.fullUntil = append(f.pace, 1), append(f.fullUntil, make([]float64, plans))
 		f.coldLeft, f.coldUntil = append(f.coldLeft, 0), append(f.coldUntil, 0)
 	}
