--- a/lab/command/command.go
+++ b/lab/command/command.go
@@ -288,11 +288,13 @@
 
 func hunt() *cobra.Command {
 	var h run.Hunt
+	var doors int
+	var sets []string
 	var out string
 	cmd := &cobra.Command{Use: "hunt SCENARIO", Short: "Search the faults for the worst day or a broken rule, cut it down, write it as a scenario",
 		Args: cobra.ExactArgs(1), ValidArgs: scenarios.Names(),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			s, err := changed(args[0], 0, nil)
+			s, err := changed(args[0], doors, sets)
 			if err != nil {
 				return err
 			}
@@ -325,6 +327,8 @@
 	f.StringSliceVar(&h.Only, "only", nil, "kinds of fault to try")
 	f.StringVar(&h.Policy, "policy", rival.Swifthall, strings.Join(rival.Names, ", "))
 	f.StringVar(&out, "out", "found.toml", "file for the scenario")
+	f.IntVar(&doors, "doors", 0, "number of doors in place of the scenario's")
+	f.StringArrayVar(&sets, "set", nil, "KEY=VALUE of the scenario file; may be repeated")
 	f.IntVar(&h.Jobs, "jobs", 0, "days at once; 0 for one a core")
 	return cmd
 }
--- a/lab/model/door.go
+++ b/lab/model/door.go
@@ -382,6 +382,9 @@
 		}
 	}
 	d.closing = d.closing[:0]
+	if d.wakeAt > 0 { // asked for before, with something due earlier
+		d.wake(w, d.wakeAt)
+	}
 }
 
 // answer gives an operation its one answer.
--- a/lab/model/model_test.go
+++ b/lab/model/model_test.go
@@ -176,6 +176,53 @@
 	assert.Equal(t, trace.Finished, try.answer)
 }
 
+// sleeper asks once to be woken, and notes when it is.
+type sleeper struct {
+	asked bool
+	woken *float64
+}
+
+func (d *sleeper) Decide(now float64, events []gate.Event) (out []gate.Action) {
+	for _, e := range events {
+		switch e := e.(type) {
+		case gate.Operation:
+			out = append(out, gate.Reject{Op: e.Op})
+		case gate.Woken:
+			*d.woken = now - epoch
+		}
+	}
+	if !d.asked {
+		d.asked = true
+		out = append(out, gate.Wake{At: now + 20})
+	}
+	return out
+}
+
+// A hunt found an operation answered 50 ms after its client's wait: its door's wake was lost where it decided on
+// something else before.
+func TestAWakeOutlivesADecisionBeforeIt(t *testing.T) {
+	s := read(t, "")
+	woken := 0.0
+	w := New(s, 1, Maker{New: func(gate.Terms, uint64, Sight) gate.Decider { return &sleeper{woken: &woken} }}, &kept{})
+	d := w.doors[0]
+	d.start(w)
+	turn := func(at float64) {
+		w.now = at
+		w.ready = append(w.ready[:0], d)
+		w.decide()
+	}
+	turn(0)
+	w.now = 5
+	d.submit(w, &Try{want: &want{units: 1, until: 5000}, until: 1000})
+	turn(5)
+	for len(w.q.heap) > 0 && woken == 0 {
+		if next := w.q.pop(); next.kind == dueDoor && next.n == 0 {
+			turn(next.at)
+		}
+	}
+	assert.Equal(t, 20.0, woken)
+}
+
 // caller makes one call of the counter for each operation.
 type caller struct{ heard *int }
 
