--- a/lab/judge/rules.go
+++ b/lab/judge/rules.go
@@ -102,7 +102,7 @@
 }
 
 func NewRules(d *Deal) *Rules {
-	return &Rules{deal: d, Count: map[Rule]int{}, tries: map[int]*try{}, told: map[pair]telling{},
+	return &Rules{deal: d, Breaches: []Breach{}, Count: map[Rule]int{}, tries: map[int]*try{}, told: map[pair]telling{},
 		cold: map[int]*trace.ColdBudget{}, fallen: map[int]bool{}, ceilings: map[int]*store{}}
 }
 
