--- a/policy/policy.go
+++ b/policy/policy.go
@@ -79,7 +79,7 @@
 	coldBlind = 2.0  // operations that the doors together send a cold backend in a window, knowing no warm one
 	workSpan  = 10e3 // ms over which work sent to a backend is averaged
 	sameOdds  = 1e-3 // odds left to a backend that has had the operation, where there is another
-	memberGap = 2e3  // ms between operations to one member: idle connections are closed, evidence ages
+	memberGap = 1e3  // ms between operations to one member: idle connections are closed, evidence ages
 	memberMin = 8    // members at least; as many as may fail at once and leave some
 	roomPower = 3.0  // how fast thought room falls with own work out; less leaves queues at some and others idle
 	askRest   = 1e3  // ms between calls for the fleet list after one failed
