Reread: a door's waiter shares no state with the world; what rivals take alike stands once

Found in the change: the goroutine that waits for a door's program read fields that the world's goroutine writes (lab/stand/door.go); now one flag between them. Gone: a pass-through (World.outside), a parameter that was always true (address.set), a default that run.All has already. Rivals hear the list and left clients through one function.

--- a/lab/model/discovery.go
+++ b/lab/model/discovery.go
@@ -79,7 +79,7 @@
 		return
 	}
 	if d.outer != nil {
-		w.outside(d, n)
+		d.note(w, n)
 		d.outer.List(n.whole, lines(w, n))
 		return
 	}
--- a/lab/model/door.go
+++ b/lab/model/door.go
@@ -94,7 +94,7 @@
 		d.life++
 		d.up, d.leaving, d.tracking = true, false, true
 		w.tell(trace.Event{Kind: trace.Started, Door: d.id})
-		w.outside(d, known)
+		d.note(w, known)
 		d.outer.Start(lines(w, known))
 		w.pass(d, w.whole())
 		return
--- a/lab/model/outer.go
+++ b/lab/model/outer.go
@@ -42,9 +42,6 @@
 	return out
 }
 
-// outside books what an outer door is told as it is written to it.
-func (w *World) outside(d *door, n news) { d.note(w, n) }
-
 // process tells doors outside that a backend's process has ended or begun.
 func (w *World) process(b *backend) {
 	for _, d := range w.doors {
--- a/lab/rival/rival.go
+++ b/lab/rival/rival.go
@@ -78,6 +78,16 @@
 	}
 }
 
+// hear takes in what every rival takes alike.
+func (b *base) hear(e gate.Event) {
+	switch e := e.(type) {
+	case gate.Fleet:
+		b.list(e)
+	case gate.Vanished:
+		b.ops[e.Op].open = false
+	}
+}
+
 func (b *base) list(e gate.Fleet) {
 	if e.Failed {
 		return
@@ -169,9 +179,8 @@
 func (f *floor) Decide(now float64, events []gate.Event) []gate.Action {
 	f.begin()
 	for _, e := range events {
+		f.hear(e)
 		switch e := e.(type) {
-		case gate.Fleet:
-			f.list(e)
 		case gate.Operation:
 			f.arrive(now, e)
 			if len(f.listed) == 0 {
@@ -183,8 +192,6 @@
 			if f.ended(e) {
 				f.end(e.Op, 0)
 			}
-		case gate.Vanished:
-			f.ops[e.Op].open = false
 		}
 	}
 	return f.actions
@@ -212,9 +219,8 @@
 func (t *textbook) Decide(now float64, events []gate.Event) []gate.Action {
 	t.begin()
 	for _, e := range events {
+		t.hear(e)
 		switch e := e.(type) {
-		case gate.Fleet:
-			t.list(e)
 		case gate.Operation:
 			t.arrive(now, e)
 			t.retries = min(budgetMost, t.retries+budgetShare)
@@ -227,8 +233,6 @@
 			if t.ended(e) && !t.again(now, e.Op) {
 				t.end(e.Op, 0)
 			}
-		case gate.Vanished:
-			t.ops[e.Op].open = false
 		}
 	}
 	return t.actions
@@ -333,9 +337,8 @@
 func (o *oracle) Decide(now float64, events []gate.Event) []gate.Action {
 	o.begin()
 	for _, e := range events {
+		o.hear(e)
 		switch e := e.(type) {
-		case gate.Fleet:
-			o.list(e)
 		case gate.Operation:
 			op := o.arrive(now, e)
 			contract, alone := o.terms.Profiles[op.profile].Contract, o.sight.Work(op.profile)
@@ -357,8 +360,6 @@
 			} else {
 				o.end(e.Op, 0)
 			}
-		case gate.Vanished:
-			o.ops[e.Op].open = false
 		}
 	}
 	return o.actions
--- a/lab/run/cores.go
+++ /dev/null
@@ -1,5 +0,0 @@
-package run
-
-import "runtime"
-
-func cores() int { return runtime.GOMAXPROCS(0) }
--- a/lab/run/hunt.go
+++ b/lab/run/hunt.go
@@ -65,9 +65,6 @@
 	if len(kinds) == 0 {
 		return nil, fmt.Errorf("hunt: no kind of fault is left to try")
 	}
-	if h.Jobs <= 0 {
-		h.Jobs = cores()
-	}
 	batch := huntKeeps * 2 // a fixed number, so that a seed hunts alike on any machine
 	var best []*candidate
 	played := 0
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"sync"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -186,7 +187,7 @@
 // All plays days side by side, at most so many at once (0 for one a core), and returns their results in order.
 func All(ctx context.Context, days []One, most int, progress func(i int, done float64)) ([]*Result, error) {
 	if most <= 0 {
-		most = cores()
+		most = runtime.GOMAXPROCS(0)
 	}
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
--- a/lab/stand/backend.go
+++ b/lab/stand/backend.go
@@ -57,13 +57,11 @@
 }
 
 // set has the address follow its backend's process: with a new life all connections are reset.
-func (a *address) set(up, renewed bool) {
+func (a *address) set(up bool) {
 	a.mu.Lock()
 	ln := a.ln
-	if renewed || !up {
-		for nc := range a.conns {
-			reset(nc)
-		}
+	for nc := range a.conns {
+		reset(nc)
 	}
 	if !up && ln != nil {
 		a.ln = nil
--- a/lab/stand/beside.go
+++ b/lab/stand/beside.go
@@ -67,7 +67,7 @@
 // Run plays the rounds, and searches each one's knee. tell hears each turn as it ends.
 func (b Beside) Run(ctx context.Context, tell func(name string, rate float64, o *load.Outcome)) (rows []Row, knees map[string]float64, err error) {
 	ctx, stop := context.WithCancel(ctx)
-	f := &fleet{ctx: ctx, play: &Play{Scenario: &instant, Binary: b.Binary}, closer: nil}
+	f := &fleet{ctx: ctx, play: &Play{Scenario: &instant, Binary: b.Binary}}
 	f.over.Store(true) // no world plays: the backends here answer at once
 	defer f.group.Wait()
 	defer f.close()
--- a/lab/stand/door.go
+++ b/lab/stand/door.go
@@ -37,6 +37,7 @@
 	backends  []*address
 	stop      context.CancelFunc // of an embedded door
 	cmd       *exec.Cmd
+	ending    *atomic.Bool // the program is meant to end; its waiter reads it
 	fault     atomic.Pointer[error]
 	life      int
 }
@@ -165,10 +166,10 @@
 		d.fail(err)
 		return
 	}
-	d.cmd = cmd
-	life := d.life
+	ending := new(atomic.Bool)
+	d.cmd, d.ending = cmd, ending
 	d.f.later(func() {
-		if err := cmd.Wait(); err != nil && !d.f.over.Load() && d.life == life && d.cmd == cmd {
+		if err := cmd.Wait(); err != nil && !d.f.over.Load() && !ending.Load() {
 			d.fail(fmt.Errorf("its program ended: %w", err))
 		}
 	})
@@ -181,6 +182,7 @@
 	}
 	if cmd := d.cmd; cmd != nil {
 		d.cmd = nil
+		d.ending.Store(true)
 		_ = cmd.Process.Kill()
 	}
 	d.clients.drop()
@@ -209,7 +211,7 @@
 // Process follows a backend's process at this door's address of it.
 func (d *door) Process(backend int, up bool) {
 	if backend < len(d.backends) {
-		d.backends[backend].set(up, true)
+		d.backends[backend].set(up)
 	}
 }
 
--- a/lab/stand/stand_test.go
+++ b/lab/stand/stand_test.go
@@ -139,11 +139,11 @@
 	f.over.Store(true) // no world plays here
 	a, err := newAddress(f, 0, 0)
 	require.NoError(t, err)
-	a.set(false, true)
+	a.set(false)
 	_, err = net.Dial("tcp", a.at)
 	assert.Error(t, err)
 	f.over.Store(false)
-	a.set(true, true)
+	a.set(true)
 	nc, err := net.Dial("tcp", a.at)
 	require.NoError(t, err)
 	f.over.Store(true)
