--- a/lab/account/account.go
+++ b/lab/account/account.go
@@ -51,8 +51,8 @@
 	doors map[int]*door
 	wants map[int]*want
 	tries map[int]*try
-	quota map[int]*store
-	ideal map[int]*store
+	quota map[int]*judge.Store
+	ideal map[int]*judge.Store
 	parts map[string]*tally
 	asked []float64 // gain by window
 	tried []int     // tries by window
@@ -60,13 +60,6 @@
 	sums  struct{ first, conns, calls, probes, sent int }
 }
 
-type store struct{ level, at float64 }
-
-func (s *store) fill(at float64, p *gate.Plan) float64 {
-	s.level, s.at = min(p.Depth, s.level+p.Rate*(at-s.at)), at
-	return s.level
-}
-
 type want struct {
 	at, gain float64
 	inside   bool
@@ -99,7 +92,7 @@
 }
 
 func NewBook(d *judge.Deal) *Book {
-	return &Book{deal: d, doors: map[int]*door{}, wants: map[int]*want{}, tries: map[int]*try{}, quota: map[int]*store{}, ideal: map[int]*store{},
+	return &Book{deal: d, doors: map[int]*door{}, wants: map[int]*want{}, tries: map[int]*try{}, quota: map[int]*judge.Store{}, ideal: map[int]*judge.Store{},
 		parts: map[string]*tally{}}
 }
 
@@ -204,20 +197,20 @@
 	b.wants[e.Want] = w
 	s := b.ideal[e.Customer]
 	if s == nil {
-		s = &store{p.Depth, e.At}
+		s = &judge.Store{Level: p.Depth, At: e.At}
 		b.ideal[e.Customer] = s
 	}
-	if w.inside = p.Rate == 0 || s.fill(e.At, p) >= e.Units-1e-9; w.inside {
-		s.level -= e.Units
+	if w.inside = p.Rate == 0 || s.Fill(e.At, p.Rate, p.Depth) >= e.Units-1e-9; w.inside {
+		s.Level -= e.Units
 		b.asked = grow(b.asked, int(e.At/window))
 		b.asked[int(e.At/window)] += w.gain
 	}
 }
 
-func (b *Book) store(t *try, at float64) *store {
+func (b *Book) store(t *try, at float64) *judge.Store {
 	s := b.quota[t.customer]
 	if s == nil {
-		s = &store{b.deal.Plans[t.plan].Depth, at}
+		s = &judge.Store{Level: b.deal.Plans[t.plan].Depth, At: at}
 		b.quota[t.customer] = s
 	}
 	return s
@@ -231,8 +224,8 @@
 	}
 	t.sent = true
 	p, w := &b.deal.Plans[t.plan], b.wants[t.want]
-	if s := b.store(t, e.At); p.Rate == 0 || s.fill(e.At, p) >= t.units-1e-9 {
-		s.level -= t.units
+	if s := b.store(t, e.At); p.Rate == 0 || s.Fill(e.At, p.Rate, p.Depth) >= t.units-1e-9 {
+		s.Level -= t.units
 	} else if w != nil {
 		b.lose("sent beyond the quota", b.deal.OverCost[t.plan]*w.gain, w.at, e.At, e.Door)
 	}
@@ -251,7 +244,7 @@
 	at := int(e.At / window)
 	b.roomy = grow(b.roomy, at)
 	name := e.Answer.String() + ", " + e.Why.String()
-	if e.Answer == trace.Rejected && p.Rate > 0 && b.store(t, e.At).fill(e.At, p) >= room*p.Depth {
+	if e.Answer == trace.Rejected && p.Rate > 0 && b.store(t, e.At).Fill(e.At, p.Rate, p.Depth) >= room*p.Depth {
 		b.roomy[at]++
 		name += ", with room"
 	}
--- a/lab/judge/rules.go
+++ b/lab/judge/rules.go
@@ -64,7 +64,7 @@
 	told     map[pair]telling
 	cold     map[int]*trace.ColdBudget
 	fallen   map[int]bool
-	ceilings map[int]*store
+	ceilings map[int]*Store
 	nextLook float64
 }
 
@@ -89,21 +89,22 @@
 	never      bool // known never to have run
 }
 
-type store struct {
-	level, at float64
-	plan      int
+// Store is a quota's or a ceiling's: it fills at a rate up to a depth.
+type Store struct {
+	Level float64 // units
+	At    float64 // clock of that, ms
+	plan  int
 }
 
-// fill brings the store to a clock and takes units from it.
-func (s *store) take(at, rate, depth, units float64) (level float64) {
-	s.level = min(depth, s.level+rate*(at-s.at)) - units
-	s.at = at
-	return s.level
+// Fill brings the store to a clock and returns what it holds.
+func (s *Store) Fill(at, rate, depth float64) float64 {
+	s.Level, s.At = min(depth, s.Level+rate*(at-s.At)), at
+	return s.Level
 }
 
 func NewRules(d *Deal) *Rules {
 	return &Rules{deal: d, Breaches: []Breach{}, Count: map[Rule]int{}, tries: map[int]*try{}, told: map[pair]telling{},
-		cold: map[int]*trace.ColdBudget{}, fallen: map[int]bool{}, ceilings: map[int]*store{}}
+		cold: map[int]*trace.ColdBudget{}, fallen: map[int]bool{}, ceilings: map[int]*Store{}}
 }
 
 func (r *Rules) breach(rule Rule, e *trace.Event, format string, args ...any) {
@@ -212,9 +213,9 @@
 }
 
 // forgetFull drops the stores that are full again: a new one would say the same.
-func forgetFull(of map[int]*store, at float64, rate, depth func(plan int) float64) {
+func forgetFull(of map[int]*Store, at float64, rate, depth func(plan int) float64) {
 	for c, s := range of {
-		if s.level+rate(s.plan)*(at-s.at) >= depth(s.plan) {
+		if s.Level+rate(s.plan)*(at-s.At) >= depth(s.plan) {
 			delete(of, c)
 		}
 	}
@@ -281,12 +282,13 @@
 	}
 	s := r.ceilings[t.customer]
 	if s == nil {
-		s = &store{level: p.CeilingDepth, at: e.At, plan: t.plan}
+		s = &Store{Level: p.CeilingDepth, At: e.At, plan: t.plan}
 		r.ceilings[t.customer] = s
 	}
 	slack := r.deal.CeilingSlack[t.plan] + r.deal.CeilingSlackMs*p.CeilingRate
-	if level := s.take(e.At, p.CeilingRate, p.CeilingDepth, t.units); level < -slack-1e-9 {
-		r.breach(CeilingKept, e, "customer %d is %.2f units over its ceiling, with a slack of %.2f", t.customer, -level, slack)
+	s.Fill(e.At, p.CeilingRate, p.CeilingDepth)
+	if s.Level -= t.units; s.Level < -slack-1e-9 {
+		r.breach(CeilingKept, e, "customer %d is %.2f units over its ceiling, with a slack of %.2f", t.customer, -s.Level, slack)
 	}
 }
 
--- a/lab/judge/service.go
+++ b/lab/judge/service.go
@@ -76,7 +76,7 @@
 	spareW  []*want
 	tries   map[int]*sold
 	spareT  []*sold
-	ideal   map[int]*store // what one door that saw all first tries would let in
+	ideal   map[int]*Store // what one door that saw all first tries would let in
 	quota   map[int]*quota
 	recent  *hdrhistogram.Histogram
 	present int
@@ -96,7 +96,7 @@
 }
 
 type quota struct {
-	store
+	Store
 	out int
 }
 
@@ -109,7 +109,7 @@
 
 func NewService(d *Deal) *Service {
 	s := &Service{deal: d, Plans: make([]Tally, len(d.Plans)), Profs: make([]Tally, len(d.Profiles)),
-		wants: map[int]*want{}, tries: map[int]*sold{}, ideal: map[int]*store{}, quota: map[int]*quota{},
+		wants: map[int]*want{}, tries: map[int]*sold{}, ideal: map[int]*Store{}, quota: map[int]*quota{},
 		recent: hdrhistogram.New(1, histMost, 2)}
 	for range d.Profiles {
 		s.Latency = append(s.Latency, hdrhistogram.New(1, histMost, histDigits))
@@ -221,12 +221,12 @@
 	s.wants[e.Want] = w
 	b := s.ideal[e.Customer]
 	if b == nil {
-		b = &store{level: p.Depth, at: e.At, plan: e.Plan}
+		b = &Store{Level: p.Depth, At: e.At, plan: e.Plan}
 		s.ideal[e.Customer] = b
 	}
-	inside := p.Rate == 0 || b.take(e.At, p.Rate, p.Depth, 0) >= e.Units-1e-9
+	inside := p.Rate == 0 || b.Fill(e.At, p.Rate, p.Depth) >= e.Units-1e-9
 	if inside {
-		b.level -= e.Units
+		b.Level -= e.Units
 	}
 	for _, t := range s.tallies(w) {
 		t.Asked++
@@ -239,7 +239,7 @@
 func (s *Service) quotaOf(customer, plan int, at float64) *quota {
 	q := s.quota[customer]
 	if q == nil {
-		q = &quota{store: store{level: s.deal.Plans[plan].Depth, at: at, plan: plan}}
+		q = &quota{Store: Store{Level: s.deal.Plans[plan].Depth, At: at, plan: plan}}
 		s.quota[customer] = q
 	}
 	return q
@@ -258,10 +258,10 @@
 	q := s.quotaOf(t.customer, t.plan, e.At)
 	if !t.sent {
 		t.sent = true
-		t.inside = (p.Rate == 0 || q.take(e.At, p.Rate, p.Depth, 0) >= t.units-1e-9) && (p.AtOnce == 0 || q.out < p.AtOnce)
+		t.inside = (p.Rate == 0 || q.Fill(e.At, p.Rate, p.Depth) >= t.units-1e-9) && (p.AtOnce == 0 || q.out < p.AtOnce)
 		s.Costs.SentUnits += t.units
 		if t.inside {
-			q.level -= t.units
+			q.Level -= t.units
 		} else {
 			s.Costs.BeyondUnits += t.units
 			s.charge(t.want, s.deal.OverCost[t.plan], true)
@@ -325,7 +325,7 @@
 		s.Costs.Rejected++
 		sec.Rejected++
 		p := &s.deal.Plans[t.plan]
-		if q := s.quotaOf(t.customer, t.plan, e.At); p.Rate > 0 && q.take(e.At, p.Rate, p.Depth, 0) >= roomShare*p.Depth {
+		if q := s.quotaOf(t.customer, t.plan, e.At); p.Rate > 0 && q.Fill(e.At, p.Rate, p.Depth) >= roomShare*p.Depth {
 			s.Costs.WithRoom++
 		}
 	} else {
@@ -383,7 +383,7 @@
 	rate, depth := func(p int) float64 { return s.deal.Plans[p].Rate }, func(p int) float64 { return s.deal.Plans[p].Depth }
 	forgetFull(s.ideal, float64(present)*1000, rate, depth)
 	for c, q := range s.quota {
-		if q.out == 0 && q.level+rate(q.plan)*(float64(present)*1000-q.at) >= depth(q.plan) {
+		if q.out == 0 && q.Level+rate(q.plan)*(float64(present)*1000-q.At) >= depth(q.plan) {
 			delete(s.quota, c)
 		}
 	}
