Doors log an account of their answers by cause every 5 s

Each door now writes one line every 5 s of its clock with the operations that arrived, the transmissions sent and the rejections and scraps by cause (frontdoor/tally.go); single operations are still never logged.

--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -85,6 +85,7 @@
 	asked     bool // discovery has been, once
 	deaf      bool // no more connections are wanted
 	listener  *net.TCPListener
+	tally     tally
 }
 
 const (
@@ -171,6 +172,7 @@
 		for len(c.pending) > 0 {
 			c.decide()
 		}
+		c.tally.due(c.now, c.log)
 		if c.sweep(); c.gone() {
 			return
 		}
@@ -180,7 +182,7 @@
 
 // next is the clock at which something is due.
 func (c *core) next() float64 {
-	at := c.sweepAt
+	at := min(c.sweepAt, c.tally.at)
 	if c.wakeAt > 0 {
 		at = min(at, c.wakeAt)
 	}
@@ -213,12 +215,15 @@
 func (c *core) act(a gate.Action) {
 	switch a := a.(type) {
 	case gate.Send:
+		c.tally.sent++
 		c.send(a)
 	case gate.Cancel:
 		c.abandon(c.ops[a.Op].flights[a.Transmission], endLeftUnsent, endLeft)
 	case gate.Reject:
+		c.tally.rejected[min(a.Why, gate.Causes-1)]++
 		c.answer(a.Op, http.StatusTooManyRequests, a.RetryAfter, nil)
 	case gate.Scrap:
+		c.tally.scrapped[min(a.Why, gate.Causes-1)]++
 		c.answer(a.Op, http.StatusBadGateway, 0, nil)
 	case gate.Wake:
 		c.wakeAt = a.At
@@ -271,6 +276,7 @@
 		return
 	}
 	c.ids[n.op.ID] = struct{}{}
+	c.tally.arrived++
 	if len(c.free) == 0 {
 		c.free = append(c.free, len(c.ops))
 		c.ops = append(c.ops, operation{})
--- /dev/null
+++ b/frontdoor/tally.go
@@ -0,0 +1,48 @@
+package frontdoor
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/fields"
+)
+
+// tallyEvery is the clock between two accounts in the log, ms: a day of the fleet's is some tens of seconds, and a
+// line a door every 5 s keeps a log of hundreds of doors readable.
+const tallyEvery = 5e3
+
+// tally counts what a door did since its last account, so that the logs of a whole fleet can be added up; the log
+// still never tells single operations.
+type tally struct {
+	at                 float64 // clock of the next account, ms; 0 before the first
+	arrived, sent      int
+	rejected, scrapped [gate.Causes]int
+}
+
+// fields is the account as log fields: counts that are 0 are left out.
+func (t *tally) fields() logrus.Fields {
+	f := logrus.Fields{fields.Arrived: t.arrived, fields.Sent: t.sent}
+	for why := range gate.Causes {
+		if n := t.rejected[why]; n > 0 {
+			f[fields.Rejected+why.String()] = n
+		}
+		if n := t.scrapped[why]; n > 0 {
+			f[fields.Scrapped+why.String()] = n
+		}
+	}
+	return f
+}
+
+// due writes the account when its time has come and begins the next one; it returns the clock of the next.
+func (t *tally) due(now float64, log logrus.FieldLogger) float64 {
+	if t.at == 0 {
+		t.at = now + tallyEvery
+	}
+	if now >= t.at {
+		if t.arrived > 0 || t.sent > 0 {
+			log.WithFields(t.fields()).Info("account")
+		}
+		*t = tally{at: now + tallyEvery}
+	}
+	return t.at
+}
--- a/internal/fields/fields.go
+++ b/internal/fields/fields.go
@@ -7,3 +7,11 @@
 	Discovery = "discovery" // address of the fleet list
 	Counter   = "counter"   // address of the shared counter
 )
+
+// Fields of a door's account, written every few seconds: counts since the account before.
+const (
+	Arrived  = "arrived"   // operations that came in
+	Sent     = "sent"      // transmissions started
+	Rejected = "rejected_" // followed by the cause: operations rejected for it
+	Scrapped = "scrapped_" // followed by the cause: operations scrapped for it
+)
