A fresh meter word with most of the store left lets in what a thin part cannot hold

A customer spread over 40 to 80 doors gives each door a part of a fortieth or less of its store, which holds no operation: alone a careful part is harmless, at 80 doors the parts of doors that do not see the customer stay unused. The counter, which could tell, answers some 400 calls a second, under half of the fleet's operations, so most operations go by part.

Checked with a probe (not kept) counting, at each rejection over_part, the meter's word: of 1,846, 990 had a word under two meter periods old, 806 of them leaving over half of the whole store.

At fault: policy.secure, which took only the door's part once an operation went past a crowded counter. Now a meter word under two periods old that leaves 0.7 of the depth after the operation lets it in, charged to the word (policy.metered), not to the part; ceilings are checked as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,6 +37,8 @@
 	trimOver    = 2.0  // meter periods in which parts are trimmed to the quota; the meter's word is one old
 	trimLeast   = 0.2  // least that a part is cut to, of itself
 	heardFor    = 15e3 // ms that a word of others' use is believed
+	wordFresh   = 2.0  // meter periods in which a word tells the store: it comes up to a period late, of a period
+	storeLeast  = 0.7  // share of the depth that the meter's store must keep to let in what a thin part cannot hold
 	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page),
 	idleFull    = 15e3 // and one that is full again; others' use is no longer known by then
 	sweepEvery  = 1e3  // ms between looks for idle buckets; there may be thousands
@@ -321,14 +323,29 @@
 		}
 	}
 	wait, why := d.shortfall(k, o.units)
+	metered := wait > 0 && why == gate.OverPart && d.ceilingWait(k, o.units) == 0 && d.metered(k, o.units)
+	if metered {
+		wait = 0
+	}
 	if wait > 0 {
 		d.giveUp(i, wait, why)
 	} else {
-		d.promise(k, o, true)
+		d.promise(k, o, !metered)
 	}
 	return wait == 0
 }
 
+// metered tells whether the meter's fresh word leaves the customer's whole store over half full after the operation:
+// then a part too thin to hold it, as at a door of many that sees the customer seldom, keeps nothing out. What is
+// let in so is taken from the word, so that one word lets in no more than the store held.
+func (d *Door) metered(k *bucket, units float64) bool {
+	if d.now-k.heard >= wordFresh*d.terms.MeterPeriod || k.store-units <= storeLeast*d.terms.Plans[k.plan].Depth {
+		return false
+	}
+	k.store -= units
+	return true
+}
+
 // askHome asks the customer's home door and tells whether its answer is awaited. A door that leaves two Asks
 // in a row unanswered counts as mute and the next is asked; where none is left, this door goes by its part.
 func (d *Door) askHome(o *operation, k *bucket) bool {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -718,3 +718,43 @@
 	d.list(gate.Fleet{Entries: []gate.Entry{{Backend: 1}}})
 	assert.NotEqual(t, rank, d.fleet.rank[1])
 }
+
+// meteredDoor has operation 0 of two units held, gone past a crowded counter, at a door whose part is empty.
+func meteredDoor(heardAgo float64) *Door {
+	d := door(2)
+	d.terms.Counter = true
+	e := arriving(0, replayable, plain)
+	e.Units = 2
+	d.arrive(e)
+	d.ops[0].uncounted = true
+	k := &d.buckets[0]
+	k.level, k.heard, k.store = 0, d.now-heardAgo, 12
+	return d
+}
+
+// At a door of many, the part of a customer seen seldom holds no operation: a fresh word of the meter that leaves the
+// whole store full lets it in, and takes its units from what the word left.
+func TestAFreshMeterWordLetsInWhatAThinPartCannotHold(t *testing.T) {
+	d := meteredDoor(500)
+	assert.True(t, d.secure(0))
+	assert.InDelta(t, 10, d.buckets[0].store, 1e-9)
+	assert.Zero(t, d.ops[0].charge, "the part is not put in debt")
+}
+
+func TestAStaleMeterWordLetsNothingPastThePart(t *testing.T) {
+	d := meteredDoor(2 * wordFresh * 1000)
+	assert.False(t, d.secure(0))
+	assert.Equal(t, rejected, d.ops[0].want)
+	assert.Equal(t, gate.OverPart, d.ops[0].why)
+}
+
+func TestAMeterWordIsNotSpentTwice(t *testing.T) {
+	d := meteredDoor(500)
+	d.buckets[0].store = 12
+	require.True(t, d.secure(0))
+	e := arriving(1, replayable, plain)
+	e.Units = 2
+	d.arrive(e)
+	d.ops[1].uncounted = true
+	assert.False(t, d.secure(1), "8 units would be left of the word's 12, under the share it must keep")
+}
