--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,8 +37,8 @@
 	trimOver    = 2.0  // meter periods in which parts are trimmed to the quota; the meter's word is one old
 	trimLeast   = 0.2  // least that a part is cut to, of itself
 	heardFor    = 15e3 // ms that a word of others' use is believed
-	wordFresh   = 2.0  // meter periods in which a word tells the store: it comes up to a period late, of a period
-	storeLeast  = 0.7  // share of the depth that the meter's store must keep to let in what a thin part cannot hold
+	wordFresh   = 2.0  // meter periods in which a word tells the store: it comes a period late at most
+	storeLeast  = 0.7  // share of the depth the meter's store keeps after what a thin part cannot hold
 	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page),
 	idleFull    = 15e3 // and one that is full again; others' use is no longer known by then
 	sweepEvery  = 1e3  // ms between looks for idle buckets; there may be thousands
@@ -335,11 +335,12 @@
 	return wait == 0
 }
 
-// metered tells whether the meter's fresh word leaves the customer's whole store over half full after the operation:
-// then a part too thin to hold it, as at a door of many that sees the customer seldom, keeps nothing out. What is
-// let in so is taken from the word, so that one word lets in no more than the store held.
+// metered tells whether the meter's fresh word leaves most of the customer's whole store after the operation:
+// then a part too thin to hold it, as at a door of many that sees the customer seldom, keeps nothing out.
+// What is let in so is taken from the word, so that one word lets in no more than the store held.
 func (d *Door) metered(k *bucket, units float64) bool {
-	if d.now-k.heard >= wordFresh*d.terms.MeterPeriod || k.store-units <= storeLeast*d.terms.Plans[k.plan].Depth {
+	fresh := d.now-k.heard < wordFresh*d.terms.MeterPeriod
+	if !fresh || k.store-units <= storeLeast*d.terms.Plans[k.plan].Depth {
 		return false
 	}
 	k.store -= units
