Calls to the counter ask no more than the door's own demand takes in the window's rest

A probe (not kept) at each of count's ways out: 1,331 came from a bar set when the counter's answer left less room than the operation needed; none from the rule against repeats at a crowded counter.

Cause: each call asked for a lump, up to the door's even slice of the room, or all of it where the counter was crowded (policy.count). The counter counts a lump as used at once; a door that meets the customer once in many seconds uses one operation of it before the window turns. Harmless at one door, at 80 the lumps took the window's room and the doors that came later were barred while the units lay unused elsewhere.

Change: a call asks for the lump, but no more than the customer's demand at this door (k.demand, units/ms) takes in what is left of the window, and never less than the operation's units.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -494,7 +494,10 @@
 		}
 	default:
 		c.calling, c.least = true, o.units
-		c.asked = max(o.units, min(1, countLump/d.calling)*c.room/float64(k.spread)) // crowded, fewer and larger
+		// Crowded, fewer and larger; but no more than this door's demand takes in the window's rest: the lumps of
+		// doors that see the customer seldom are counted at all and used at none.
+		lump := min(1, countLump/d.calling) * c.room / float64(k.spread)
+		c.asked = max(o.units, min(lump, k.demand*left))
 		d.calls = append(d.calls, gate.Count{Customer: o.customer, Epoch: n, Add: c.asked + c.owed - c.back,
 			Keep: left + askFor})
 		c.owed = 0
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -758,3 +758,25 @@
 	d.ops[1].uncounted = true
 	assert.False(t, d.secure(1), "8 units would be left of the word's 12, under the share it must keep")
 }
+
+// callingWith returns the units that a door calls for from the counter for an operation of two units, with the window's
+// room at 12 units and the customer's demand at this door as given, units/ms.
+func callingWith(demand float64) float64 {
+	d := door(2)
+	d.terms.Counter = true
+	e := arriving(0, replayable, plain)
+	e.Spread, e.Units = 1, 2
+	d.arrive(e)
+	k := &d.buckets[0]
+	n, _ := d.window(k)
+	k.level, k.demand, k.count = 0, demand, counting{window: n, room: 12, before: 12, fill: 0.002}
+	d.count(&d.ops[0], k)
+	return d.calls[0].(gate.Count).Add
+}
+
+// A door that sees a customer seldom would hold a lump of the window's room that only it may use, and the lumps of
+// many such doors would leave others with none: it calls for what its demand takes in the rest of the window.
+func TestACallAsksNoMoreThanTheDoorsDemandTakes(t *testing.T) {
+	assert.Equal(t, 2.0, callingWith(0), "its own units")
+	assert.Equal(t, 6.0, callingWith(1), "a lump of half the room")
+}
