Nothing is taken from a client connection after its last answer has left

Two causes, found with a print (not kept) of why an answer was its connection's last:

- the test: heard read 4,096 bytes and parsed one answer, dropping the next where both came in one read; and the door under test took its socket budget from the descriptors the whole test process held, so that a loaded run was short of sockets and closed after one answer. heardEach keeps what one read brings beyond an answer; the served door of the tests has 1,000 sockets.
- the door: once an answer closed its connection (sockets short, the client's own last, or a write that failed), the client goroutine went on to the operation its client had sent behind it and passed it on.
It ran at a backend and its answer had no way back: an effect without an answer, and twice where the client repeats it. client.take now stops after the last answer (client.ended).

Tests: TestNothingIsTakenBehindAConnectionsLastAnswer fails without the change; the pipelined test passes 60 of 60 under load.

--- a/frontdoor/client.go
+++ b/frontdoor/client.go
@@ -20,6 +20,7 @@
 	nc    net.Conn
 	wrote chan struct{} // an answer has left
 	shut  atomic.Bool   // no more operations are wanted on it
+	ended atomic.Bool   // its last answer has left, or could not: nothing more is taken from it
 	began float64       // clock, ms
 
 	// The owner's.
@@ -67,7 +68,10 @@
 func (cl *client) take(r *reading, p []byte) bool {
 	at := cl.c.clock.now()
 	for len(p) > 0 {
-		cl.await(r) // nothing is gathered ahead: a connection holds one body at a time
+		cl.await(r)          // nothing is gathered ahead: a connection holds one body at a time
+		if cl.ended.Load() { // what its client sent behind would run with no way to answer it
+			return false
+		}
 		if !r.in.Begun() {
 			r.first = at
 		}
@@ -184,6 +188,7 @@
 // answer writes an operation's answer, and closes the connection behind the last one.
 func (cl *client) answer(answer []byte, last bool) {
 	if !cl.write(answer) || last {
+		cl.ended.Store(true)
 		cl.nc.Close()
 	}
 	cl.wrote <- struct{}{}
--- a/frontdoor/core_test.go
+++ b/frontdoor/core_test.go
@@ -75,19 +75,27 @@
 }
 
 // heard reads one answer.
-func heard(t *testing.T, nc net.Conn) http1.Answer {
+func heard(t *testing.T, nc net.Conn) http1.Answer { return heardEach(t, nc, 1)[0] }
+
+// heardEach reads n answers, which may come in one read: what one read brings beyond an answer is the next's.
+func heardEach(t *testing.T, nc net.Conn, n int) []http1.Answer {
 	var in http1.Answers
-	buf := make([]byte, 4096)
+	var got []http1.Answer
+	buf, rest := make([]byte, 4096), []byte(nil)
 	nc.SetReadDeadline(time.Now().Add(10 * time.Second))
-	for {
-		n, err := nc.Read(buf)
-		require.NoError(t, err)
-		if _, whole, err := in.Feed(buf[:n]); whole {
-			return in.Take()
-		} else {
+	for len(got) < n {
+		if len(rest) == 0 {
+			k, err := nc.Read(buf)
 			require.NoError(t, err)
+			rest = buf[:k]
+		}
+		used, whole, err := in.Feed(rest)
+		require.NoError(t, err)
+		if rest = rest[used:]; whole {
+			got = append(got, in.Take())
 		}
 	}
+	return got
 }
 
 func TestEveryEndHasItsResult(t *testing.T) {
@@ -290,6 +298,17 @@
 	assert.False(t, c.ops[0].client.shut.Load(), "one that is owed an answer stays")
 }
 
+// A client that sends its next operation before the answer that closes its connection gets no answer for it: run,
+// it would have its effect unanswered, and a repeat of the client's would have it twice.
+func TestNothingIsTakenBehindAConnectionsLastAnswer(t *testing.T) {
+	c, _ := owned(t)
+	cl := newClient(c, dialled(t, standIn(t, keep)))
+	cl.answer(http1.AppendAnswer(nil, http.StatusOK, 0, nil, true), true)
+	r := reading{owed: true}
+	assert.False(t, cl.take(&r, []byte(look)))
+	assert.Empty(t, c.notes, "nothing is passed on")
+}
+
 func TestWhenSocketsAreShortAnAnswerIsItsConnectionsLast(t *testing.T) {
 	c, client := owned(t)
 	for c.budget.take(c.budget.kept) {
--- a/frontdoor/serve_test.go
+++ b/frontdoor/serve_test.go
@@ -94,7 +94,7 @@
 	require.NoError(t, err)
 	free.Close()
 	cfg := settled()
-	cfg.Listen = free.Addr().String()
+	cfg.Listen, cfg.Sockets = free.Addr().String(), 1000 // short of sockets only where a test means it
 	cfg.Discovery = standIn(t, registryOf(standIn(t, backendOf(may)), make(chan string, 9), keep))
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -142,11 +142,13 @@
 func TestOperationsGoThroughOneAfterTheOther(t *testing.T) {
 	addr, _, _ := serving(t, open(), sends(nil))
 	nc := dialled(t, addr)
-	status, body := say(t, nc, look+strings.Replace(look, "a1", "a2", 1)) // pipelined
-	assert.Equal(t, "200 hi", fmt.Sprint(status, " ", body))
-	assert.Equal(t, "hi", string(heard(t, nc).Body))
+	_, err := io.WriteString(nc, look+strings.Replace(look, "a1", "a2", 1)) // pipelined
+	require.NoError(t, err)
+	both := heardEach(t, nc, 2)
+	assert.Equal(t, "200 hi", fmt.Sprint(both[0].Status, " ", string(both[0].Body)))
+	assert.Equal(t, "hi", string(both[1].Body))
 	big := strings.Repeat("x", 65535)
-	status, body = say(t, nc, strings.Replace(strings.Replace(look, "GET /look", "POST /book", 1), "\r\n\r\n",
+	status, body := say(t, nc, strings.Replace(strings.Replace(look, "GET /look", "POST /book", 1), "\r\n\r\n",
 		fmt.Sprintf("\r\nIdempotency-Key: m\r\nContent-Length: %d\r\n\r\n", len(big)), 1)+big)
 	assert.Equal(t, http.StatusBadGateway, status, "an answer over the most that a body may hold is none")
 	assert.Empty(t, body)
@@ -156,7 +158,7 @@
 	assert.Equal(t, "200 hi", fmt.Sprint(status, " ", body), "the connection goes on")
 	status, _ = say(t, nc, "nonsense\r\n\r\n")
 	assert.Equal(t, http.StatusBadRequest, status)
-	_, err := nc.Read(make([]byte, 1))
+	_, err = nc.Read(make([]byte, 1))
 	assert.Error(t, err, "and ends after noise")
 }
 
