--- a/frontdoor/tally.go
+++ b/frontdoor/tally.go
@@ -7,9 +7,9 @@
 	"github.com/swifthall/swifthall/internal/fields"
 )
 
-// tallyEvery is the clock between two accounts in the log, ms: a day of the fleet's is some tens of seconds, and a
+// AccountEvery is the clock between two accounts in the log, ms: a day of the fleet's is some tens of seconds, and a
 // line a door every 5 s keeps a log of hundreds of doors readable.
-const tallyEvery = 5e3
+const AccountEvery = 5e3
 
 // tally counts what a door did since its last account, so that the logs of a whole fleet can be added up; the log
 // still never tells single operations.
@@ -36,13 +36,13 @@
 // due writes the account when its time has come and begins the next one; it returns the clock of the next.
 func (t *tally) due(now float64, log logrus.FieldLogger) float64 {
 	if t.at == 0 {
-		t.at = now + tallyEvery
+		t.at = now + AccountEvery
 	}
 	if now >= t.at {
 		if t.arrived > 0 || t.sent > 0 {
 			log.WithFields(t.fields()).Info("account")
 		}
-		*t = tally{at: now + tallyEvery}
+		*t = tally{at: now + AccountEvery}
 	}
 	return t.at
 }
--- a/lab/command/command.go
+++ b/lab/command/command.go
@@ -33,7 +33,7 @@
 func New() *cobra.Command {
 	root := &cobra.Command{Use: "lab", Short: "The laboratory: play scenarios, compare, sweep, hunt, load",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(play(), list(), accounts(), compare(), sweep(), hunt(), loads(), beside(), proxy())
+	root.AddCommand(play(), list(), accounts(), tallies(), compare(), sweep(), hunt(), loads(), beside(), proxy())
 	return root
 }
 
--- /dev/null
+++ b/lab/command/tally.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"github.com/swifthall/swifthall/frontdoor"
+	"github.com/swifthall/swifthall/lab/tally"
+)
+
+func tallies() *cobra.Command {
+	return &cobra.Command{Use: "tally DIR|LOG...",
+		Short: "Add up the accounts in the logs of a fleet's doors: operations arrived, sent, rejected and scrapped by cause",
+		Long: "Reads each LOG, or every *.log in DIR, as one door's log, and adds up the accounts that doors write every " +
+			"5 s: over the whole day and for each window of the doors' own clocks.",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			logs, err := named(args)
+			if err != nil {
+				return err
+			}
+			var f tally.Fleet
+			for _, name := range logs {
+				if err := door(&f, name); err != nil {
+					return err
+				}
+			}
+			f.Print(cmd.OutOrStdout(), frontdoor.AccountEvery)
+			return nil
+		}}
+}
+
+// named lists the logs that the arguments name: files as they are, and the *.log files of a folder.
+func named(args []string) ([]string, error) {
+	var logs []string
+	for _, a := range args {
+		info, err := os.Stat(a)
+		if err != nil {
+			return nil, err
+		}
+		if !info.IsDir() {
+			logs = append(logs, a)
+			continue
+		}
+		in, err := filepath.Glob(filepath.Join(a, "*.log"))
+		if err != nil {
+			return nil, err
+		}
+		if len(in) == 0 {
+			return nil, fmt.Errorf("%s: no *.log in it", a)
+		}
+		logs = append(logs, in...)
+	}
+	return logs, nil
+}
+
+func door(f *tally.Fleet, name string) error {
+	r, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	if err := f.Door(r); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/tally/tally.go
@@ -0,0 +1,148 @@
+// Package tally adds up, over a fleet, the accounts that doors write in their logs every few seconds: the
+// frontdoor's "account" lines, in logfmt as logrus writes them. Each door's life begins at its "serving" line;
+// a life's n-th account is window n, so that the doors' windows line up by their own clocks whatever the wall
+// clock of the log says. Counts are of operations (arrived, rejected_<cause>, scrapped_<cause>) and of
+// transmissions (sent).
+package tally
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/go-logfmt/logfmt"
+
+	"github.com/swifthall/swifthall/internal/fields"
+)
+
+// The messages that a door's log words a start and an account with.
+const (
+	started = "serving"
+	account = "account"
+)
+
+// Counts holds counts by field name.
+type Counts map[string]int
+
+// Fleet is what the logs of a fleet's doors add up to.
+type Fleet struct {
+	Lives   int      // doors' lives: a door that started again counts twice
+	Windows []Counts // window n: the n-th account of every life, added up
+	Whole   Counts
+}
+
+// Door reads one door's log and adds its accounts to the fleet. Lines that are not logfmt, or accounts with a
+// count that is not a whole number, are errors naming the line and the key; nothing of the log is added then.
+func (f *Fleet) Door(r io.Reader) error {
+	var lives [][]Counts
+	d := logfmt.NewDecoder(bufio.NewReader(r))
+	for line := 1; d.ScanRecord(); line++ {
+		rec := map[string]string{}
+		for d.ScanKeyval() {
+			rec[string(d.Key())] = string(d.Value())
+		}
+		if err := d.Err(); err != nil {
+			return fmt.Errorf("line %d: %w", line, err)
+		}
+		switch rec["msg"] {
+		case started:
+			lives = append(lives, nil)
+		case account:
+			c, err := counts(rec)
+			if err != nil {
+				return fmt.Errorf("line %d: %w", line, err)
+			}
+			if len(lives) == 0 { // a log that begins after the start
+				lives = append(lives, nil)
+			}
+			lives[len(lives)-1] = append(lives[len(lives)-1], c)
+		}
+	}
+	if err := d.Err(); err != nil {
+		return fmt.Errorf("after the last line: %w", err)
+	}
+	f.add(lives)
+	return nil
+}
+
+// counts takes the counts of one account line.
+func counts(rec map[string]string) (Counts, error) {
+	c := Counts{}
+	for k, v := range rec {
+		if !counted(k) {
+			continue
+		}
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 0 {
+			return nil, fmt.Errorf("key %q: %q is no count", k, v)
+		}
+		c[k] = n
+	}
+	return c, nil
+}
+
+func counted(k string) bool {
+	return k == fields.Arrived || k == fields.Sent || strings.HasPrefix(k, fields.Rejected) ||
+		strings.HasPrefix(k, fields.Scrapped)
+}
+
+func (f *Fleet) add(lives [][]Counts) {
+	if f.Whole == nil {
+		f.Whole = Counts{}
+	}
+	for _, life := range lives {
+		f.Lives++
+		for n, c := range life {
+			for len(f.Windows) <= n {
+				f.Windows = append(f.Windows, Counts{})
+			}
+			for k, v := range c {
+				f.Windows[n][k] += v
+				f.Whole[k] += v
+			}
+		}
+	}
+}
+
+// Keys are the fields counted anywhere: arrived and sent first, then the others by their whole count, most first.
+func (f *Fleet) Keys() []string {
+	rest := slices.DeleteFunc(slices.Collect(maps.Keys(f.Whole)), func(k string) bool {
+		return k == fields.Arrived || k == fields.Sent
+	})
+	slices.SortFunc(rest, func(a, b string) int {
+		if f.Whole[a] != f.Whole[b] {
+			return f.Whole[b] - f.Whole[a]
+		}
+		return cmp.Compare(a, b)
+	})
+	return append([]string{fields.Arrived, fields.Sent}, rest...)
+}
+
+// Print writes the fleet as a table: a row for each field, its whole count, its share of the operations that
+// arrived, and its count in each window.
+func (f *Fleet) Print(w io.Writer, every float64) {
+	t := tabwriter.NewWriter(w, 2, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "%d lives of doors\t\twhole\tof arrived\t", f.Lives)
+	for n := range f.Windows {
+		fmt.Fprintf(t, "%.0f s\t", float64(n+1)*every/1e3)
+	}
+	fmt.Fprintln(t)
+	for _, k := range f.Keys() {
+		share := 0.0
+		if a := f.Whole[fields.Arrived]; a > 0 {
+			share = float64(f.Whole[k]) / float64(a)
+		}
+		fmt.Fprintf(t, "%s\t\t%d\t%.3f\t", k, f.Whole[k], share)
+		for _, c := range f.Windows {
+			fmt.Fprintf(t, "%d\t", c[k])
+		}
+		fmt.Fprintln(t)
+	}
+	t.Flush()
+}
