--- a/frontdoor/tally.go
+++ b/frontdoor/tally.go
@@ -33,8 +33,8 @@
 	return f
 }
 
-// due writes the account when its time has come and begins the next one; it returns the clock of the next.
-func (t *tally) due(now float64, log logrus.FieldLogger) float64 {
+// due writes the account when its time has come and begins the next one.
+func (t *tally) due(now float64, log logrus.FieldLogger) {
 	if t.at == 0 {
 		t.at = now + AccountEvery
 	}
@@ -44,5 +44,4 @@
 		}
 		*t = tally{at: now + AccountEvery}
 	}
-	return t.at
 }
--- a/frontdoor/tally_test.go
+++ b/frontdoor/tally_test.go
@@ -16,10 +16,9 @@
 	tl := tally{at: 5e3, arrived: 7, sent: 5}
 	tl.rejected[gate.OverPart] = 2
 
-	next := tl.due(5e3, log)
+	tl.due(5e3, log)
 
 	require.Len(t, hook.AllEntries(), 1)
 	assert.Equal(t, logrus.Fields{"arrived": 7, "sent": 5, "rejected_over_part": 2}, hook.LastEntry().Data)
-	assert.Equal(t, 10e3, next)
 	assert.Equal(t, tally{at: 10e3}, tl)
 }
