--- a/config/deal.go
+++ b/config/deal.go
@@ -15,11 +15,35 @@
 type Deal struct {
 	Terms           gate.Terms
 	Profiles, Plans map[string]int
-	ConnIdle        float64 // a backend closes a connection idle for this long, ms; 0 where not told
-	ConnectTimeout  float64 // a connection that takes longer is given up, ms
-	CounterTimeout  float64 // a call of the counter that takes longer is given up, ms
-	LongestWait     float64 // no client waits longer, ms
-	MostUnits       float64 // no operation takes more; 0 where not told
+	ConnIdle        float64  // a backend closes a connection idle for this long, ms; 0 where not told
+	ConnectTimeout  float64  // a connection that takes longer is given up, ms
+	CounterTimeout  float64  // a call of the counter that takes longer is given up, ms
+	LongestWait     float64  // no client waits longer, ms
+	MostUnits       float64  // no operation takes more; 0 where not told
+	Reports         []string // what the values of a load report are, in their order; empty where answers hold none
+}
+
+// Names of the values of a load report that the decisions know. Others are skipped.
+const (
+	reportService = "recent_ms"
+	reportQueue   = "backlog"
+)
+
+// Load words a report: its values in the order of Reports.
+func (d *Deal) Load(row []float64) (gate.Load, error) {
+	load := gate.NoLoad
+	if len(row) > len(d.Reports) {
+		return load, fmt.Errorf("%d values where the settings name %d", len(row), len(d.Reports))
+	}
+	for i, v := range row {
+		switch {
+		case d.Reports[i] == reportService && v > 0:
+			load.Service = v
+		case d.Reports[i] == reportQueue && v >= 0:
+			load.Queue = v
+		}
+	}
+	return load, nil
 }
 
 var semantics = map[string]gate.Semantics{
@@ -53,6 +77,8 @@
 		CeilingRate  float64 `json:"never_over_rate"`
 		CeilingBurst float64 `json:"ceiling_burst"`
 		Pays         float64 `json:"pays"`
+		BeyondEarns  float64 `json:"beyond_earns"`
+		OverCost     float64 `json:"over_cost"`
 	} `json:"tariffs"`
 	Extra struct {
 		Metering       float64 `json:"metering"`
@@ -60,7 +86,12 @@
 		Counter        bool    `json:"counter"`
 		CounterTimeout float64 `json:"counter_timeout"`
 		UnitsTop       float64 `json:"units_top"`
+		PostPaid       bool    `json:"post_paid"`
 	} `json:"extra"`
+	Reporting struct {
+		How   string   `json:"how"`
+		Names []string `json:"names"`
+	} `json:"reporting"`
 	Limits struct {
 		Cancel         bool    `json:"cancel"`
 		ConnIdle       float64 `json:"conn_idle"`
@@ -90,7 +121,7 @@
 			Doors: s.FleetSize, Number: s.MyNumber,
 			MaxTransmissions: s.Limits.MaxAttempts, SecondCopies: s.Limits.SecondCopies,
 			MayCancel: s.Limits.Cancel, MeterPeriod: s.Extra.Metering * msPerSecond,
-			Counter: s.Extra.Counter, MustAsk: s.Registry == "ask",
+			Counter: s.Extra.Counter, PostPaid: s.Extra.PostPaid, MustAsk: s.Registry == "ask",
 			ColdFrom: s.Safety.ColdFrom, ColdFor: s.Safety.Cold * msPerSecond,
 			FallMultiple: s.Safety.FallMultiple, FallWindow: s.Safety.TipAfter * msPerSecond,
 		},
@@ -100,6 +131,13 @@
 		CounterTimeout: s.Extra.CounterTimeout * msPerSecond,
 		MostUnits:      s.Extra.UnitsTop,
 	}
+	switch s.Reporting.How {
+	case "inline":
+		d.Reports = s.Reporting.Names
+	case "", "off", "on_probe": // the decisions probe nothing
+	default:
+		return Deal{}, fmt.Errorf("key \"settings.reporting.how\": unknown word %q", s.Reporting.How)
+	}
 	if s.Limits.RetryAfter {
 		d.Terms.MaxRetryAfter = s.Limits.MaxRetryAfter * msPerSecond
 	}
@@ -127,6 +165,7 @@
 		d.Terms.Plans = append(d.Terms.Plans, gate.Plan{
 			Rate: p.Rate / msPerSecond, Depth: p.Depth, AtOnce: p.AtOnce,
 			CeilingRate: p.CeilingRate / msPerSecond, CeilingDepth: p.CeilingBurst, Price: p.Pays,
+			Beyond: p.BeyondEarns, OverCost: p.OverCost,
 		})
 	}
 	return d, nil
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -64,6 +64,8 @@
 	CeilingRate  float64 // units per ms; 0 means no ceiling
 	CeilingDepth float64 // most units the ceiling's store holds
 	Price        float64 // multiplies the gain
+	Beyond       float64 // share of its gain that an operation earns where it is sent beyond the quota
+	OverCost     float64 // share of its gain that sending it beyond the quota costs
 }
 
 // Terms are what a door is told at its start.
@@ -76,6 +78,7 @@
 	MayCancel        bool    // Cancel is allowed
 	MaxRetryAfter    float64 // longest advice a client follows, ms; 0 where none may be given
 	MeterPeriod      float64 // period over which the meter totals use, ms; 0 means no meter
+	PostPaid         bool    // units are a guess; the true ones come with the answer
 	MailRate         float64 // messages per ms that a door takes in; 0 where doors may not write
 	Counter          bool    // a shared counter may be called
 	MustAsk          bool    // changes of the fleet list come only after Track
@@ -105,8 +108,19 @@
 	Latency                   float64 // ms
 	Over                      bool    // the operation has its final answer
 	Use                       float64 // metered use as a share of the rate; negative when not told
+	Units                     float64 // true units, where the operation's were a guess; 0 when not told
+	Load                      Load
 }
 
+// Load is what a backend reported of itself with an answer. It comes late and is a little noisy.
+type Load struct {
+	Service float64 // recent service time without waiting, ms; 0 when not told
+	Queue   float64 // operations waiting; negative when not told
+}
+
+// NoLoad is that of an answer without a report.
+var NoLoad = Load{Queue: -1}
+
 // Streaming reports that the answer has begun and belongs to the client from here on.
 type Streaming struct{ Op, Transmission int }
 
--- a/internal/wire/door.go
+++ b/internal/wire/door.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 
+	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
 	"github.com/swifthall/swifthall/internal/index"
 )
@@ -13,7 +14,7 @@
 type door struct {
 	decider                                gate.Decider
 	pending                                []gate.Event
-	profiles, plans                        map[string]int
+	deal                                   config.Deal
 	ops, backends, customers, zones, cells index.Table[string]
 	out                                    []int  // transmissions outstanding, by operation
 	over                                   []bool // final answer known, by operation
@@ -21,8 +22,8 @@
 	closing                                []int // operations that may be droppable at the end of the batch
 }
 
-func newDoor(profiles, plans map[string]int) *door {
-	return &door{profiles: profiles, plans: plans, ops: index.New[string](), backends: index.New[string](),
+func newDoor(deal config.Deal) *door {
+	return &door{deal: deal, ops: index.New[string](), backends: index.New[string](),
 		customers: index.New[string](), zones: index.New[string](), cells: index.New[string](),
 		counts: map[uint64]*counting{}}
 }
@@ -65,7 +66,7 @@
 	},
 	"HEARD": func(d *door, f *fields) gate.Event {
 		d.pending = append(d.pending, readMail(need[int](f, "src"), maybe[string](f, "contents"),
-			&d.customers, len(d.plans))...)
+			&d.customers, len(d.deal.Plans))...)
 		return nil
 	},
 	"TOTAL": (*door).counted,
@@ -119,7 +120,7 @@
 	id := need[string](f, "op_id")
 	ev := gate.Operation{TTL: need[float64](f, "ttl") * msPerSecond, Units: need[float64](f, "cost_units"),
 		Repeat: maybe[int](f, "marks")&markRepeat != 0, First: maybe[int](f, "first_door"), Spread: need[int](f, "spread"),
-		Profile: choice(f, "kind", d.profiles), Plan: choice(f, "tier", d.plans)}
+		Profile: choice(f, "kind", d.deal.Profiles), Plan: choice(f, "tier", d.deal.Plans)}
 	customer := need[string](f, "customer")
 	if f.fault != nil {
 		return nil
@@ -137,7 +138,12 @@
 	op, known := d.op(f)
 	ev := gate.Ended{Op: op, Transmission: need[int](f, "send_no"), Backend: d.backend(f),
 		Result: choice(f, "outcome", results), Latency: need[float64](f, "latency") * msPerSecond,
-		Over: maybe[bool](f, "over"), Use: (maybe[float64](f, "fleet_use") - 1) / 100}
+		Over: maybe[bool](f, "over"), Use: (maybe[float64](f, "fleet_use") - 1) / 100,
+		Units: maybe[float64](f, "final_units")}
+	var err error
+	if ev.Load, err = d.deal.Load(maybe[[]float64](f, "telemetry")); err != nil {
+		f.fail("telemetry", "%w", err)
+	}
 	if !known {
 		f.fail("op_id", "unknown operation")
 	}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -99,7 +99,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("event BORN: %w", err)
 			}
-			d = newDoor(deal.Profiles, deal.Plans)
+			d = newDoor(deal)
 			h.doors[p.door] = d
 			if text := guard(func() { d.decider = h.build(deal.Terms, seed) }); text != "" {
 				return append(out, giveIn(text)), nil
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,6 +61,7 @@
 	openEvery   = 300. // ms until a door asks again for a customer that has all out that it may at once
 	grantedFor  = 5e3  // ms in which a grant is forgotten whose end was not heard, as messages are lost
 	homeCeiling = 0.6  // share of a ceiling that the home door keeps; over half of it covers the quota
+	beyondRest  = 10e3 // ms after pressure seen in which nothing goes beyond a quota; a pressed fleet comes back in waves
 	debtShare   = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
 
 	// Health of backends.
@@ -92,7 +93,7 @@
 func New(t gate.Terms, seed uint64) *Door {
 	return &Door{terms: t, dice: newDice(seed), ask: t.MustAsk, lat: make([]latency, len(t.Profiles)),
 		out: make([]int, len(t.Profiles)), born: -1, peers: make([]peer, t.Doors),
-		calling: 1, before: 1, cutAt: math.Inf(-1), crowdedAt: math.Inf(-1),
+		calling: 1, before: 1, pressedAt: math.Inf(-1), cutAt: math.Inf(-1), crowdedAt: math.Inf(-1),
 		fleet: fleet{cases: make([][]suspicion, len(t.Profiles)+1)}}
 }
 
@@ -174,9 +175,15 @@
 	k.demand += o.units / demandSpan
 	k.phase = e.Phase
 	k.open++
+	if d.hold(o) > 0 {
+		d.pressedAt = d.now
+	}
 	local, wait, why := d.home(k) < 0 && !d.counts(k), 0.0, gate.OverQuota
+	charged := true
 	if local {
-		wait, why = d.shortfall(k, o.units)
+		if wait, why = d.shortfall(k, o.units); wait > 0 && d.welcome(o, k) {
+			wait, charged = 0, false
+		}
 	} else if o.units >= k.barredUnits {
 		wait = k.barred - d.now
 	}
@@ -185,7 +192,7 @@
 		return
 	}
 	if local {
-		d.promise(k, o, true)
+		d.promise(k, o, charged)
 	}
 	if hold := d.hold(o); d.tooLong(o, hold) {
 		d.reject(e.Op, d.drain(o.profile), gate.Pressed)
@@ -335,6 +342,18 @@
 	return wait == 0
 }
 
+// welcome tells whether an operation beyond its customer's quota is sent all the same: where its plan earns more by
+// that than it costs, its ceiling holds it, and the fleet is not pressed. It takes nothing from the quota.
+func (d *Door) welcome(o *operation, k *bucket) bool {
+	return d.open(k) && d.ceilingWait(k, o.units) == 0
+}
+
+// open tells whether a customer's quota keeps nothing out for now.
+func (d *Door) open(k *bucket) bool {
+	p := &d.terms.Plans[k.plan]
+	return p.Beyond > p.OverCost && d.now >= d.pressedAt+beyondRest
+}
+
 // metered tells whether the meter's fresh word leaves most of the customer's whole store after the operation:
 // then a part too thin to hold it, as at a door of many that sees the customer seldom, keeps nothing out.
 // What is let in so is taken from the word, so that one word lets in no more than the store held.
@@ -453,7 +472,9 @@
 // quota fills the whole depth. The doors may add to it the level at its beginning, and what refills since.
 // A crowded counter is called for fewer operations; others go by part.
 
-func (d *Door) counts(k *bucket) bool { return d.terms.Counter && d.terms.Plans[k.plan].Rate > 0 }
+func (d *Door) counts(k *bucket) bool {
+	return d.terms.Counter && d.terms.Plans[k.plan].Rate > 0 && !d.open(k)
+}
 
 // window numbers a customer's windows, which turn at a time of its own, and tells what is left of this one.
 func (d *Door) window(k *bucket) (n int64, left float64) {
