A thin door with slow first samples no longer rejects a profile for good

Checked: a door's figures by second. At fault: drain() returned the low for a profile under lowAfter samples, also with nothing in flight; at doors of one operation a second the first 16 samples take ten seconds and more.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -608,18 +608,19 @@
 	return firstGuess * contract
 }
 
-// drain is the time in which a profile's operations in flight finish at the recent best rate, ms; with too
-// few samples to know a rate, the low. What is in flight by chance is no backlog.
+// drain is the time in which a profile's operations in flight finish at the recent best rate, ms; with too few
+// samples to know a rate, one a low. What is in flight by chance is no backlog, and nothing in flight is none: a door
+// of few operations whose first samples were slow would else reject all, and never have another.
 func (d *Door) drain(profile int) float64 {
-	l := &d.lat[profile]
-	if l.samples < lowAfter {
-		return d.low(profile)
+	l, best := &d.lat[profile], 1/d.low(profile)
+	if l.samples >= lowAfter {
+		best = l.best
 	}
 	n := float64(d.out[profile])
 	if contract := d.terms.Profiles[profile].Contract; l.recent < l.low+marginShare*contract {
 		n = max(0, n-float64(l.late)) // what does come back is fast: these are lost
 	}
-	return (n - chance*math.Sqrt(n)) / l.best
+	return (n - chance*math.Sqrt(n)) / best
 }
 
 // recent is a profile's recent latency. Silence gives no sample, so what is out longer than that adds its
