--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,37 +32,38 @@
 	tickEvery   = 20.0 // ms between looks at what waits; small beside every contract time
 
 	// Quotas.
-	demandSpan  = 4e3  // ms over which demand is averaged; a few operations of a middling customer
-	priorDemand = 0.25 // share of the rate's worth of evidence that the even slice counts for
-	trimOver    = 2.0  // meter periods in which parts are trimmed to the quota; the meter's word is one old
-	trimLeast   = 0.2  // least that a part is cut to, of itself
-	heardFor    = 15e3 // ms that a word of others' use is believed
-	wordFresh   = 2.0  // meter periods in which a word tells the store: it comes a period late at most
-	storeLeast  = 0.7  // share of the depth the meter's store keeps after what a thin part cannot hold
-	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page),
-	idleFull    = 15e3 // and one that is full again; others' use is no longer known by then
-	sweepEvery  = 1e3  // ms between looks for idle buckets; there may be thousands
-	seqSpan     = 1e6  // Asks are numbered from a random number under this, apart from a former life's
-	mailEvery   = 40.  // ms between messages to one door; three doors then fill two thirds of what each takes in
-	countLump   = 0.5  // of a door's even slice of the room last seen on the counter, that one call asks for
-	easyLevel   = 0.6  // share of its depth left at this door over which a customer is counted with a later call
-	countGain   = 0.03 // by which the share of calls made grows with each answer,
-	countCut    = 0.5  // and what is left of it after a call without one: a few calls in a hundred fail
-	countAll    = 0.4  // share of calls under which a miss has them saved for customers whose part is small,
-	countLeast  = 0.05 // least of that share
-	crowdedFor  = 20e3 // for this time, ms; shorter, calls came back in waves that crowded it again
-	awayAfter   = 8    // calls in a row without a word: the counter was away, as a crowded one answers some
-	askFor      = 120. // ms to wait for another door's answer; a few ways there and back
-	askTwice    = 2    // Asks without an answer in a row after which a door counts as mute; one may be lost
-	muteFor     = 1e3  // ms that a mute door is not asked
-	homes       = 3    // doors of a set that may be asked, the next one where those before are mute
-	barShare    = 0.5  // asks for a customer turned away come at most about twice as often as its units fill,
-	barMost     = 2e3  // but each door asks again after this time, ms: the surge may be over
-	openEvery   = 300. // ms until a door asks again for a customer that has all out that it may at once
-	grantedFor  = 5e3  // ms in which a grant is forgotten whose end was not heard, as messages are lost
-	homeCeiling = 0.6  // share of a ceiling that the home door keeps; over half of it covers the quota
-	beyondRest  = 10e3 // ms after pressure seen in which nothing goes beyond a quota; a pressed fleet comes back in waves
-	debtShare   = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
+	demandSpan    = 4e3  // ms over which demand is averaged; a few operations of a middling customer
+	priorDemand   = 0.25 // share of the rate's worth of evidence that the even slice counts for
+	trimOver      = 2.0  // meter periods in which parts are trimmed to the quota; the meter's word is one old
+	trimLeast     = 0.2  // least that a part is cut to, of itself
+	heardFor      = 15e3 // ms that a word of others' use is believed
+	wordFresh     = 2.0  // meter periods in which a word tells the store: it comes a period late at most
+	storeLeast    = 0.7  // share of the depth the meter's store keeps after what a thin part cannot hold
+	idleDrop      = 60e3 // ms after which an idle bucket is dropped (design page),
+	idleFull      = 15e3 // and one that is full again; others' use is no longer known by then
+	sweepEvery    = 1e3  // ms between looks for idle buckets; there may be thousands
+	seqSpan       = 1e6  // Asks are numbered from a random number under this, apart from a former life's
+	mailEvery     = 40.  // ms between messages to one door; three doors then fill two thirds of what each takes in
+	countLump     = 0.5  // of a door's even slice of the room last seen on the counter, that one call asks for
+	easyLevel     = 0.6  // share of its depth left at this door over which a customer is counted with a later call
+	countGain     = 0.03 // by which the share of calls made grows with each answer,
+	countCut      = 0.5  // and what is left of it after a call without one: a few calls in a hundred fail
+	countAll      = 0.4  // share of calls under which a miss has them saved for customers whose part is small,
+	countLeast    = 0.05 // least of that share
+	crowdedFor    = 20e3 // for this time, ms; shorter, calls came back in waves that crowded it again
+	awayAfter     = 8    // calls in a row without a word: the counter was away, as a crowded one answers some
+	askFor        = 120. // ms to wait for another door's answer; a few ways there and back
+	askTwice      = 2    // Asks without an answer in a row after which a door counts as mute; one may be lost
+	muteFor       = 1e3  // ms that a mute door is not asked
+	homes         = 3    // doors of a set that may be asked, the next one where those before are mute
+	barShare      = 0.5  // asks for a customer turned away come at most about twice as often as its units fill,
+	barMost       = 2e3  // but each door asks again after this time, ms: the surge may be over
+	openEvery     = 300. // ms until a door asks again for a customer that has all out that it may at once
+	grantedFor    = 5e3  // ms in which a grant is forgotten whose end was not heard, as messages are lost
+	homeCeiling   = 0.6  // share of a ceiling that the home door keeps; over half of it covers the quota
+	pressedWeight = 0.03 // weight of one more; some dozens, half a minute at a door of few
+	openUnder     = 0.08 // share of operations that may meet a hold while one goes beyond its quota; a chance one does
+	debtShare     = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
 
 	// Health of backends.
 	silentRate = 0.1  // a broken backend answers at this share of the expected rate
@@ -93,7 +94,7 @@
 func New(t gate.Terms, seed uint64) *Door {
 	return &Door{terms: t, dice: newDice(seed), ask: t.MustAsk, lat: make([]latency, len(t.Profiles)),
 		out: make([]int, len(t.Profiles)), born: -1, peers: make([]peer, t.Doors),
-		calling: 1, before: 1, pressedAt: math.Inf(-1), cutAt: math.Inf(-1), crowdedAt: math.Inf(-1),
+		calling: 1, before: 1, cutAt: math.Inf(-1), crowdedAt: math.Inf(-1),
 		fleet: fleet{cases: make([][]suspicion, len(t.Profiles)+1)}}
 }
 
@@ -175,9 +176,11 @@
 	k.demand += o.units / demandSpan
 	k.phase = e.Phase
 	k.open++
+	met := 0.0
 	if d.hold(o) > 0 {
-		d.pressedAt = d.now
+		met = 1
 	}
+	d.pressed += pressedWeight * (met - d.pressed)
 	local, wait, why := d.home(k) < 0 && !d.counts(k), 0.0, gate.OverQuota
 	charged := true
 	if local {
@@ -351,7 +354,7 @@
 // open tells whether a customer's quota keeps nothing out for now.
 func (d *Door) open(k *bucket) bool {
 	p := &d.terms.Plans[k.plan]
-	return p.Beyond > p.OverCost && d.now >= d.pressedAt+beyondRest
+	return p.Beyond > p.OverCost && d.pressed < openUnder
 }
 
 // metered tells whether the meter's fresh word leaves most of the customer's whole store after the operation:
--- a/policy/state.go
+++ b/policy/state.go
@@ -283,7 +283,7 @@
 	mail      []letter      // waiting to be written
 	calls     []gate.Action // of the counter, likewise
 	swept     float64       // clock of the last look for idle buckets
-	pressedAt float64       // clock at which an operation last met a hold, ms
+	pressed   float64       // share of recent operations that met a hold at their arrival
 	calling   float64       // share of operations for which the counter is called
 	before    float64       // that share at its latest answer
 	misses    int           // calls without any since
