A backend that turns a plan away again is left alone by it for twice as long

Throttled backends turn one plan away for half a minute; a rest of 250 ms is shorter than the time between two visits of a door with three operations a second, so each visit paid for a refusal of 13 to 28 in 100 of the contract time. The rest begins at 1 s, doubles up to the longest trial gap and halves with each answer. A miss of the counter cuts the share of calls to 0.7 in place of 0.5: calls were under what the counter bears.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,7 +47,7 @@
 	countLump     = 0.5  // of a door's even slice of the room last seen on the counter, that one call asks for
 	easyLevel     = 0.6  // share of its depth left at this door over which a customer is counted with a later call
 	countGain     = 0.03 // by which the share of calls made grows with each answer,
-	countCut      = 0.5  // and what is left of it after a call without one: a few calls in a hundred fail
+	countCut      = 0.7  // and what is left of it after a call without one: a few calls in a hundred fail
 	countAll      = 0.4  // share of calls under which a miss has them saved for customers whose part is small,
 	countLeast    = 0.05 // least of that share
 	crowdedFor    = 20e3 // for this time, ms; shorter, calls came back in waves that crowded it again
@@ -66,17 +66,17 @@
 	debtShare     = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
 
 	// Health of backends.
-	silentRate = 0.1  // a broken backend answers at this share of the expected rate
-	failNats   = 3.0  // evidence in one failed transmission: some 20 times likelier of a broken backend
-	judgeAt    = 6.0  // nats that end the test: one false verdict in some 400 stretches of work
-	priorNats  = 3.0  // nats at which a backend is as likely broken as well; its odds are halved there
-	trialFirst = 1e3  // ms from the verdict to the first trial
-	trialMost  = 8e3  // ms between trials at most
-	paceWeight = 0.1  // weight of a new latency in a backend's pace; some 10 samples
-	mostJudged = 0.6  // share of the listed backends that may stand judged; more is the fleet's trouble
-	rescueAt   = 1.5  // expected latencies after which an operation on a judged backend is sent elsewhere
-	lateLeast  = 0.5  // share of its gain that a late answer must earn to be waited for on a pressed fleet
-	fullRest   = 250. // ms a backend that turned work away is left alone
+	silentRate = 0.1 // a broken backend answers at this share of the expected rate
+	failNats   = 3.0 // evidence in one failed transmission: some 20 times likelier of a broken backend
+	judgeAt    = 6.0 // nats that end the test: one false verdict in some 400 stretches of work
+	priorNats  = 3.0 // nats at which a backend is as likely broken as well; its odds are halved there
+	trialFirst = 1e3 // ms from the verdict to the first trial
+	trialMost  = 8e3 // ms between trials at most
+	paceWeight = 0.1 // weight of a new latency in a backend's pace; some 10 samples
+	mostJudged = 0.6 // share of the listed backends that may stand judged; more is the fleet's trouble
+	rescueAt   = 1.5 // expected latencies after which an operation on a judged backend is sent elsewhere
+	lateLeast  = 0.5 // share of its gain that a late answer must earn to be waited for on a pressed fleet
+	fullRest   = 1e3 // ms a backend that turned work of a plan away is left alone by it, doubled each time again
 
 	// The guards that the rules need.
 	coldShare = 0.8  // share of a cold backend's budget that the doors use; the rest is for chance
@@ -904,6 +904,7 @@
 	f, b := &d.fleet, s.backend
 	switch e.Result {
 	case gate.Finished:
+		f.fullGap[b][o.plan] /= 2
 		for _, c := range f.against(b, o.profile) {
 			c.doubt = max(0, c.doubt+math.Log(silentRate))
 			c.judged = c.judged && c.doubt >= priorNats
@@ -913,7 +914,8 @@
 	case gate.Full:
 		// A back end may turn away one plan alone, so each plan learns for itself; but being turned
 		// away is a sign of pressure, and a sample that no latency gives.
-		f.fullUntil[b][o.plan] = d.now + fullRest
+		f.fullGap[b][o.plan] = min(trialMost, max(fullRest, 2*f.fullGap[b][o.plan]))
+		f.fullUntil[b][o.plan] = d.now + f.fullGap[b][o.plan]
 		l := &d.lat[o.profile]
 		l.recent += smoothing * (d.terms.Profiles[o.profile].Contract - l.recent)
 	case gate.TimedOut, gate.Cancelled:
--- a/policy/state.go
+++ b/policy/state.go
@@ -139,6 +139,7 @@
 	cases      [][]suspicion // by profile, then backend; the last row is for backends as a whole
 	pace       []float64     // its latency over the fleet's
 	fullUntil  [][]float64   // turned work of a plan away; left alone for it until then
+	fullGap    [][]float64   // for so long, ms
 	work       float64       // work sent lately to warm backends, decaying, ms of work
 	workAt     float64       // clock of that figure, ms
 	coldLeft   []int         // operations that it may still get in a window while it is cold
@@ -167,6 +168,7 @@
 		f.cases[r][b] = suspicion{}
 	}
 	clear(f.fullUntil[b])
+	clear(f.fullGap[b])
 }
 
 // against returns what is held against a backend: for the profile, and as a whole.
@@ -219,6 +221,7 @@
 		}
 		f.rank = append(f.rank, 0)
 		f.pace, f.fullUntil = append(f.pace, 1), append(f.fullUntil, make([]float64, plans))
+		f.fullGap = append(f.fullGap, make([]float64, plans))
 		f.coldLeft, f.coldUntil = append(f.coldLeft, 0), append(f.coldUntil, 0)
 	}
 }
