What was asked of the counter in vain no longer bars the next window

Denied calls have added their units, so the total passes the depth many times over; a door that saw that took it for a debt at the next window's turn. At fault: count(), which took the room last seen below nothing into the next window's level.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -493,7 +493,7 @@
 	n, left := d.window(k)
 	if c.window == n-1 { // else others may have emptied it unseen
 		turn := d.now + left - p.Depth/p.Rate
-		level := min(p.Depth, c.room-c.owed+(p.Rate-min(p.Rate, k.others))*(turn-c.seen))
+		level := min(p.Depth, max(0, c.room)-c.owed+(p.Rate-min(p.Rate, k.others))*(turn-c.seen))
 		*c = counting{window: n, fill: p.Rate, before: level, room: level, seen: turn}
 	} else if c.window != n {
 		*c = counting{window: n, fill: p.Rate / float64(k.spread), before: p.Depth}
