--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,7 +61,7 @@
 	openEvery     = 300. // ms until a door asks again for a customer that has all out that it may at once
 	grantedFor    = 5e3  // ms in which a grant is forgotten whose end was not heard, as messages are lost
 	homeCeiling   = 0.6  // share of a ceiling that the home door keeps; over half of it covers the quota
-	pressedWeight = 0.03 // weight of one more; some dozens, half a minute at a door of few
+	pressedWeight = 0.01 // weight of one more; a hundred, some ten to twenty seconds at a door of few
 	openUnder     = 0.08 // share of operations that may meet a hold while one goes beyond its quota; a chance one does
 	debtShare     = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
 
