True units take the place of the guess in part, meter and counter

Where units are a guess (extra.post_paid) the answer tells the true ones (final_units), which the quota counts.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -283,6 +283,15 @@
 	k.sent += o.units / demandSpan
 }
 
+// repay puts an operation's true units in the place of the guess that it was charged by; the difference goes to the
+// counter with the next call.
+func (k *bucket) repay(o *operation, units float64) {
+	more := units - o.units
+	k.level -= more * o.charge / o.units
+	k.sent += more / demandSpan
+	k.count.owed += more
+}
+
 // A customer's set may be so wide that a door's part holds less than one operation. Where doors may write to
 // each other, the units stay in one bucket, at the set's first door, and the others ask it for what their
 // demand needs as they send: the demand-weighted part, one operation at a time.
@@ -863,6 +872,9 @@
 	f.out[s.backend]--
 	d.out[o.profile]--
 	d.refill(o.customer)
+	if e.Units > 0 {
+		k.repay(o, e.Units)
+	}
 	d.hear(k, e.Use)
 	d.judge(o, s, e)
 	if e.Over {
