A crowded counter is called sooner for operations that earn more

Where the counter bears under half of the calls, which operations are counted was chance. Units differ by a factor of eight and gains by three: what goes uncounted, by a part too thin to hold it or as one op too many, now is what earns little.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -172,6 +172,7 @@
 	*o = operation{profile: e.Profile, plan: e.Plan, customer: e.Customer, units: e.Units,
 		came: d.now, until: d.now + e.TTL, repeat: e.Repeat, sends: o.sends[:0]}
 	d.live = append(d.live, e.Op)
+	d.taken++
 	k := d.fill(e.Customer, e.Plan, e.First, e.Spread)
 	k.demand += o.units / demandSpan
 	k.phase = e.Phase
@@ -180,6 +181,7 @@
 	if d.hold(o) > 0 {
 		met = 1
 	}
+	d.usualGain += max(smoothing, 1/float64(d.taken)) * (d.gain(o) - d.usualGain)
 	d.pressed += pressedWeight * (met - d.pressed)
 	local, wait, why := d.home(k) < 0 && !d.counts(k), 0.0, gate.OverQuota
 	charged := true
@@ -521,7 +523,7 @@
 		c.owed += o.units
 	case d.now < k.barred && o.units >= k.barredUnits:
 		return k.barred - d.now
-	case d.now < c.rest || d.dice.roll() > d.calling || d.now < d.crowdedAt+crowdedFor && (o.repeat || dense):
+	case d.now < c.rest || d.dice.roll() > math.Pow(d.calling, d.usualGain/d.gain(o)) || d.now < d.crowdedAt+crowdedFor && (o.repeat || dense):
 		if o.uncounted = true; o.repeat && !dense { // a storm of repeats is not let past the counter that it crowds
 			return left
 		}
@@ -538,6 +540,11 @@
 	return wait
 }
 
+// gain is what an operation earns. A crowded counter is called sooner for one that earns more than others.
+func (d *Door) gain(o *operation) float64 {
+	return d.terms.Profiles[o.profile].Gain * d.terms.Plans[o.plan].Price * o.units
+}
+
 // counted takes a call's answer.
 func (d *Door) counted(e gate.Counted) {
 	k := d.refill(e.Customer)
--- a/policy/state.go
+++ b/policy/state.go
@@ -287,6 +287,8 @@
 	calls     []gate.Action // of the counter, likewise
 	swept     float64       // clock of the last look for idle buckets
 	pressed   float64       // share of recent operations that met a hold at their arrival
+	taken     int           // operations
+	usualGain float64       // smoothed gain of one
 	calling   float64       // share of operations for which the counter is called
 	before    float64       // that share at its latest answer
 	misses    int           // calls without any since
