--- a/policy/policy.go
+++ b/policy/policy.go
@@ -523,7 +523,7 @@
 		c.owed += o.units
 	case d.now < k.barred && o.units >= k.barredUnits:
 		return k.barred - d.now
-	case d.now < c.rest || d.dice.roll() > math.Pow(d.calling, d.usualGain/d.gain(o)) || d.now < d.crowdedAt+crowdedFor && (o.repeat || dense):
+	case d.now < c.rest || d.dice.roll() > math.Pow(d.calling, math.Pow(d.usualGain/d.gain(o), 2)) || d.now < d.crowdedAt+crowdedFor && (o.repeat || dense):
 		if o.uncounted = true; o.repeat && !dense { // a storm of repeats is not let past the counter that it crowds
 			return left
 		}
