A watch on the settings of another shape; the settings that the module reads are checked

Before operators switch they want to see what the new settings would change. The key watch holds a settings object of the same profiles and plans; the door decides by its own as before and its account counts, by kind, where the other would have decided otherwise (differs_sent_beyond, _not_counted, _other_advice, _no_copy, _no_further).

--- a/cmd/swifthall/serve.go
+++ b/cmd/swifthall/serve.go
@@ -63,7 +63,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	door := frontdoor.New(cfg, policy.New(cfg.Deal.Terms, cfg.Seed), log)
+	decider := policy.New(cfg.Deal.Terms, cfg.Seed)
+	decider.Watch(cfg.Watch)
+	door := frontdoor.New(cfg, decider, log)
 	go func() {
 		for range hup {
 			if next, err := config.Again(os.Getenv); err != nil {
--- a/config/config.go
+++ b/config/config.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"reflect"
 	"slices"
 	"strconv"
 
+	"github.com/swifthall/swifthall/gate"
 	"github.com/swifthall/swifthall/internal/registry"
 )
 
@@ -24,6 +26,7 @@
 	MemoryMB, Sockets       int
 	Known                   registry.List
 	Deal                    Deal
+	Watch                   *gate.Terms // terms of another shape that decisions are compared with; nil where there is no watch
 	Pace                    Pace
 	Log                     Log
 	Odd                     []string // keys that nothing reads, each with a word on it
@@ -77,6 +80,7 @@
 	} `json:"limits"`
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
+	Watch    json.RawMessage `json:"watch"`
 	Pace     Pace            `json:"pace"`
 	Log      Log             `json:"log"`
 }
@@ -161,6 +165,7 @@
 		faults = append(faults, err)
 	} else {
 		faults = append(faults, d.check()...)
+		faults = append(faults, d.watch(f.Watch)...)
 	}
 	if err := errors.Join(faults...); err != nil {
 		return Door{Odd: d.Odd}, err
@@ -220,10 +225,6 @@
 	if t.Counter && d.Counter == "" {
 		fault("key \"counter\": missing, though settings.extra.counter is true")
 	}
-	type figure struct {
-		key   string
-		value float64
-	}
 	least := []figure{{"limits.cores", d.Cores}, {"limits.memory_mb", float64(d.MemoryMB)}, {"limits.sockets", float64(d.Sockets)},
 		{"pace.slow_input_ms", d.Pace.SlowInput}, {"pace.idle_client_ms", d.Pace.IdleClient}, {"pace.idle_backend_ms", d.Pace.IdleBackend},
 		{"pace.silence_ms", d.Pace.Silence}, {"pace.dead_counter_ms", d.Pace.DeadCounter},
@@ -234,15 +235,16 @@
 		if p.Contract <= 0 {
 			fault("key \"settings.profiles[%d].aim\": %g", i, p.Contract/msPerSecond)
 		}
+		if p.Gain < 0 {
+			fault("key \"settings.profiles[%d].worth\": below 0", i)
+		}
 	}
 	for i, p := range t.Plans {
 		if p.Rate > 0 && p.Depth <= 0 {
 			fault("key \"settings.tariffs[%d].depth\": %g, though there is a rate", i, p.Depth)
 		}
-		under := fmt.Sprintf("settings.tariffs[%d].", i)
-		least = append(least, []figure{{under + "rate", p.Rate}, {under + "depth", p.Depth}, {under + "never_over_rate", p.CeilingRate},
-			{under + "ceiling_burst", p.CeilingDepth}}...)
 	}
+	least = append(least, planFigures("settings", t.Plans)...)
 	for _, l := range least {
 		if l.value < 0 {
 			fault("key %q: below 0", l.key)
@@ -251,6 +253,52 @@
 	return faults
 }
 
+// watch reads the settings of another shape. They must name the same profiles and plans in the same order, as an
+// operation is one and the same under both.
+func (d *Door) watch(raw json.RawMessage) (faults []error) {
+	if len(raw) == 0 || string(raw) == "null" {
+		return nil
+	}
+	other, err := readDeal("watch", raw)
+	if err != nil {
+		return []error{err}
+	}
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
+	for of, both := range map[string][2]map[string]int{"profiles": {d.Deal.Profiles, other.Profiles},
+		"tariffs": {d.Deal.Plans, other.Plans}} {
+		if !maps.Equal(both[0], both[1]) {
+			fault("key \"watch.%s\": other names than settings.%s has, or in another order", of, of)
+		}
+	}
+	if other.Terms.MaxTransmissions < 1 {
+		fault("key \"watch.limits.max_attempts\": %d", other.Terms.MaxTransmissions)
+	}
+	for _, l := range planFigures("watch", other.Terms.Plans) {
+		if l.value < 0 {
+			fault("key %q: below 0", l.key)
+		}
+	}
+	other.Terms.MailRate = 0
+	d.Watch = &other.Terms
+	return faults
+}
+
+type figure struct {
+	key   string
+	value float64
+}
+
+// planFigures are the figures of plans that must not be below 0.
+func planFigures(under string, plans []gate.Plan) (all []figure) {
+	for i, p := range plans {
+		at := fmt.Sprintf("%s.tariffs[%d].", under, i)
+		all = append(all, figure{at + "rate", p.Rate}, figure{at + "depth", p.Depth}, figure{at + "never_over_rate", p.CeilingRate},
+			figure{at + "ceiling_burst", p.CeilingDepth}, figure{at + "beyond_earns", p.Beyond}, figure{at + "over_cost", p.OverCost},
+			figure{at + "pays", p.Price})
+	}
+	return all
+}
+
 func (d *Door) logDefaults() {
 	if d.Log.Level == "" {
 		d.Log.Level = "info"
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -67,3 +67,40 @@
 	_, err := Load(unset)
 	assert.ErrorContains(t, err, "GW_CONFIG")
 }
+
+func watchingConfig(settings string) string {
+	return strings.Replace(full, `"seed"`, `"watch":`+settings+`,"seed"`, 1)
+}
+
+func TestTheSettingsUnderWatchAreReadBesideThoseThatDecide(t *testing.T) {
+	d, err := Read([]byte(watchingConfig(`{"profiles":[{"name":"read","aim":0.5,"semantics":"idempotent"}],
+		"tariffs":[{"name":"basic","rate":2,"depth":8,"beyond_earns":0.3}],"limits":{"max_attempts":4}}`)), unset)
+	require.NoError(t, err)
+	assert.Zero(t, d.Deal.Terms.Plans[0].Beyond)
+	assert.Equal(t, 0.3, d.Watch.Plans[0].Beyond)
+	assert.Equal(t, 4, d.Watch.MaxTransmissions)
+	assert.Zero(t, d.Watch.MaxRetryAfter)
+	d, err = Read([]byte(full), unset)
+	require.NoError(t, err)
+	assert.Nil(t, d.Watch)
+}
+
+func TestFaultsUnderWatchNameTheirKeys(t *testing.T) {
+	_, err := Read([]byte(watchingConfig(`{"profiles":[{"name":"read","semantics":"idempotent"}],
+		"tariffs":[{"name":"gold","over_cost":-1}]}`)), unset)
+	for _, want := range []string{`key "watch.tariffs": other names than settings.tariffs has`,
+		`key "watch.limits.max_attempts": 0`, `key "watch.tariffs[0].over_cost": below 0`} {
+		assert.ErrorContains(t, err, want)
+	}
+	_, err = Read([]byte(watchingConfig(`{"reporting":{"how":"loudly"}}`)), unset)
+	assert.ErrorContains(t, err, `key "watch.reporting.how": unknown word "loudly"`)
+}
+
+func TestPlansThatEarnBeyondTheirQuotaAreReadAndChecked(t *testing.T) {
+	with := func(more string) string { return strings.Replace(full, `"depth":8`, `"depth":8,`+more, 1) }
+	d, err := Read([]byte(with(`"beyond_earns":0.3,"over_cost":1.2,"pays":0.7`)), unset)
+	require.NoError(t, err)
+	assert.Equal(t, gate.Plan{Rate: 0.002, Depth: 8, Beyond: 0.3, OverCost: 1.2, Price: 0.7}, d.Deal.Terms.Plans[0])
+	_, err = Read([]byte(with(`"beyond_earns":-0.3`)), unset)
+	assert.ErrorContains(t, err, `key "settings.tariffs[0].beyond_earns": below 0`)
+}
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -233,6 +233,8 @@
 		c.customers.Drop(a.Customer)
 	case gate.Delist:
 		c.delist(a.Backend)
+	case gate.Differs:
+		c.tally.differs[min(a.Kind, gate.Differences-1)]++
 	case gate.Track: // the watch runs from the start
 	case gate.Log:
 		c.log.Info(a.Text)
--- a/frontdoor/serve_test.go
+++ b/frontdoor/serve_test.go
@@ -12,10 +12,13 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/policy"
 )
 
 // standIn answers every connection to a port of its own by a function.
@@ -90,14 +93,18 @@
 
 // serving starts a door and waits until it is ready.
 func serving(t *testing.T, may <-chan struct{}, d gate.Decider) (addr string, stop func(), ended <-chan error) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return servingBy(t, settled(), may, d, log)
+}
+
+func servingBy(t *testing.T, cfg config.Door, may <-chan struct{}, d gate.Decider,
+	log *logrus.Logger) (addr string, stop func(), ended <-chan error) {
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	free.Close()
-	cfg := settled()
 	cfg.Listen, cfg.Sockets = free.Addr().String(), 1000 // short of sockets only where a test means it
 	cfg.Discovery = standIn(t, registryOf(standIn(t, backendOf(may)), make(chan string, 9), keep))
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	end := make(chan error, 1)
@@ -279,3 +286,34 @@
 		}
 	}
 }
+
+// A door that watches the settings of another shape answers by its own, and its account tells how many would have had
+// another answer.
+func TestADoorWatchingAnotherShapeDecidesAsBeforeAndCounts(t *testing.T) {
+	cfg := settled()
+	terms := &cfg.Deal.Terms
+	terms.MaxTransmissions = 1
+	terms.Profiles = []gate.Profile{{Contract: 1000}, {Contract: 1000, Semantics: gate.Tokened}}
+	terms.Plans = []gate.Plan{{Rate: 1e-6, Depth: 3}} // nothing fills up while the test runs
+	other := *terms
+	other.Plans = []gate.Plan{{Rate: 1e-6, Depth: 3, Beyond: 0.3}}
+	decider := policy.New(*terms, 1)
+	decider.Watch(&other)
+	log, hook := test.NewNullLogger()
+	addr, _, _ := servingBy(t, cfg, open(), decider, log)
+	nc := dialled(t, addr)
+	var statuses []int
+	for i := range 5 {
+		status, _ := say(t, nc, strings.Replace(look, "a1", fmt.Sprint("w", i), 1))
+		statuses = append(statuses, status)
+	}
+	assert.Equal(t, []int{200, 200, 200, 429, 429}, statuses, "by its own settings")
+	require.Eventually(t, func() bool {
+		for _, e := range hook.AllEntries() {
+			if e.Message == "account" && e.Data["arrived"] == 5 {
+				return assert.Equal(t, 2, e.Data["differs_sent_beyond"])
+			}
+		}
+		return false
+	}, 3*AccountEvery*time.Millisecond, 50*time.Millisecond)
+}
--- a/frontdoor/tally.go
+++ b/frontdoor/tally.go
@@ -17,6 +17,7 @@
 	at                 float64 // clock of the next account, ms; 0 before the first
 	arrived, sent      int
 	rejected, scrapped [gate.Causes]int
+	differs            [gate.Differences]int
 }
 
 // fields is the account as log fields: counts that are 0 are left out.
@@ -30,6 +31,11 @@
 			f[fields.Scrapped+why.String()] = n
 		}
 	}
+	for kind := range gate.Differences {
+		if n := t.differs[kind]; n > 0 {
+			f[fields.Differs+kind.String()] = n
+		}
+	}
 	return f
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -78,7 +78,6 @@
 	MayCancel        bool    // Cancel is allowed
 	MaxRetryAfter    float64 // longest advice a client follows, ms; 0 where none may be given
 	MeterPeriod      float64 // period over which the meter totals use, ms; 0 means no meter
-	PostPaid         bool    // units are a guess; the true ones come with the answer
 	MailRate         float64 // messages per ms that a door takes in; 0 where doors may not write
 	Counter          bool    // a shared counter may be called
 	MustAsk          bool    // changes of the fleet list come only after Track
@@ -271,5 +270,25 @@
 // Delist tells the carrier that the index of a backend that is gone is free again.
 type Delist struct{ Backend int }
 
+// Difference is a kind of decision that the terms under watch would have taken otherwise.
+type Difference uint8
+
+const (
+	SentBeyond  Difference = iota // rejected beyond its quota; it would have been sent
+	NotCounted                    // the counter was called; it would not have been
+	OtherAdvice                   // rejected with a time to come back; it would have had another, or none
+	NoCopy                        // a second copy went out; none would have
+	NoFurther                     // held to be sent once more; it would have been given up
+	Differences                   // how many there are
+)
+
+// String names the kind as accounts and logs do.
+func (d Difference) String() string {
+	return [...]string{"sent_beyond", "not_counted", "other_advice", "no_copy", "no_further"}[d]
+}
+
+// Differs reports one such decision. It is for accounts alone: carriers count it and do nothing.
+type Differs struct{ Kind Difference }
+
 // Log adds a line to the report.
 type Log struct{ Text string }
--- a/internal/fields/fields.go
+++ b/internal/fields/fields.go
@@ -14,4 +14,5 @@
 	Sent     = "sent"      // transmissions started
 	Rejected = "rejected_" // followed by the cause: operations rejected for it
 	Scrapped = "scrapped_" // followed by the cause: operations scrapped for it
+	Differs  = "differs_"  // followed by the kind: decisions that the settings under watch would have taken otherwise
 )
--- a/internal/wire/door.go
+++ b/internal/wire/door.go
@@ -259,6 +259,8 @@
 	case gate.Delist:
 		d.backends.Drop(a.Backend)
 		return nil
+	case gate.Differs: // nothing on the wire words it
+		return nil
 	case gate.Log:
 		return map[string]any{"DEBUG": map[string]any{"body_text": a.Text}}
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -135,3 +135,32 @@
 	assert.Equal(t, map[int]int{0: 0, 1: 0}, want)
 	assert.Empty(t, readMail(5, "hi 7;?1,9,0,3,1,1,91f03b7c5;!x", &x, 1), "a plan that is not there, and noise")
 }
+
+// A settings object and an answer of the new shape: units that are a guess, plans that earn beyond their quota, reports.
+func TestTheNewShapeCrossesTheWire(t *testing.T) {
+	born := strings.Replace(strings.Replace(born, `"rate":2.0`, `"rate":2.0,"beyond_earns":0.3,"over_cost":1.2`, 1), `"profiles"`,
+		`"reporting":{"how":"inline","names":["recent_ms","utilization","backlog"]},"profiles"`, 1)
+	done := func(row string) string {
+		return `{"DONE":{"op_id":"x","send_no":0,"backend":"10.0.0.1:80","latency":0.1,"outcome":"done","over":true,` +
+			`"final_units":5,"telemetry":` + row + `}}`
+	}
+	var got gate.Event
+	var plan gate.Plan
+	decide := func(_ float64, events []gate.Event) []gate.Action {
+		if got = events[len(events)-1]; len(events) > 1 {
+			return []gate.Action{gate.Send{}}
+		}
+		return nil
+	}
+	h := NewHost(&bytes.Buffer{}, func(terms gate.Terms, _ uint64) gate.Decider {
+		plan = terms.Plans[0]
+		return scripted(decide)
+	})
+	require.NoError(t, h.Serve(strings.NewReader(batch(born, listed, submit)+batch(done("[12.5,0.4,3]"))), &bytes.Buffer{}))
+	assert.Equal(t, gate.Plan{Rate: 0.002, Depth: 8, Beyond: 0.3, OverCost: 1.2}, plan)
+	assert.Equal(t, 5.0, got.(gate.Ended).Units)
+	assert.Equal(t, gate.Load{Service: 12.5, Queue: 3}, got.(gate.Ended).Load)
+
+	_, _, err := serve(decide, batch(born, listed, submit)+batch(done("[1,2,3,4]")))
+	assert.ErrorContains(t, err, `event DONE: field "telemetry": 4 values where the settings name 3`)
+}
--- a/lab/model/door.go
+++ b/lab/model/door.go
@@ -370,7 +370,7 @@
 			d.customers.Drop(a.Customer)
 		case gate.Delist:
 			d.names.Drop(a.Backend)
-		case gate.Log:
+		case gate.Log, gate.Differs:
 		default:
 			panic(fmt.Sprintf("no way to carry out %T", a))
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,38 +32,38 @@
 	tickEvery   = 20.0 // ms between looks at what waits; small beside every contract time
 
 	// Quotas.
-	demandSpan    = 4e3  // ms over which demand is averaged; a few operations of a middling customer
-	priorDemand   = 0.25 // share of the rate's worth of evidence that the even slice counts for
-	trimOver      = 2.0  // meter periods in which parts are trimmed to the quota; the meter's word is one old
-	trimLeast     = 0.2  // least that a part is cut to, of itself
-	heardFor      = 15e3 // ms that a word of others' use is believed
-	wordFresh     = 2.0  // meter periods in which a word tells the store: it comes a period late at most
-	storeLeast    = 0.7  // share of the depth the meter's store keeps after what a thin part cannot hold
-	idleDrop      = 60e3 // ms after which an idle bucket is dropped (design page),
-	idleFull      = 15e3 // and one that is full again; others' use is no longer known by then
-	sweepEvery    = 1e3  // ms between looks for idle buckets; there may be thousands
-	seqSpan       = 1e6  // Asks are numbered from a random number under this, apart from a former life's
-	mailEvery     = 40.  // ms between messages to one door; three doors then fill two thirds of what each takes in
-	countLump     = 0.5  // of a door's even slice of the room last seen on the counter, that one call asks for
-	easyLevel     = 0.6  // share of its depth left at this door over which a customer is counted with a later call
-	countGain     = 0.03 // by which the share of calls made grows with each answer,
-	countCut      = 0.7  // and what is left of it after a call without one: a few calls in a hundred fail
-	countAll      = 0.4  // share of calls under which a miss has them saved for customers whose part is small,
-	countLeast    = 0.05 // least of that share
-	crowdedFor    = 20e3 // for this time, ms; shorter, calls came back in waves that crowded it again
-	awayAfter     = 8    // calls in a row without a word: the counter was away, as a crowded one answers some
-	askFor        = 120. // ms to wait for another door's answer; a few ways there and back
-	askTwice      = 2    // Asks without an answer in a row after which a door counts as mute; one may be lost
-	muteFor       = 1e3  // ms that a mute door is not asked
-	homes         = 3    // doors of a set that may be asked, the next one where those before are mute
-	barShare      = 0.5  // asks for a customer turned away come at most about twice as often as its units fill,
-	barMost       = 2e3  // but each door asks again after this time, ms: the surge may be over
-	openEvery     = 300. // ms until a door asks again for a customer that has all out that it may at once
-	grantedFor    = 5e3  // ms in which a grant is forgotten whose end was not heard, as messages are lost
-	homeCeiling   = 0.6  // share of a ceiling that the home door keeps; over half of it covers the quota
-	pressedWeight = 0.01 // weight of one more; a hundred, some ten to twenty seconds at a door of few
-	openUnder     = 0.08 // share of operations that may meet a hold while one goes beyond its quota; a chance one does
-	debtShare     = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
+	demandSpan  = 4e3  // ms over which demand is averaged; a few operations of a middling customer
+	priorDemand = 0.25 // share of the rate's worth of evidence that the even slice counts for
+	trimOver    = 2.0  // meter periods in which parts are trimmed to the quota; the meter's word is one old
+	trimLeast   = 0.2  // least that a part is cut to, of itself
+	heardFor    = 15e3 // ms that a word of others' use is believed
+	wordFresh   = 2.0  // meter periods in which a word tells the store: it comes a period late at most
+	storeLeast  = 0.7  // share of the depth the meter's store keeps after what a thin part cannot hold
+	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page),
+	idleFull    = 15e3 // and one that is full again; others' use is no longer known by then
+	sweepEvery  = 1e3  // ms between looks for idle buckets; there may be thousands
+	seqSpan     = 1e6  // Asks are numbered from a random number under this, apart from a former life's
+	mailEvery   = 40.  // ms between messages to one door; three doors then fill two thirds of what each takes in
+	countLump   = 0.5  // of a door's even slice of the room last seen on the counter, that one call asks for
+	easyLevel   = 0.6  // share of its depth left at this door over which a customer is counted with a later call
+	countGain   = 0.03 // by which the share of calls made grows with each answer,
+	countCut    = 0.7  // and what is left of it after a call without one: a few calls in a hundred fail
+	countAll    = 0.4  // share of calls under which a miss has them saved for customers whose part is small,
+	countLeast  = 0.05 // least of that share
+	crowdedFor  = 20e3 // for this time, ms; shorter, calls came back in waves that crowded it again
+	awayAfter   = 8    // calls in a row without a word: the counter was away, as a crowded one answers some
+	askFor      = 120. // ms to wait for another door's answer; a few ways there and back
+	askTwice    = 2    // Asks without an answer in a row after which a door counts as mute; one may be lost
+	muteFor     = 1e3  // ms that a mute door is not asked
+	homes       = 3    // doors of a set that may be asked, the next one where those before are mute
+	barShare    = 0.5  // asks for a customer turned away come at most about twice as often as its units fill,
+	barMost     = 2e3  // but each door asks again after this time, ms: the surge may be over
+	openEvery   = 300. // ms until a door asks again for a customer that has all out that it may at once
+	grantedFor  = 5e3  // ms in which a grant is forgotten whose end was not heard, as messages are lost
+	homeCeiling = 0.6  // share of a ceiling that the home door keeps; over half of it covers the quota
+	heldWeight  = 0.01 // weight of one more; a hundred, some ten to twenty seconds at a door of few
+	openUnder   = 0.08 // share of operations that may meet a hold while one goes beyond its quota
+	debtShare   = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
 
 	// Health of backends.
 	silentRate = 0.1 // a broken backend answers at this share of the expected rate
@@ -182,7 +182,7 @@
 		met = 1
 	}
 	d.usualGain += max(smoothing, 1/float64(d.taken)) * (d.gain(o) - d.usualGain)
-	d.pressed += pressedWeight * (met - d.pressed)
+	d.pressed += heldWeight * (met - d.pressed)
 	local, wait, why := d.home(k) < 0 && !d.counts(k), 0.0, gate.OverQuota
 	charged := true
 	if local {
@@ -285,8 +285,8 @@
 	k.sent += o.units / demandSpan
 }
 
-// repay puts an operation's true units in the place of the guess that it was charged by; the difference goes to the
-// counter with the next call.
+// repay puts an operation's true units in the place of the guess that it was charged by; the counter gets the
+// difference with the next call.
 func (k *bucket) repay(o *operation, units float64) {
 	more := units - o.units
 	k.level -= more * o.charge / o.units
@@ -356,18 +356,34 @@
 	return wait == 0
 }
 
-// welcome tells whether an operation beyond its customer's quota is sent all the same: where its plan earns more by
-// that than it costs, its ceiling holds it, and the fleet is not pressed. It takes nothing from the quota.
+// welcome tells whether an operation beyond its customer's quota is sent all the same: where its plan earns
+// more by that than it costs, its ceiling holds it, and the fleet is not pressed. The quota is not charged.
 func (d *Door) welcome(o *operation, k *bucket) bool {
 	return d.open(k) && d.ceilingWait(k, o.units) == 0
 }
 
 // open tells whether a customer's quota keeps nothing out for now.
 func (d *Door) open(k *bucket) bool {
-	p := &d.terms.Plans[k.plan]
+	return d.pays(&d.terms, k.plan)
+}
+
+// pays tells whether what is sent beyond a plan's quota earns more than it costs, on a fleet not pressed.
+func (d *Door) pays(t *gate.Terms, plan int) bool {
+	p := &t.Plans[plan]
 	return p.Beyond > p.OverCost && d.pressed < openUnder
 }
 
+// Watch has the door tell where it would have decided otherwise under other terms, of the same profiles and
+// plans. It decides by its own as before.
+func (d *Door) Watch(t *gate.Terms) { d.watch = t }
+
+// differs compares one decision with what the terms under watch would make of it.
+func (d *Door) differs(kind gate.Difference, otherwise func(w *gate.Terms) bool) {
+	if d.watch != nil && otherwise(d.watch) {
+		d.actions = append(d.actions, gate.Differs{Kind: kind})
+	}
+}
+
 // metered tells whether the meter's fresh word leaves most of the customer's whole store after the operation:
 // then a part too thin to hold it, as at a door of many that sees the customer seldom, keeps nothing out.
 // What is let in so is taken from the word, so that one word lets in no more than the store held.
@@ -523,12 +539,13 @@
 		c.owed += o.units
 	case d.now < k.barred && o.units >= k.barredUnits:
 		return k.barred - d.now
-	case d.now < c.rest || d.dice.roll() > math.Pow(d.calling, math.Pow(d.usualGain/d.gain(o), 2)) || d.now < d.crowdedAt+crowdedFor && (o.repeat || dense):
+	case d.now < c.rest || !d.called(o) || d.now < d.crowdedAt+crowdedFor && (o.repeat || dense):
 		if o.uncounted = true; o.repeat && !dense { // a storm of repeats is not let past the counter that it crowds
 			return left
 		}
 	default:
 		c.calling, c.least = true, o.units
+		d.differs(gate.NotCounted, func(w *gate.Terms) bool { return d.pays(w, k.plan) })
 		// Crowded, fewer and larger; but no more than this door's demand takes in the window's rest: the lumps of
 		// doors that see the customer seldom are counted at all and used at none.
 		lump := min(1, countLump/d.calling) * c.room / float64(k.spread)
@@ -540,7 +557,16 @@
 	return wait
 }
 
-// gain is what an operation earns. A crowded counter is called sooner for one that earns more than others.
+// called tells whether the counter is to be called for an operation. A crowded one is, sooner for what earns
+// more: where it bears some of the calls only, what it does not hear of should be what matters least.
+func (d *Door) called(o *operation) bool {
+	rank := 1.0
+	if gain := d.gain(o); gain > 0 {
+		rank = d.usualGain / gain
+	}
+	return d.dice.roll() <= math.Pow(d.calling, rank*rank)
+}
+
 func (d *Door) gain(o *operation) float64 {
 	return d.terms.Profiles[o.profile].Gain * d.terms.Plans[o.plan].Price * o.units
 }
@@ -627,9 +653,9 @@
 	return firstGuess * contract
 }
 
-// drain is the time in which a profile's operations in flight finish at the recent best rate, ms; with too few
-// samples to know a rate, one a low. What is in flight by chance is no backlog, and nothing in flight is none: a door
-// of few operations whose first samples were slow would else reject all, and never have another.
+// drain is the time in which a profile's operations in flight finish at the recent best rate, ms; with too
+// few samples to know a rate, one a low. What is in flight by chance is no backlog, and nothing in flight is
+// none: a door of few operations whose first samples were slow would else reject all, and never have another.
 func (d *Door) drain(profile int) float64 {
 	l, best := &d.lat[profile], 1/d.low(profile)
 	if l.samples >= lowAfter {
@@ -893,7 +919,9 @@
 	}
 	if o.held = len(o.sends) < d.terms.MaxTransmissions; !o.held {
 		d.giveUp(e.Op, d.drain(o.profile), gate.Failed)
+		return
 	}
+	d.differs(gate.NoFurther, func(w *gate.Terms) bool { return len(o.sends) >= w.MaxTransmissions })
 }
 
 // giveUp ends an operation at once: a rejection where trying again is harmless, else a scrapping.
@@ -914,6 +942,13 @@
 	o := &d.ops[i]
 	d.buckets[o.customer].unpromise(o)
 	o.want, o.held, o.retryAfter, o.why = rejected, false, min(retryAfter, d.terms.MaxRetryAfter), why
+	d.differs(gate.OtherAdvice, func(w *gate.Terms) bool {
+		return min(retryAfter, w.MaxRetryAfter) != o.retryAfter
+	})
+	d.differs(gate.SentBeyond, func(w *gate.Terms) bool {
+		return (why == gate.OverPart || why == gate.OverQuota) && d.pays(w, o.plan) &&
+			d.ceilingWait(&d.buckets[o.customer], o.units) == 0
+	})
 	d.touch(i)
 }
 
@@ -1051,6 +1086,7 @@
 	if s.out() && d.fleet.shunned(s.backend, o.profile) && d.now-s.at > rescueAt*d.recent(o.profile) {
 		if b, _ := d.pick(o); b >= 0 && b != s.backend {
 			d.send(i, b)
+			d.differs(gate.NoCopy, func(w *gate.Terms) bool { return !w.SecondCopies })
 		}
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -266,6 +266,7 @@
 // Door decides for one door.
 type Door struct {
 	terms     gate.Terms
+	watch     *gate.Terms // terms that decisions are compared with; nil for none
 	now       float64
 	born      float64
 	dice      dice
