--- a/policy/policy.go
+++ b/policy/policy.go
@@ -662,12 +662,21 @@
 		best = l.best
 	}
 	n := float64(d.out[profile])
-	if contract := d.terms.Profiles[profile].Contract; l.recent < l.low+marginShare*contract {
+	contract := d.terms.Profiles[profile].Contract
+	if l.recent < l.low+marginShare*contract && !d.mute(profile) {
 		n = max(0, n-float64(l.late)) // what does come back is fast: these are lost
 	}
-	return (n - chance*math.Sqrt(n)) / best
+	all := 0
+	for _, out := range d.out {
+		all += out
+	}
+	return n * (1 - min(1, chance/math.Sqrt(max(1, float64(all))))) / best
 }
 
+// mute tells whether the whole fleet has been silent for longer than an answer may take. Then what is out is no
+// matter of single backends or lost answers.
+func (d *Door) mute(profile int) bool { return d.now > d.answeredAt+d.terms.Profiles[profile].Contract }
+
 // recent is a profile's recent latency. Silence gives no sample, so what is out longer than that adds its
 // excess, as one sample among those that the smoothing remembers.
 // A latency is seen only once it has passed: what is in flight will take its drain at least (Little's law),
@@ -958,6 +967,7 @@
 	f, b := &d.fleet, s.backend
 	switch e.Result {
 	case gate.Finished:
+		d.answeredAt = d.now
 		f.fullGap[b][o.plan] /= 2
 		for _, c := range f.against(b, o.profile) {
 			c.doubt = max(0, c.doubt+math.Log(silentRate))
@@ -975,7 +985,7 @@
 	case gate.TimedOut, gate.Cancelled:
 		// All that is known is that the answer would have come later: where clients leave a pressed fleet
 		// unanswered, what does come back is the lucky rest. Covers lost answers in part, under the margin.
-		if l := &d.lat[o.profile]; e.Latency > l.recent && !f.shunned(b, o.profile) {
+		if l := &d.lat[o.profile]; e.Latency > l.recent && (!f.shunned(b, o.profile) || d.mute(o.profile)) {
 			l.recent += smoothing * (min(e.Latency, d.terms.Profiles[o.profile].Contract) - l.recent)
 		}
 	case gate.Errored, gate.Unreachable, gate.Reset, gate.Spoilt:
--- a/policy/state.go
+++ b/policy/state.go
@@ -265,37 +265,38 @@
 
 // Door decides for one door.
 type Door struct {
-	terms     gate.Terms
-	watch     *gate.Terms // terms that decisions are compared with; nil for none
-	now       float64
-	born      float64
-	dice      dice
-	ops       []operation
-	live      []int // operations that may still need attention, in order of arrival
-	buckets   []bucket
-	fleet     fleet
-	lat       []latency
-	out       []int // transmissions out, by profile
-	bell      bool  // a Wake is pending
-	ticked    float64
-	changed   []int
-	ask       bool          // the list must be asked for
-	askAt     float64       // clock before which it is not asked for
-	forgets   []gate.Action // indices that are free again
-	peers     []peer        // by number
-	seq       int           // of the latest Ask
-	mail      []letter      // waiting to be written
-	calls     []gate.Action // of the counter, likewise
-	swept     float64       // clock of the last look for idle buckets
-	pressed   float64       // share of recent operations that met a hold at their arrival
-	taken     int           // operations
-	usualGain float64       // smoothed gain of one
-	calling   float64       // share of operations for which the counter is called
-	before    float64       // that share at its latest answer
-	misses    int           // calls without any since
-	cutAt     float64       // clock at which that share was last cut, ms
-	crowdedAt float64       // clock of the latest such, ms
-	actions   []gate.Action
+	terms      gate.Terms
+	watch      *gate.Terms // terms that decisions are compared with; nil for none
+	now        float64
+	born       float64
+	dice       dice
+	ops        []operation
+	live       []int // operations that may still need attention, in order of arrival
+	buckets    []bucket
+	fleet      fleet
+	lat        []latency
+	out        []int // transmissions out, by profile
+	bell       bool  // a Wake is pending
+	ticked     float64
+	changed    []int
+	ask        bool          // the list must be asked for
+	askAt      float64       // clock before which it is not asked for
+	forgets    []gate.Action // indices that are free again
+	peers      []peer        // by number
+	seq        int           // of the latest Ask
+	mail       []letter      // waiting to be written
+	calls      []gate.Action // of the counter, likewise
+	swept      float64       // clock of the last look for idle buckets
+	pressed    float64       // share of recent operations that met a hold at their arrival
+	taken      int           // operations
+	usualGain  float64       // smoothed gain of one
+	answeredAt float64       // clock of the latest good answer, of whatever profile, ms
+	calling    float64       // share of operations for which the counter is called
+	before     float64       // that share at its latest answer
+	misses     int           // calls without any since
+	cutAt      float64       // clock at which that share was last cut, ms
+	crowdedAt  float64       // clock of the latest such, ms
+	actions    []gate.Action
 }
 
 // look takes in by how much what is out is out longer than is usual. What is out past the contract time is
@@ -311,7 +312,9 @@
 		for j := range o.sends {
 			s := &o.sends[j]
 			if age := d.now - s.at; s.out() && age > d.terms.Profiles[o.profile].Contract {
-				l.late++
+				if l.late++; d.mute(o.profile) {
+					l.overdue += d.terms.Profiles[o.profile].Contract
+				}
 			} else if s.out() && !d.fleet.shunned(s.backend, o.profile) {
 				l.overdue += max(0, age-d.smoothed(o.profile))
 			}
