A mute fleet is pressed, and chance in flight counts once for a door

Checked, a door's figures by second: one profile stood at four samples of 311 ms from second 4 on with five to nine out, and no hold: what was out past its contract time was left out as lost, since what had come back was fast, and time-outs at judged backends were no samples. The other two kept one or two out each whatever their latency: one deviation of one in flight is one. Over 47 doors and three profiles that is more than the fleet could work on. Ruled out: quotas (most rejections were 'pressed' with room), single backends (all alike). At fault: drain() and judge(), which took silence for lost answers and judged backends even when nothing at all came back, and chance counted for each profile. Change: past a contract time without any good answer the fleet is mute; late ones count, so do time-outs at judged backends. The deviation of what is in flight is that of the door's whole number, divided over its profiles.

--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -549,12 +549,50 @@
 	d.settle()
 	assert.Positive(t, d.drain(replayable))
 	d.now += 1500 // past the contract time, not yet given up by the clients
+	d.answeredAt = d.now - 100
 	d.look()
 	assert.Zero(t, d.drain(replayable))
 	assert.InDelta(t, 100, d.recent(replayable), 1)
 	assert.Zero(t, d.hold(&d.ops[0]))
 }
 
+// When nothing at all comes back, what is out is no lost answer: a door whose few samples dated from before went on
+// sending to a fleet that had come to a stand.
+func TestAFleetThatAnswersNothingIsPressed(t *testing.T) {
+	d := door(4)
+	for i := range 4 {
+		d.arrive(arriving(i, replayable, plain))
+		d.send(i, i)
+	}
+	d.settle()
+	d.now += 1500
+	d.answeredAt = d.now - 1500
+	d.look()
+	assert.Positive(t, d.drain(replayable))
+	assert.Positive(t, d.hold(&d.ops[0]))
+}
+
+func TestALatencyAtAJudgedBackendCountsOnceAllAreMute(t *testing.T) {
+	d := sentOnce(replayable, 2)
+	d.fleet.cases[replayable][2].judged = true
+	gone := gate.Ended{Result: gate.TimedOut, Latency: 900, Use: -1}
+	d.answeredAt = d.now
+	d.judge(&d.ops[0], &d.ops[0].sends[0], gone)
+	assert.Equal(t, 100.0, d.lat[replayable].recent, "one silent backend is no pressed fleet")
+	d.answeredAt = d.now - 1500
+	d.judge(&d.ops[0], &d.ops[0].sends[0], gone)
+	assert.Greater(t, d.lat[replayable].recent, 100.0)
+}
+
+// Each of hundreds of doors may have one operation in flight by chance, but not one of every profile.
+func TestChanceInFlightCountsOnceForTheDoor(t *testing.T) {
+	d := door(4)
+	d.out[replayable] = 1
+	assert.Zero(t, d.drain(replayable))
+	d.out[singleUse], d.out[tokenedInZone] = 1, 1
+	assert.Positive(t, d.drain(replayable))
+}
+
 func TestAllOutAtOnceIsHeldByTheHomeDoorUntilOneIsOver(t *testing.T) {
 	d := door(1)
 	d.terms.MailRate = 0.06
