--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -653,6 +653,7 @@
 	}
 	d.settle()
 	d.now += 1500
+	d.answeredAt = d.now
 	d.tick()
 	assert.Equal(t, undecided, d.ops[0].want, "nothing says that the fleet is pressed")
 	d.lat[replayable].recent = 900
