--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,7 @@
 	lowDrift    = 60e3 // ms in which a low or a best rate gives way to a lastingly heavier mix
 	lowMost     = 0.3  // most that a low may be, of the contract time: it may be learnt under pressure
 	firstGuess  = 0.1  // latency before any sample, as a share of the contract time
+	flightSpan  = 1e3  // ms over which what is in flight is averaged; some latencies of a pressed fleet
 	tickEvery   = 20.0 // ms between looks at what waits; small beside every contract time
 
 	// Quotas.
@@ -640,7 +641,14 @@
 	low, l := d.low(o.profile), &d.lat[o.profile]
 	margin := marginShare*contract + chance*l.spread/math.Sqrt(max(1, min(float64(l.samples), 2/smoothing)))
 	excess := max(0, d.recent(o.profile)-low-margin) / low
-	return alpha * excess * d.drain(o.profile)
+	// Hundreds of doors press a fleet with less than one operation each: what was in flight of late counts, as nothing
+	// is out at most looks.
+	flight := min(1, l.flight) * math.Exp((l.flightAt-d.now)/flightSpan)
+	hold := alpha * excess * max(d.drain(o.profile), flight/d.best(o.profile))
+	if hold < tickEvery { // none: what fades never ends
+		return 0
+	}
+	return hold
 }
 
 // low is a profile's recent low, or a guess until the smoothed latency means something: the first few samples
@@ -657,10 +665,7 @@
 // few samples to know a rate, one a low. What is in flight by chance is no backlog, and nothing in flight is
 // none: a door of few operations whose first samples were slow would else reject all, and never have another.
 func (d *Door) drain(profile int) float64 {
-	l, best := &d.lat[profile], 1/d.low(profile)
-	if l.samples >= lowAfter {
-		best = l.best
-	}
+	l := &d.lat[profile]
 	n := float64(d.out[profile])
 	contract := d.terms.Profiles[profile].Contract
 	if l.recent < l.low+marginShare*contract && !d.mute(profile) {
@@ -670,7 +675,15 @@
 	for _, out := range d.out {
 		all += out
 	}
-	return n * (1 - min(1, chance/math.Sqrt(max(1, float64(all))))) / best
+	return n * (1 - min(1, chance/math.Sqrt(max(1, float64(all))))) / d.best(profile)
+}
+
+// best is the rate at which this door finishes a profile's operations at its recent best, in operations per ms.
+func (d *Door) best(profile int) float64 {
+	if l := &d.lat[profile]; l.samples >= lowAfter {
+		return l.best
+	}
+	return 1 / d.low(profile)
 }
 
 // mute tells whether the whole fleet has been silent for longer than an answer may take. Then what is out is no
@@ -1047,6 +1060,11 @@
 	dt := d.now - d.ticked
 	d.ticked = d.now
 	d.look()
+	for p := range d.lat {
+		l := &d.lat[p]
+		l.flight += (float64(d.out[p]) - l.flight) * (1 - math.Exp((l.flightAt-d.now)/flightSpan))
+		l.flightAt = d.now
+	}
 	keep := d.live[:0]
 	for _, i := range d.live {
 		o := &d.ops[i]
--- a/policy/state.go
+++ b/policy/state.go
@@ -233,6 +233,8 @@
 	lowAt       float64 // clock of the last sample, ms
 	spread      float64 // smoothed distance of a latency from the mean, ms
 	samples     int
+	flight      float64 // averaged transmissions in flight
+	flightAt    float64 // clock of that figure, ms
 	late        int     // transmissions out past the contract time
 	overdue     float64 // sum of what the others are out beyond the usual, ms
 }
