--- a/config/config.go
+++ b/config/config.go
@@ -171,7 +171,6 @@
 		return Door{Odd: d.Odd}, err
 	}
 	d.defaults()
-	d.Deal.Terms.MailRate = 0 // the platform gives doors no way to each other
 	return d, nil
 }
 
@@ -278,7 +277,6 @@
 			fault("key %q: below 0", l.key)
 		}
 	}
-	other.Terms.MailRate = 0
 	d.Watch = &other.Terms
 	return faults
 }
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -15,8 +15,8 @@
  "known":{"generation":41,"reset":true,"instances":[{"instanceId":"s","hostPort":"127.0.0.4:1","lifecycle":"Ready"}]},
  "settings":{"fleet_size":3,"my_number":1,"profiles":[{"name":"read","aim":0.5,"give_up":4,"semantics":"deduplicated",
    "dedup_scope":"zone","window":5}],"tariffs":[{"name":"basic","rate":2,"depth":8}],
-   "extra":{"counter":true,"counter_timeout":0.08,"units_top":8,"mail_per_s":60},
-   "limits":{"max_attempts":6,"retry_after":true,"max_retry_after":0.5,"conn_idle":15,"connect_timeout":0.25,"may_tell":true}}}`
+   "extra":{"counter":true,"counter_timeout":0.08,"units_top":8},
+   "limits":{"max_attempts":6,"retry_after":true,"max_retry_after":0.5,"conn_idle":15,"connect_timeout":0.25}}}`
 
 func unset(string) string { return "" }
 
@@ -29,7 +29,6 @@
 	assert.Equal(t, []gate.Profile{{Contract: 500, Semantics: gate.Tokened, Scope: gate.ScopeZone, Window: 5000}}, d.Deal.Terms.Profiles)
 	assert.Equal(t, []gate.Plan{{Rate: 0.002, Depth: 8}}, d.Deal.Terms.Plans)
 	assert.Equal(t, 500.0, d.Deal.Terms.MaxRetryAfter)
-	assert.Zero(t, d.Deal.Terms.MailRate, "there is no way from door to door")
 	assert.Equal(t, []float64{15e3, 250, 80, 4000, 8}, []float64{d.Deal.ConnIdle, d.Deal.ConnectTimeout,
 		d.Deal.CounterTimeout, d.Deal.LongestWait, d.Deal.MostUnits})
 }
--- a/config/deal.go
+++ b/config/deal.go
@@ -82,7 +82,6 @@
 	} `json:"tariffs"`
 	Extra struct {
 		Metering       float64 `json:"metering"`
-		MailPerS       float64 `json:"mail_per_s"`
 		Counter        bool    `json:"counter"`
 		CounterTimeout float64 `json:"counter_timeout"`
 		UnitsTop       float64 `json:"units_top"`
@@ -96,7 +95,6 @@
 		ConnIdle       float64 `json:"conn_idle"`
 		ConnectTimeout float64 `json:"connect_timeout"`
 		MaxAttempts    int     `json:"max_attempts"`
-		MayTell        bool    `json:"may_tell"`
 		MaxRetryAfter  float64 `json:"max_retry_after"`
 		RetryAfter     bool    `json:"retry_after"`
 		SecondCopies   bool    `json:"second_copies"`
@@ -143,9 +141,6 @@
 	if s.Limits.RetryAfter {
 		d.Terms.MaxRetryAfter = s.Limits.MaxRetryAfter * msPerSecond
 	}
-	if s.Limits.MayTell {
-		d.Terms.MailRate = s.Extra.MailPerS / msPerSecond
-	}
 	for i, p := range s.Profiles {
 		sem, ok := semantics[p.Semantics]
 		if !ok {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -78,7 +78,6 @@
 	MayCancel        bool    // Cancel is allowed
 	MaxRetryAfter    float64 // longest advice a client follows, ms; 0 where none may be given
 	MeterPeriod      float64 // period over which the meter totals use, ms; 0 means no meter
-	MailRate         float64 // messages per ms that a door takes in; 0 where doors may not write
 	Counter          bool    // a shared counter may be called
 	MustAsk          bool    // changes of the fleet list come only after Track
 	ColdFrom         float64 // a backend starts with this share of its capacity or more
@@ -159,24 +158,6 @@
 	Latency float64
 }
 
-// Asked is another door's Ask, and Granted another door's answer to one of this door's.
-type Asked struct {
-	From, Seq                     int
-	Customer, Plan, First, Spread int
-	Units                         float64
-	Level                         float64 // the most that the quota's store can hold, as the asker knows
-}
-
-type Granted struct {
-	From, Seq int
-	Wait      float64 // ms until there may be room; 0 where the units are granted
-	Hold      float64 // ms until to ask again, as all is out that may be at once; 0 where the units are granted
-	Level     float64 // what the store holds now
-}
-
-// Released is another door's Release.
-type Released struct{ From, Customer int }
-
 type Counted struct {
 	Customer int
 	Epoch    int64
@@ -243,24 +224,6 @@
 	Keep     float64 // forgotten after this time, ms
 }
 
-// Ask asks one door for units of a customer's quota, and Grant answers an Ask; Seq ties the two together.
-type Ask struct {
-	To, Seq                       int
-	Customer, Plan, First, Spread int
-	Units                         float64
-	Level                         float64 // the most that the quota's store can hold, as the asker knows
-}
-
-type Grant struct {
-	To, Seq int
-	Wait    float64 // ms until there may be room
-	Hold    float64 // ms until to ask again; 0 for both grants the units
-	Level   float64
-}
-
-// Release tells the granting door that an operation of the customer is over.
-type Release struct{ To, Customer int }
-
 // Track subscribes to changes of the fleet list.
 type Track struct{}
 
--- a/internal/wire/door.go
+++ b/internal/wire/door.go
@@ -64,11 +64,7 @@
 		return gate.Probed{Backend: d.backend(f), Result: choice(f, "outcome", results),
 			Latency: maybe[float64](f, "latency") * msPerSecond}
 	},
-	"HEARD": func(d *door, f *fields) gate.Event {
-		d.pending = append(d.pending, readMail(need[int](f, "src"), maybe[string](f, "contents"),
-			&d.customers, len(d.deal.Plans))...)
-		return nil
-	},
+	"HEARD": func(*door, *fields) gate.Event { return nil }, // the decisions write to no other door
 	"TOTAL": (*door).counted,
 }
 
@@ -125,8 +121,8 @@
 	if f.fault != nil {
 		return nil
 	}
-	ev.Op, ev.Customer = d.ops.Add(id), d.customers.Add(shortName(customer))
-	ev.Phase = index.Phase(countName(shortName(customer), 0))
+	ev.Op, ev.Customer = d.ops.Add(id), d.customers.Add(customer)
+	ev.Phase = index.Phase(countName(customer, 0))
 	for len(d.out) <= ev.Op {
 		d.out, d.over = append(d.out, 0), append(d.over, false)
 	}
@@ -219,10 +215,6 @@
 	return gate.Vanished{Op: op}
 }
 
-func writePeer(target int, text string) map[string]any {
-	return map[string]any{"WRITE_PEER": map[string]any{"target": target, "contents": text}}
-}
-
 // action words one action for the wire; nil where it concerns only the indices kept here.
 func (d *door) action(a gate.Action) map[string]any {
 	switch a := a.(type) {
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -136,16 +136,11 @@
 	if text := guard(func() { actions = d.decider.Decide(now, d.pending) }); text != "" {
 		return append(out, giveIn(text)), nil
 	}
-	var mail letters
 	for _, a := range actions {
-		if mail.add(a, d.customers.ID) {
-			continue
-		}
 		if msg := d.action(a); msg != nil {
 			out = append(out, msg)
 		}
 	}
-	out = append(out, mail.messages()...)
 	d.endBatch()
 	return out, nil
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/swifthall/swifthall/gate"
-	"github.com/swifthall/swifthall/internal/index"
 )
 
 // scripted answers every batch with what its function says.
@@ -110,32 +109,6 @@
 	assert.JSONEq(t, `{"parts":[{"door_id":3,"out":[{"GIVE_IN":{"body_text":"panic: broken"}}]}]}`, out)
 }
 
-func TestMailIsGatheredSplitAndReadBack(t *testing.T) {
-	x := index.New[string]()
-	x.Add("91f03b7c5")
-	var mail letters
-	want := map[int]int{}
-	for n := range 30 {
-		to := n % 2
-		want[to]++
-		assert.True(t, mail.add(gate.Ask{To: to, Seq: n, Spread: 9, Units: 2, Level: 1.25}, x.ID))
-		assert.True(t, mail.add(gate.Grant{To: to, Seq: n, Wait: 250, Level: 3}, x.ID))
-	}
-	for i, text := range mail.texts {
-		assert.LessOrEqual(t, len(text), mailBytes)
-		for _, ev := range readMail(5, text, &x, 1) {
-			if a, ok := ev.(gate.Asked); ok {
-				assert.Equal(t, gate.Asked{From: 5, Seq: a.Seq, Spread: 9, Units: 2, Level: 1.25}, a)
-				want[mail.to[i]]--
-			} else {
-				assert.Equal(t, 250.0, ev.(gate.Granted).Wait)
-			}
-		}
-	}
-	assert.Equal(t, map[int]int{0: 0, 1: 0}, want)
-	assert.Empty(t, readMail(5, "hi 7;?1,9,0,3,1,1,91f03b7c5;!x", &x, 1), "a plan that is not there, and noise")
-}
-
 // A settings object and an answer of the new shape: units that are a guess, plans that earn beyond their quota, reports.
 func TestTheNewShapeCrossesTheWire(t *testing.T) {
 	born := strings.Replace(strings.Replace(born, `"rate":2.0`, `"rate":2.0,"beyond_earns":0.3,"over_cost":1.2`, 1), `"profiles"`,
--- a/lab/model/deal.go
+++ b/lab/model/deal.go
@@ -15,7 +15,7 @@
 // Terms are what a door of the scenario is told.
 func Terms(s *scenario.Scenario, number int) gate.Terms {
 	t := gate.Terms{Doors: s.Fleet.Doors, Number: number, MaxTransmissions: s.Allow.MaxTransmissions, SecondCopies: s.Allow.SecondCopies,
-		MayCancel: s.Allow.Cancel, MeterPeriod: s.Meter.PeriodMs, MailRate: s.Mail.PerS / 1000, Counter: s.Counter.On,
+		MayCancel: s.Allow.Cancel, MeterPeriod: s.Meter.PeriodMs, Counter: s.Counter.On,
 		MustAsk: s.Discovery.Ask, ColdFrom: s.Rules.ColdFrom, ColdFor: s.Rules.ColdS * 1000, FallMultiple: s.Rules.FallMultiple,
 		FallWindow: s.Rules.FallMs}
 	if s.Allow.RetryAfter {
--- a/lab/model/door.go
+++ b/lab/model/door.go
@@ -59,9 +59,6 @@
 	used    float64 // when one was last, ms
 }
 
-// letter is a message from another door, worded by the one that takes it.
-type letter struct{ to func(d *door) gate.Event }
-
 type probe struct {
 	at     float64
 	life   int
@@ -364,8 +361,6 @@
 				d.tracking = true
 				w.pass(d, w.whole())
 			}
-		case gate.Ask, gate.Grant, gate.Release:
-			d.post(w, a)
 		case gate.Forget:
 			d.customers.Drop(a.Customer)
 		case gate.Delist:
@@ -451,49 +446,3 @@
 		d.wake(w, w.now)
 	}
 }
-
-// post sends a message to another door. Customers are worded anew there, as each door hands out indices of its own.
-func (d *door) post(w *World, a gate.Action) {
-	var to, customer int
-	var word func(customer int) gate.Event
-	switch a := a.(type) {
-	case gate.Ask:
-		to, customer = a.To, a.Customer
-		word = func(c int) gate.Event {
-			return gate.Asked{From: d.id, Seq: a.Seq, Customer: c, Plan: a.Plan, First: a.First, Spread: a.Spread, Units: a.Units, Level: a.Level}
-		}
-	case gate.Grant:
-		to, customer = a.To, -1
-		word = func(int) gate.Event {
-			return gate.Granted{From: d.id, Seq: a.Seq, Wait: a.Wait, Hold: a.Hold, Level: a.Level}
-		}
-	case gate.Release:
-		to, customer = a.To, a.Customer
-		word = func(c int) gate.Event { return gate.Released{From: d.id, Customer: c} }
-	}
-	if customer >= 0 {
-		customer = d.customers.ID(customer)
-	}
-	m := &w.s.Mail
-	if m.PerS == 0 || to < 0 || to >= len(w.doors) || w.dice.net.Float64() < m.Loss || w.cut(d.zone, w.doors[to].zone) {
-		return
-	}
-	// What a door cannot take in at its rate is lost.
-	if w.mailed[to] = max(w.mailed[to], w.now-1000) + 1000/m.PerS; w.mailed[to] > w.now {
-		w.mailed[to] -= 1000 / m.PerS
-		return
-	}
-	w.at(w.now+m.Ms.At(w.dice.net.Float64()), due{kind: dueMail, n: to, p: letter{to: func(other *door) gate.Event {
-		if customer < 0 {
-			return word(0)
-		}
-		return word(other.customers.Add(customer))
-	}}})
-}
-
-func (d *door) mail(w *World, l letter) {
-	if d.up {
-		d.inbox = append(d.inbox, l.to(d))
-		d.wake(w, w.now)
-	}
-}
--- a/lab/model/queue.go
+++ b/lab/model/queue.go
@@ -24,7 +24,6 @@
 	dueCounted             // its answer, or the end of the wait, reaches its door
 	dueProbe               // a probe of backend n by door m ends
 	dueList                // news of the list reach door n of life m
-	dueMail                // a message reaches door n
 	dueFault               // fault n begins (m is 1) or ends
 	dueStart               // door or backend starts again
 	dueStep                // step m of fault n
--- a/lab/model/world.go
+++ b/lab/model/world.go
@@ -69,7 +69,6 @@
 	tries    int
 	closing  bool // no more operations arrive
 	waiting  int  // clients' operations that are not over
-	mailed   []float64
 	steps    int
 	posted   chan func() // from outside, in real time
 	outJobs  int
@@ -81,7 +80,6 @@
 func New(s *scenario.Scenario, seed uint64, maker Maker, sink trace.Sink) *World {
 	w := &World{s: s, seed: seed, sink: sink, maker: maker}
 	w.dice.net, w.dice.faults, w.dice.fleet = chance(seed, chanceNet), chance(seed, chanceFaults), chance(seed, chanceFleet)
-	w.mailed = make([]float64, s.Fleet.Doors)
 	for i := range s.Fleet.Backends {
 		w.addBackend(i%s.Fleet.Zones, i/s.Fleet.CellSize, w.machineFor(i))
 	}
@@ -226,8 +224,6 @@
 		w.doors[d.m].probed(w, d.n, d.p.(probe))
 	case dueList:
 		w.doors[d.n].list(w, d.m, d.p.(news))
-	case dueMail:
-		w.doors[d.n].mail(w, d.p.(letter))
 	case dueFault:
 		w.fault(d.n, d.m == 1)
 	case dueStep:
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -38,7 +38,6 @@
 	Discovery Discovery `toml:"discovery"`
 	Counter   Counter   `toml:"counter"`
 	Meter     Meter     `toml:"meter"`
-	Mail      Mail      `toml:"mail"`
 	Allow     Allow     `toml:"allow"`
 	Rules     Rules     `toml:"rules"`
 	Goal      Goal      `toml:"goal"`
@@ -176,13 +175,6 @@
 	LateMs   float64 `toml:"late_ms"`
 }
 
-// Mail is the doors' messages to each other.
-type Mail struct {
-	PerS float64 `toml:"per_s"` // that a door takes in
-	Ms   Span    `toml:"ms"`
-	Loss float64 `toml:"loss"`
-}
-
 // Allow is what a door may do.
 type Allow struct {
 	Probes           bool    `toml:"probes"`
@@ -297,7 +289,6 @@
 			Elsewhere: 0.4, NoticeMs: 2000},
 		Discovery: Discovery{DelayMs: Span{300, 1200}, NoticeMs: Span{700, 3000}, SilentMs: Span{5000, 10000}},
 		Counter:   Counter{PerS: 450, Parts: 1, ServeMs: 1.2, QueueMs: 80, TimeoutMs: 80},
-		Mail:      Mail{Ms: Span{1, 15}},
 		Allow:     Allow{ProbeMs: 0.4, Cancel: true, SecondCopies: true, MaxTransmissions: 6, RetryAfter: true},
 		Rules:     Rules{AnswerSlackMs: 50, DrainGraceMs: 500, FallMultiple: 4, FallMs: 1500},
 		Goal:      Goal{Whole: 0.4, WorstWindow: 0.35, WorstProfile: 0.1, WorstPlan: 0.15},
@@ -410,7 +401,7 @@
 		span Span
 	}{{"net.same_ms", s.Net.SameMs}, {"net.cross_ms", s.Net.CrossMs}, {"net.client_ms", s.Net.ClientMs}, {"load.spike_s", s.Load.SpikeS},
 		{"load.spike_every_s", s.Load.SpikeEveryS}, {"load.shift_s", s.Load.ShiftS}, {"discovery.delay_ms", s.Discovery.DelayMs},
-		{"discovery.notice_ms", s.Discovery.NoticeMs}, {"discovery.silent_ms", s.Discovery.SilentMs}, {"mail.ms", s.Mail.Ms}} {
+		{"discovery.notice_ms", s.Discovery.NoticeMs}, {"discovery.silent_ms", s.Discovery.SilentMs}} {
 		if err := sp.span.check(sp.key, false); err != nil {
 			return err
 		}
@@ -492,7 +483,7 @@
 		{"clients.elsewhere", s.Clients.Elsewhere, 0, 1}, {"clients.notice_ms", s.Clients.NoticeMs, 0, inf},
 		{"counter.serve_ms", s.Counter.ServeMs, 0, inf}, {"counter.queue_ms", s.Counter.QueueMs, 0, inf},
 		{"meter.period_ms", s.Meter.PeriodMs, 0, inf}, {"meter.late_ms", s.Meter.LateMs, 0, inf},
-		{"mail.per_s", s.Mail.PerS, 0, inf}, {"mail.loss", s.Mail.Loss, 0, 1}, {"allow.probe_ms", s.Allow.ProbeMs, 0, inf},
+		{"allow.probe_ms", s.Allow.ProbeMs, 0, inf},
 		{"rules.answer_slack_ms", s.Rules.AnswerSlackMs, 0, inf}, {"rules.drain_grace_ms", s.Rules.DrainGraceMs, 0, inf},
 		{"rules.fall_multiple", s.Rules.FallMultiple, 1, inf}, {"rules.fall_ms", s.Rules.FallMs, 1, inf},
 		{"rules.cold_from", s.Rules.ColdFrom, 0.001, 1}, {"rules.cold_s", s.Rules.ColdS, 0, inf},
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,8 +43,6 @@
 	idleDrop    = 60e3 // ms after which an idle bucket is dropped (design page),
 	idleFull    = 15e3 // and one that is full again; others' use is no longer known by then
 	sweepEvery  = 1e3  // ms between looks for idle buckets; there may be thousands
-	seqSpan     = 1e6  // Asks are numbered from a random number under this, apart from a former life's
-	mailEvery   = 40.  // ms between messages to one door; three doors then fill two thirds of what each takes in
 	countLump   = 0.5  // of a door's even slice of the room last seen on the counter, that one call asks for
 	easyLevel   = 0.6  // share of its depth left at this door over which a customer is counted with a later call
 	countGain   = 0.03 // by which the share of calls made grows with each answer,
@@ -53,15 +51,7 @@
 	countLeast  = 0.05 // least of that share
 	crowdedFor  = 20e3 // for this time, ms; shorter, calls came back in waves that crowded it again
 	awayAfter   = 8    // calls in a row without a word: the counter was away, as a crowded one answers some
-	askFor      = 120. // ms to wait for another door's answer; a few ways there and back
-	askTwice    = 2    // Asks without an answer in a row after which a door counts as mute; one may be lost
-	muteFor     = 1e3  // ms that a mute door is not asked
-	homes       = 3    // doors of a set that may be asked, the next one where those before are mute
-	barShare    = 0.5  // asks for a customer turned away come at most about twice as often as its units fill,
-	barMost     = 2e3  // but each door asks again after this time, ms: the surge may be over
-	openEvery   = 300. // ms until a door asks again for a customer that has all out that it may at once
-	grantedFor  = 5e3  // ms in which a grant is forgotten whose end was not heard, as messages are lost
-	homeCeiling = 0.6  // share of a ceiling that the home door keeps; over half of it covers the quota
+	askFor      = 120. // ms in which a call that is answered at all is answered; a few ways there and back
 	heldWeight  = 0.01 // weight of one more; a hundred, some ten to twenty seconds at a door of few
 	openUnder   = 0.08 // share of operations that may meet a hold while one goes beyond its quota
 	debtShare   = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
@@ -94,7 +84,7 @@
 // New returns the decisions of a door that has just started and knows nothing.
 func New(t gate.Terms, seed uint64) *Door {
 	return &Door{terms: t, dice: newDice(seed), ask: t.MustAsk, lat: make([]latency, len(t.Profiles)),
-		out: make([]int, len(t.Profiles)), born: -1, peers: make([]peer, t.Doors),
+		out: make([]int, len(t.Profiles)), born: -1,
 		calling: 1, before: 1, cutAt: math.Inf(-1), crowdedAt: math.Inf(-1),
 		fleet: fleet{cases: make([][]suspicion, len(t.Profiles)+1)}}
 }
@@ -103,7 +93,7 @@
 func (d *Door) Decide(now float64, events []gate.Event) []gate.Action {
 	d.now, d.actions = now, d.actions[:0]
 	if d.born < 0 {
-		d.born, d.ticked, d.seq = now, now, int(d.dice.roll()*seqSpan)
+		d.born, d.ticked = now, now
 	}
 	for _, e := range events {
 		switch e := e.(type) {
@@ -115,12 +105,6 @@
 			d.ended(e)
 		case gate.Streaming:
 			d.ops[e.Op].streaming = true
-		case gate.Asked:
-			d.asked(e)
-		case gate.Granted:
-			d.granted(e)
-		case gate.Released:
-			d.buckets[e.Customer].granted = max(0, d.buckets[e.Customer].granted-1)
 		case gate.Counted:
 			d.counted(e)
 		case gate.Woken:
@@ -184,7 +168,7 @@
 	}
 	d.usualGain += max(smoothing, 1/float64(d.taken)) * (d.gain(o) - d.usualGain)
 	d.pressed += heldWeight * (met - d.pressed)
-	local, wait, why := d.home(k) < 0 && !d.counts(k), 0.0, gate.OverQuota
+	local, wait, why := !d.counts(k), 0.0, gate.OverQuota
 	charged := true
 	if local {
 		if wait, why = d.shortfall(k, o.units); wait > 0 && d.welcome(o, k) {
@@ -216,7 +200,7 @@
 	dt := d.now - k.filled
 	k.filled = d.now
 	k.level = min(p.Depth, k.level+p.Rate*dt)
-	part := d.slice(k) // what is granted is sent later, when the ceiling would have filled up: it holds less
+	part := 1 / float64(k.spread) // what is granted is sent later, when the ceiling would have filled up: it holds less
 	most := p.CeilingDepth - 2*askFor*p.CeilingRate
 	k.ceiling = min(most*part, k.ceiling+p.CeilingRate*dt*part)
 	k.demand *= math.Exp(-dt / demandSpan)
@@ -254,7 +238,7 @@
 }
 
 func (d *Door) ceilingWait(k *bucket, units float64) float64 {
-	if rate := d.terms.Plans[k.plan].CeilingRate * d.slice(k); rate > 0 {
+	if rate := d.terms.Plans[k.plan].CeilingRate / float64(k.spread); rate > 0 {
 		return max(0, units+k.promisedUnits-k.ceiling) / rate
 	}
 	return 0
@@ -264,12 +248,8 @@
 // at arrival they would fill up again during the hold, and a long hold's end would pass the ceiling.
 func (d *Door) promise(k *bucket, o *operation, charged bool) {
 	o.promised = true
-	share := d.part(k)
-	if d.asks() && d.place(k) < homes {
-		share = 1
-	}
 	if o.charge = 0; charged {
-		o.charge = min(o.units/share, max(o.units, k.level-k.promised+
+		o.charge = min(o.units/d.part(k), max(o.units, k.level-k.promised+
 			debtShare*float64(k.spread)*d.terms.Plans[k.plan].Depth))
 	}
 	k.promised += o.charge
@@ -295,47 +275,13 @@
 	k.count.owed += more
 }
 
-// A customer's set may be so wide that a door's part holds less than one operation. Where doors may write to
-// each other, the units stay in one bucket, at the set's first door, and the others ask it for what their
-// demand needs as they send: the demand-weighted part, one operation at a time.
-
-func (d *Door) asks() bool { return d.terms.MailRate > 0 }
-
-func (d *Door) place(k *bucket) int {
-	return (d.terms.Number - k.first + d.terms.Doors) % d.terms.Doors
-}
-
-// home is the door to ask for a customer's units, or -1 where this one decides.
-func (d *Door) home(k *bucket) int {
-	for n := 0; d.asks() && n < min(k.spread, homes) && n != d.place(k); n++ {
-		if h := (k.first + n) % d.terms.Doors; d.now >= d.peers[h].mute {
-			return h
-		}
-	}
-	return -1
-}
-
-// slice is this door's part of a customer's ceiling. The home door grants from its own; the rest is for the
-// others, when they find it mute. Slices never move, so that they add up whatever is lost.
-func (d *Door) slice(k *bucket) float64 {
-	if !d.asks() || k.spread < 2 {
-		return 1 / float64(k.spread)
-	} else if d.place(k) == 0 {
-		return homeCeiling
-	}
-	return (1 - homeCeiling) / float64(k.spread-1)
-}
-
-// secure gets an operation its units, from home door, counter or own part, and tells whether it has them.
+// secure gets an operation its units, from counter or own part, and tells whether it has them.
 func (d *Door) secure(i int) bool {
 	o := &d.ops[i]
 	k := d.refill(o.customer)
 	if o.granted || o.promised {
 		return true
 	}
-	if d.askHome(o, k) {
-		return false
-	}
 	if d.counts(k) && !o.uncounted {
 		if wait := d.count(o, k); wait > 0 {
 			d.giveUp(i, wait, gate.OverQuota)
@@ -397,108 +343,6 @@
 	return true
 }
 
-// askHome asks the customer's home door and tells whether its answer is awaited. A door that leaves two Asks
-// in a row unanswered counts as mute and the next is asked; where none is left, this door goes by its part.
-func (d *Door) askHome(o *operation, k *bucket) bool {
-	if o.seq > 0 {
-		if d.now < o.asked+askFor {
-			return true
-		}
-		p := &d.peers[o.home]
-		if p.unanswered++; p.unanswered >= askTwice {
-			p.mute = d.now + muteFor
-		}
-	}
-	home := d.home(k)
-	if home < 0 {
-		o.seq = 0
-		return false
-	}
-	if o.seq == 0 || home != o.home { // else the same number: that Ask may have been granted
-		d.seq++
-		o.seq = d.seq
-	}
-	o.home, o.asked = home, d.now
-	d.mail = append(d.mail, letter{home, gate.Ask{To: home, Seq: o.seq, Customer: o.customer, Plan: o.plan,
-		First: k.first, Spread: k.spread, Units: o.units,
-		Level: k.level + d.terms.Plans[o.plan].Rate*askFor}})
-	return true
-}
-
-// asked answers another door's Ask, the same Ask again alike, as an answer may be lost. The asker's level is
-// what it last heard, filled up since: no more can be there, and a door just started knows nothing else.
-func (d *Door) asked(e gate.Asked) {
-	p := &d.peers[e.From]
-	p.unanswered, p.mute = 0, 0
-	if p.last.Seq != e.Seq {
-		k := d.fill(e.Customer, e.Plan, e.First, e.Spread)
-		k.level = min(k.level, e.Level)
-		wait, hold, first := d.quotaWait(k, e.Units), 0.0, d.place(k) == 0
-		if first {
-			wait = max(wait, d.ceilingWait(k, e.Units))
-		}
-		if wait == 0 && d.full(k) {
-			hold = openEvery
-		} else if wait == 0 {
-			k.granted++
-			k.level -= e.Units
-			if first {
-				k.ceiling -= e.Units
-			}
-		}
-		p.last = gate.Grant{To: e.From, Seq: e.Seq, Wait: wait, Hold: hold, Level: k.level}
-	}
-	d.mail = append(d.mail, letter{e.From, p.last})
-}
-
-// granted takes a home door's answer. One not from the first must fit this door's own slice of the ceiling.
-func (d *Door) granted(e gate.Granted) {
-	d.peers[e.From].unanswered, d.peers[e.From].mute = 0, 0
-	for _, i := range d.live {
-		o := &d.ops[i]
-		if o.seq != e.Seq || o.home != e.From || o.granted || o.want != undecided || len(o.sends) > 0 {
-			continue
-		}
-		k := d.refill(o.customer)
-		wait := e.Wait
-		k.level = e.Level
-		switch {
-		case wait > 0:
-			asks := barShare * float64(k.spread) * o.units / d.terms.Plans[k.plan].Rate
-			k.barred, k.barredUnits = d.now+max(wait, min(asks, barMost)), o.units
-		case e.Hold > 0 && o.again == 0:
-			o.seq, o.again = 0, d.now+e.Hold
-			return
-		case e.Hold > 0:
-			wait = e.Hold // more Asks for it would crowd out others'
-		case e.From != k.first:
-			if wait = d.ceilingWait(k, o.units); wait == 0 {
-				d.promise(k, o, false)
-			}
-		}
-		if wait > 0 {
-			d.giveUp(i, wait, gate.OverQuota)
-			return
-		}
-		o.granted, o.asked = true, d.now
-	}
-}
-
-// post writes what waits for each door, together and not too often: a door takes in only so much.
-func (d *Door) post() {
-	rest := d.mail[:0]
-	for _, m := range d.mail {
-		p := &d.peers[m.to]
-		if d.now != p.wrote && d.now < p.wrote+mailEvery {
-			rest = append(rest, m)
-			continue
-		}
-		p.wrote = d.now
-		d.actions = append(d.actions, m.action)
-	}
-	d.mail = rest
-}
-
 // Where there is a shared counter, each customer has a number on it for each window, the time in which its
 // quota fills the whole depth. The doors may add to it the level at its beginning, and what refills since.
 // A crowded counter is called for fewer operations; others go by part.
@@ -722,7 +566,7 @@
 		return
 	}
 	// Fixed at arrival, holds given in a quiet moment would all end in the same later one, in a wave.
-	if len(o.sends) == 0 && o.seq == 0 && !o.granted {
+	if len(o.sends) == 0 && !o.granted {
 		if rest := o.came + d.hold(o) - d.now; d.tooLong(o, rest) {
 			d.giveUp(i, d.drain(o.profile), gate.Pressed)
 			return
@@ -730,7 +574,7 @@
 			return
 		}
 	}
-	if !o.granted && (d.now < o.again || d.crowded(o)) {
+	if !o.granted && d.crowded(o) {
 		return
 	}
 	if len(o.sends) == 0 && !d.secure(i) {
@@ -738,31 +582,17 @@
 	}
 	if b, any := d.pick(o); b >= 0 {
 		d.send(i, b)
-	} else if o.granted && !o.promised || len(o.sends) > 0 && !any {
-		// The home door's ceiling fills up again; or nothing listed may have it.
+	} else if len(o.sends) > 0 && !any { // nothing listed may have it
 		d.giveUp(i, d.drain(o.profile), gate.Nowhere)
 	}
 }
 
-// crowded holds an operation whose customer has the transmissions allowed at once out: all of them at the
-// home door, which is told what it granted and what has ended, its part of them elsewhere.
+// crowded holds an operation whose customer has this door's part of the transmissions allowed at once out.
 func (d *Door) crowded(o *operation) bool {
 	p, k := &d.terms.Plans[o.plan], &d.buckets[o.customer]
-	if d.asks() && d.place(k) < homes || d.home(k) >= 0 { // elsewhere it is asked with the units
-		return d.home(k) < 0 && d.full(k)
-	}
 	return p.AtOnce > 0 && k.out >= max(1, int(math.Round(float64(p.AtOnce)*d.part(k))))
 }
 
-// full tells whether all the transmissions that a customer may have out at once are thought to be out. What
-// was granted and never heard of again is forgotten in time.
-func (d *Door) full(k *bucket) bool {
-	k.granted *= math.Exp((k.grantedAt - d.now) / grantedFor)
-	k.grantedAt = d.now
-	most := d.terms.Plans[k.plan].AtOnce
-	return most > 0 && k.granted+float64(k.out) > float64(most)-0.5
-}
-
 // members is how many backends this door keeps to: so many that it comes to each often enough to keep a
 // connection and know it. At a small site that is all of them. Who they are is each door's own chance, so
 // that the doors spread evenly, and one that is lost changes no other.
@@ -1083,9 +913,6 @@
 			keep = append(keep, i)
 		} else {
 			d.buckets[o.customer].open--
-			if o.granted && o.seq > 0 && d.terms.Plans[o.plan].AtOnce > 0 {
-				d.mail = append(d.mail, letter{o.home, gate.Release{To: o.home, Customer: o.customer}})
-			}
 		}
 	}
 	d.live = keep
@@ -1151,12 +978,11 @@
 		}
 	}
 	d.changed = d.changed[:0]
-	d.post()
 	d.actions = append(d.actions, d.calls...)
 	d.calls = d.calls[:0]
 	d.actions = append(d.actions, d.forgets...)
 	d.forgets = d.forgets[:0]
-	if (len(d.live) > 0 || len(d.mail) > 0 || d.ask) && !d.bell {
+	if (len(d.live) > 0 || d.ask) && !d.bell {
 		d.bell = true
 		d.actions = append(d.actions, gate.Wake{At: d.now + tickEvery})
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -279,80 +279,6 @@
 }
 
 // asking returns door 1 of 3, which may write to the others, with operation 0 for a customer of doors 0 to 2.
-func asking() *Door {
-	d := door(4)
-	d.terms.MailRate, d.terms.Number = 0.06, 1
-	d.arrive(arriving(0, replayable, plain))
-	d.tick()
-	return d
-}
-
-func TestUnitsAreAskedFromTheHomeDoorAndSentOnItsGrant(t *testing.T) {
-	d := asking()
-	assert.Len(t, d.mail, 1)
-	assert.Equal(t, 0, d.mail[0].to)
-	assert.Zero(t, d.out[replayable])
-	d.granted(gate.Granted{From: 0, Seq: d.ops[0].seq, Level: 5})
-	d.tick()
-	assert.Equal(t, 1, d.out[replayable])
-	assert.Equal(t, 5.0, d.buckets[0].level, "the home door has taken the units")
-}
-
-func TestRejectionByTheHomeDoorBarsTheNextUntilThere(t *testing.T) {
-	d := asking()
-	d.granted(gate.Granted{From: 0, Seq: d.ops[0].seq, Wait: 400})
-	assert.Equal(t, rejected, d.ops[0].want)
-	d.arrive(arriving(1, replayable, plain))
-	assert.Equal(t, rejected, d.ops[1].want)
-	d.now += barMost
-	d.arrive(arriving(2, replayable, plain))
-	assert.True(t, d.ops[2].held)
-}
-
-func TestAMuteHomeDoorIsPassedOver(t *testing.T) {
-	d := asking()
-	seq := d.ops[0].seq
-	for range askTwice {
-		d.now += askFor
-		d.tick()
-	}
-	assert.Equal(t, seq, d.mail[1].action.(gate.Ask).Seq, "the first may have been granted")
-	assert.Equal(t, 1, d.out[replayable], "the next of the set is this door, which decides")
-}
-
-func TestAnAskIsGrantedOnceHoweverOftenHeard(t *testing.T) {
-	d := door(1)
-	d.terms.MailRate = 0.06
-	k := d.fill(0, plain, 0, 3)
-	ask := gate.Asked{From: 2, Seq: 7, Spread: 3, Units: 1, Level: 12}
-	d.asked(ask)
-	d.asked(ask)
-	assert.InDelta(t, 11, k.level, 1e-9)
-	ask.Seq, ask.Level = 8, 0.5 // this door may have just started: the asker knows better
-	d.asked(ask)
-	assert.InDelta(t, 250, d.mail[2].action.(gate.Grant).Wait, 1)
-}
-
-func TestSlicesOfACeilingAddUpWhoeverIsHome(t *testing.T) {
-	sum := 0.0
-	for n := range 3 {
-		d := door(1)
-		d.terms.MailRate, d.terms.Number = 0.06, n
-		sum += d.slice(d.fill(0, capped, 0, 3))
-	}
-	assert.InDelta(t, 1, sum, 1e-9)
-}
-
-func TestMessagesToOneDoorAreGathered(t *testing.T) {
-	d := asking()
-	d.settle()
-	assert.Empty(t, d.mail)
-	d.now++
-	d.mail = []letter{{0, gate.Grant{}}, {2, gate.Grant{}}}
-	d.settle()
-	assert.Equal(t, []letter{{0, gate.Grant{}}}, d.mail)
-}
-
 // counting2 returns a door with operation 0 of two units waiting for the shared counter.
 func counting2() *Door {
 	d := door(4)
@@ -593,22 +519,6 @@
 	assert.Positive(t, d.drain(replayable))
 }
 
-func TestAllOutAtOnceIsHeldByTheHomeDoorUntilOneIsOver(t *testing.T) {
-	d := door(1)
-	d.terms.MailRate = 0.06
-	ask := gate.Asked{From: 2, Plan: capped, Spread: 3, Level: 12}
-	for ask.Seq = range 4 {
-		ask.Seq++
-		d.asked(ask)
-	}
-	assert.Zero(t, d.mail[2].action.(gate.Grant).Hold)
-	assert.Positive(t, d.mail[3].action.(gate.Grant).Hold)
-	d.buckets[0].granted--
-	ask.Seq++
-	d.asked(ask)
-	assert.Zero(t, d.mail[4].action.(gate.Grant).Hold)
-}
-
 func TestARepeatRejectedAtACrowdedCounterIsNotSent(t *testing.T) {
 	d := counting2()
 	d.calling = 0
@@ -986,3 +896,25 @@
 	assert.True(t, d.ops[0].held, "held to be sent again as before")
 	assert.Equal(t, []gate.Difference{gate.NoFurther}, told())
 }
+
+func TestSlicesOfACeilingAddUp(t *testing.T) {
+	sum := 0.0
+	for n := range 3 {
+		d := door(1)
+		d.terms.Number = n
+		d.arrive(arriving(0, replayable, capped))
+		d.now += 1e6
+		sum += d.refill(0).ceiling
+	}
+	assert.LessOrEqual(t, sum, terms().Plans[capped].CeilingDepth)
+	assert.Greater(t, sum, 0.9*terms().Plans[capped].CeilingDepth)
+}
+
+func TestAtOnceADoorHasItsPartOut(t *testing.T) {
+	d := door(4)
+	d.arrive(arriving(0, replayable, capped))
+	d.send(0, 0)
+	d.arrive(arriving(1, replayable, capped))
+	d.tick()
+	assert.Empty(t, d.ops[1].sends, "three at once over three doors is one at each")
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -46,10 +46,7 @@
 	units, charge           float64
 	came, until             float64 // arrival and end of the client's wait, ms
 	held                    bool    // waiting for release
-	home, seq               int     // door asked for its units, and the number of that Ask; 0 is none
-	asked                   float64 // clock of the Ask, or of its grant, ms
-	again                   float64 // clock before which it is not asked again, ms
-	granted                 bool    // the home door has granted its units
+	granted                 bool    // the counter has granted its units
 	uncounted               bool    // goes without the counter, which is crowded
 	promised                bool    // its units are set aside
 	streaming               bool
@@ -72,9 +69,7 @@
 	ceiling       float64  // what this door's slice of the ceiling holds, units
 	promised      float64  // charges of held operations, units
 	promisedUnits float64  // units of held operations
-	granted       float64  // operations granted to other doors and not heard to have ended
-	grantedAt     float64  // clock of that figure, ms
-	barred        float64  // clock before which the home door has no room, ms
+	barred        float64  // clock before which the counter has no room, ms
 	barredUnits   float64  // for operations of this many units or more
 	filled        float64  // clock of the last fill, ms
 	demand        float64  // units asked here lately, units/ms
@@ -284,10 +279,7 @@
 	ask        bool          // the list must be asked for
 	askAt      float64       // clock before which it is not asked for
 	forgets    []gate.Action // indices that are free again
-	peers      []peer        // by number
-	seq        int           // of the latest Ask
-	mail       []letter      // waiting to be written
-	calls      []gate.Action // of the counter, likewise
+	calls      []gate.Action // of the counter, waiting to be made
 	swept      float64       // clock of the last look for idle buckets
 	pressed    float64       // share of recent operations that met a hold at their arrival
 	taken      int           // operations
@@ -364,19 +356,6 @@
 	}
 }
 
-type letter struct {
-	to     int
-	action gate.Action
-}
-
-// peer is what is known of another door.
-type peer struct {
-	unanswered int        // Asks in a row
-	mute       float64    // not asked until then
-	wrote      float64    // clock of the latest message to it, ms
-	last       gate.Grant // the latest answer to it
-}
-
 // touch lists an operation as changed.
 func (d *Door) touch(i int) {
 	if o := &d.ops[i]; !o.queued {
