Odds fall with the queue that a backend reports, on the wire and on sockets

A door of few operations meets a backend once in a second or two, so its own work out tells little of the room there; a report with each answer does. On sockets X-Pressure is read where settings.reporting names the queue; a figure that cannot be is not told.

--- a/config/deal.go
+++ b/config/deal.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/swifthall/swifthall/gate"
 )
@@ -23,27 +24,26 @@
 	Reports         []string // what the values of a load report are, in their order; empty where answers hold none
 }
 
-// Names of the values of a load report that the decisions know. Others are skipped.
+// What the bench's pages call the one value of a load report that the decisions read; others are skipped.
 const (
-	reportService = "recent_ms"
-	reportQueue   = "backlog"
+	reportQueue  = "backlog"
+	pressedQueue = "queue" // in an answer's header
 )
 
-// Load words a report: its values in the order of Reports.
-func (d *Deal) Load(row []float64) (gate.Load, error) {
-	load := gate.NoLoad
+// Queue takes what waits at a backend from its report, the values in the order of Reports; -1 where none tells.
+func (d *Deal) Queue(row []float64) (float64, error) {
 	if len(row) > len(d.Reports) {
-		return load, fmt.Errorf("%d values where the settings name %d", len(row), len(d.Reports))
+		return -1, fmt.Errorf("%d values where the settings name %d", len(row), len(d.Reports))
 	}
-	for i, v := range row {
-		switch {
-		case d.Reports[i] == reportService && v > 0:
-			load.Service = v
-		case d.Reports[i] == reportQueue && v >= 0:
-			load.Queue = v
-		}
+	if i := slices.Index(d.Reports, reportQueue); i >= 0 && i < len(row) && row[i] >= 0 {
+		return row[i], nil
 	}
-	return load, nil
+	return -1, nil
+}
+
+// TellsQueue tells whether answers may say what waits at their backend.
+func (d *Deal) TellsQueue() bool {
+	return slices.Contains(d.Reports, reportQueue) || slices.Contains(d.Reports, pressedQueue)
 }
 
 var semantics = map[string]gate.Semantics{
--- a/frontdoor/backend.go
+++ b/frontdoor/backend.go
@@ -257,7 +257,7 @@
 	} else if c.budget.take(0) || c.spare() && c.budget.take(0) {
 		f.link = &link{c: c, backend: f.backend, addr: b.addr, since: b.since}
 	} else {
-		c.finish(f, endNoSocket, c.now, -1)
+		c.finish(f, endNoSocket, c.now, -1, -1)
 		return
 	}
 	l := f.link
@@ -313,17 +313,17 @@
 		how = unsent
 	}
 	c.retire(f.link)
-	c.finish(f, how, c.now, -1)
+	c.finish(f, how, c.now, -1, -1)
 }
 
 // finish tells the decisions how a transmission ended.
-func (c *core) finish(f *flight, how end, at, use float64) {
+func (c *core) finish(f *flight, how end, at, use, queue float64) {
 	o := &c.ops[f.op]
 	f.ended = true
 	o.out--
 	c.closing = append(c.closing, f.op)
 	c.pending = append(c.pending, gate.Ended{Op: f.op, Transmission: f.number, Backend: f.backend,
-		Result: how.result(), Latency: at - f.at, Over: o.over, Use: use})
+		Result: how.result(), Latency: at - f.at, Over: o.over, Use: use, Queue: queue})
 }
 
 // answered is a whole answer of a backend.
@@ -344,7 +344,11 @@
 	if how == endWell {
 		c.answer(f.op, http.StatusOK, 0, n.a.Body)
 	}
-	c.finish(f, how, n.at, n.a.Use)
+	queue := n.a.Queue
+	if !c.cfg.Deal.TellsQueue() {
+		queue = -1 // the settings say that answers hold no reports
+	}
+	c.finish(f, how, n.at, n.a.Use, queue)
 	// An answer may come before all of its transmission has left.
 	if b := &c.backends[l.backend]; n.a.Last || l.busy.Load() || !b.takes(l) {
 		c.retire(l)
@@ -380,5 +384,5 @@
 	if (unsent || f.stage.Load() == broken) && !n.how.result().NeverRan() {
 		n.how = endCutUnsent
 	}
-	c.finish(f, n.how, c.now, -1)
+	c.finish(f, n.how, c.now, -1, -1)
 }
--- a/frontdoor/core_test.go
+++ b/frontdoor/core_test.go
@@ -165,9 +165,9 @@
 	f, far := linked(t, c)
 	written(t, f, far)
 	answered{f.link, http1.Answer{Status: 200, Use: 0.5, Body: []byte("hi")}, f.at + 30}.take(c)
-	assert.Equal(t, gate.Ended{Result: gate.Finished, Latency: 30, Over: true, Use: 0.5}, c.pending[0])
+	assert.Equal(t, gate.Ended{Result: gate.Finished, Latency: 30, Over: true, Use: 0.5, Queue: -1}, c.pending[0])
 	c.answer(0, http.StatusBadGateway, 0, nil) // a second answer
-	assert.Equal(t, http1.Answer{Status: 200, Use: -1, Body: []byte("hi")}, heard(t, client))
+	assert.Equal(t, http1.Answer{Status: 200, Use: -1, Queue: -1, Body: []byte("hi")}, heard(t, client))
 	assert.Len(t, c.backends[0].idle, 1, "the connection is used again")
 	c.decide()
 	assert.Equal(t, []int{0}, c.free)
@@ -573,3 +573,17 @@
 	assert.Empty(t, c.backends[0].idle)
 	assert.Equal(t, [2]int{0, 0}, [2]int{c.backends[0].zone, c.backends[0].cell}, "zones and cells come back too")
 }
+
+func TestALoadReportIsTakenWhereTheSettingsNameIt(t *testing.T) {
+	for _, names := range [][]string{nil, {"recent_ms", "backlog"}} {
+		c, _ := owned(t)
+		c.cfg.Deal.Reports = names
+		f, _ := linked(t, c)
+		answered{f.link, http1.Answer{Status: 200, Use: -1, Queue: 4, Body: []byte("hi")}, f.at + 30}.take(c)
+		want := -1.0
+		if names != nil {
+			want = 4
+		}
+		assert.Equal(t, want, c.pending[0].(gate.Ended).Queue)
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -107,18 +107,9 @@
 	Over                      bool    // the operation has its final answer
 	Use                       float64 // metered use as a share of the rate; negative when not told
 	Units                     float64 // true units, where the operation's were a guess; 0 when not told
-	Load                      Load
+	Queue                     float64 // operations waiting, as the backend reported; negative when not told
 }
 
-// Load is what a backend reported of itself with an answer. It comes late and is a little noisy.
-type Load struct {
-	Service float64 // recent service time without waiting, ms; 0 when not told
-	Queue   float64 // operations waiting; negative when not told
-}
-
-// NoLoad is that of an answer without a report.
-var NoLoad = Load{Queue: -1}
-
 // Streaming reports that the answer has begun and belongs to the client from here on.
 type Streaming struct{ Op, Transmission int }
 
--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -3,17 +3,22 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/swifthall/swifthall/internal/pool"
 )
 
-const mostUse = 1e6 // percent; a figure past it was not measured
+const (
+	mostUse   = 1e6 // percent; a figure past it was not measured
+	mostQueue = 1e6 // operations; likewise
+)
 
 // Answer is what a backend says.
 type Answer struct {
 	Status     int
 	TurnedAway bool    // unseen
 	Use        float64 // the customer's metered use as a share of its rate; negative where not told
+	Queue      float64 // operations that wait at the backend, by its load report; negative where not told
 	Body       []byte
 	Last       bool // the connection is of no more use
 }
@@ -55,7 +60,7 @@
 // Take returns the answer that Feed or End found whole.
 func (r *Answers) Take() Answer {
 	h := r.res.Header
-	a := Answer{Status: r.res.StatusCode, Use: -1, Last: r.res.Close,
+	a := Answer{Status: r.res.StatusCode, Use: -1, Queue: queueOf(h["X-Pressure"]), Last: r.res.Close,
 		TurnedAway: h.Get("X-Turned-Away") == "1"}
 	if told := h["X-Allowance-Used"]; len(told) == 1 {
 		if v, err := strconv.ParseFloat(told[0], 64); err == nil && v >= 0 && v <= mostUse {
@@ -66,6 +71,22 @@
 	return a
 }
 
+// queueOf reads what waits from a load report such as inflight=7,queue=2,util=0.61. A figure that cannot be was not
+// told: a report is no reason to lose an answer.
+func queueOf(reports []string) float64 {
+	if len(reports) != 1 {
+		return -1
+	}
+	for field := range strings.SplitSeq(reports[0], ",") {
+		if name, figure, _ := strings.Cut(strings.TrimSpace(field), "="); name == "queue" {
+			if v, err := strconv.ParseFloat(figure, 64); err == nil && v >= 0 && v <= mostQueue {
+				return v
+			}
+		}
+	}
+	return -1
+}
+
 // AppendTransmission appends an operation as a backend is sent it; left is how long the door waits, in ms.
 func AppendTransmission(dst []byte, o *Operation, host string, left float64) []byte {
 	dst = append(append(append(dst, o.Method...), ' '), o.Target...)
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -129,17 +129,17 @@
 		want  Answer
 	}{
 		"counted": {"HTTP/1.1 200 OK\r\nX-Allowance-Used: 50\r\nContent-Length: 2\r\n\r\nhi",
-			Answer{Status: 200, Use: 0.5, Body: []byte("hi")}},
+			Answer{Status: 200, Use: 0.5, Queue: -1, Body: []byte("hi")}},
 		"chunked": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
-			Answer{Status: 200, Use: -1, Body: []byte("hi")}},
+			Answer{Status: 200, Use: -1, Queue: -1, Body: []byte("hi")}},
 		"turned away": {"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n",
-			Answer{Status: 503, Use: -1, TurnedAway: true, Body: []byte{}}},
+			Answer{Status: 503, Use: -1, Queue: -1, TurnedAway: true, Body: []byte{}}},
 		"last": {"HTTP/1.1 500 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-			Answer{Status: 500, Use: -1, Last: true, Body: []byte{}}},
+			Answer{Status: 500, Use: -1, Queue: -1, Last: true, Body: []byte{}}},
 		"announced": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-			Answer{Status: 200, Use: -1, Body: []byte{}}},
+			Answer{Status: 200, Use: -1, Queue: -1, Body: []byte{}}},
 		"large": {"HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", MaxBody),
-			Answer{Status: 200, Use: -1, Body: []byte(strings.Repeat("x", MaxBody))}},
+			Answer{Status: 200, Use: -1, Queue: -1, Body: []byte(strings.Repeat("x", MaxBody))}},
 	} {
 		var r Answers
 		used, whole, err := r.Feed([]byte(c.input))
@@ -186,7 +186,7 @@
 		_, whole, err := r.Feed([]byte("HTTP/1.1 200 OK\r\nX-Allowance-Used: " + figure + "\r\nContent-Length: 2\r\n\r\nhi"))
 		require.NoError(t, err, figure)
 		require.True(t, whole, figure)
-		assert.Equal(t, Answer{Status: 200, Use: -1, Body: []byte("hi")}, r.Take(), "the answer stands: "+figure)
+		assert.Equal(t, Answer{Status: 200, Use: -1, Queue: -1, Body: []byte("hi")}, r.Take(), "the answer stands: "+figure)
 	}
 }
 
@@ -235,3 +235,12 @@
 	_, err = new(Stream).Feed([]byte("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), out)
 	assert.Error(t, err)
 }
+
+func TestALoadReportTellsWhatWaits(t *testing.T) {
+	for told, want := range map[string]float64{"inflight=7,queue=2,util=0.61": 2, "queue=0": 0, " queue=3.5 ,util=1": 3.5, "util=0.5": -1,
+		"queue=-1": -1, "queue=NaN": -1, "queue=1e9": -1, "queue=many": -1, "": -1} {
+		assert.Equal(t, want, queueOf([]string{told}), told)
+	}
+	assert.Equal(t, -1.0, queueOf(nil))
+	assert.Equal(t, -1.0, queueOf([]string{"queue=1", "queue=2"}), "two reports contradict each other")
+}
--- a/internal/wire/door.go
+++ b/internal/wire/door.go
@@ -138,7 +138,7 @@
 		Over: maybe[bool](f, "over"), Use: (maybe[float64](f, "fleet_use") - 1) / 100,
 		Units: maybe[float64](f, "final_units")}
 	var err error
-	if ev.Load, err = d.deal.Load(maybe[[]float64](f, "telemetry")); err != nil {
+	if ev.Queue, err = d.deal.Queue(maybe[[]float64](f, "telemetry")); err != nil {
 		f.fail("telemetry", "%w", err)
 	}
 	if !known {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -132,7 +132,7 @@
 	require.NoError(t, h.Serve(strings.NewReader(batch(born, listed, submit)+batch(done("[12.5,0.4,3]"))), &bytes.Buffer{}))
 	assert.Equal(t, gate.Plan{Rate: 0.002, Depth: 8, Beyond: 0.3, OverCost: 1.2}, plan)
 	assert.Equal(t, 5.0, got.(gate.Ended).Units)
-	assert.Equal(t, gate.Load{Service: 12.5, Queue: 3}, got.(gate.Ended).Load)
+	assert.Equal(t, 3.0, got.(gate.Ended).Queue)
 
 	_, _, err := serve(decide, batch(born, listed, submit)+batch(done("[1,2,3,4]")))
 	assert.ErrorContains(t, err, `event DONE: field "telemetry": 4 values where the settings name 3`)
--- a/lab/model/door.go
+++ b/lab/model/door.go
@@ -309,7 +309,7 @@
 		w.tell(trace.Event{Kind: trace.Closed, Try: t.ID, Door: d.id, Number: e.job.Number, Backend: e.job.Backend, Result: e.result})
 		b, _ := d.names.Find(e.job.Backend)
 		d.events = append(d.events, gate.Ended{Op: t.slot, Transmission: e.job.Number, Backend: b, Result: e.result, Latency: e.took,
-			Over: o.over, Use: e.use})
+			Over: o.over, Use: e.use, Queue: -1})
 	}
 	clear(d.back)
 	d.back = d.back[:0]
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -57,17 +57,18 @@
 	debtShare   = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
 
 	// Health of backends.
-	silentRate = 0.1 // a broken backend answers at this share of the expected rate
-	failNats   = 3.0 // evidence in one failed transmission: some 20 times likelier of a broken backend
-	judgeAt    = 6.0 // nats that end the test: one false verdict in some 400 stretches of work
-	priorNats  = 3.0 // nats at which a backend is as likely broken as well; its odds are halved there
-	trialFirst = 1e3 // ms from the verdict to the first trial
-	trialMost  = 8e3 // ms between trials at most
-	paceWeight = 0.1 // weight of a new latency in a backend's pace; some 10 samples
-	mostJudged = 0.6 // share of the listed backends that may stand judged; more is the fleet's trouble
-	rescueAt   = 1.5 // expected latencies after which an operation on a judged backend is sent elsewhere
-	lateLeast  = 0.5 // share of its gain that a late answer must earn to be waited for on a pressed fleet
-	fullRest   = 1e3 // ms a backend that turned work of a plan away is left alone by it, doubled each time again
+	silentRate  = 0.1 // a broken backend answers at this share of the expected rate
+	failNats    = 3.0 // evidence in one failed transmission: some 20 times likelier of a broken backend
+	judgeAt     = 6.0 // nats that end the test: one false verdict in some 400 stretches of work
+	priorNats   = 3.0 // nats at which a backend is as likely broken as well; its odds are halved there
+	trialFirst  = 1e3 // ms from the verdict to the first trial
+	trialMost   = 8e3 // ms between trials at most
+	paceWeight  = 0.1 // weight of a new latency in a backend's pace; some 10 samples
+	queueWeight = 0.5 // weight of a new report of what waits at a backend; it comes once in a second or two
+	mostJudged  = 0.6 // share of the listed backends that may stand judged; more is the fleet's trouble
+	rescueAt    = 1.5 // expected latencies after which an operation on a judged backend is sent elsewhere
+	lateLeast   = 0.5 // share of its gain that a late answer must earn to be waited for on a pressed fleet
+	fullRest    = 1e3 // ms a backend that turned a plan's work away is left alone by it, next time twice that
 
 	// The guards that the rules need.
 	coldShare = 0.8  // share of a cold backend's budget that the doors use; the rest is for chance
@@ -200,7 +201,7 @@
 	dt := d.now - k.filled
 	k.filled = d.now
 	k.level = min(p.Depth, k.level+p.Rate*dt)
-	part := 1 / float64(k.spread) // what is granted is sent later, when the ceiling would have filled up: it holds less
+	part := 1 / float64(k.spread) // what is granted is sent later, when it would have filled up: it holds less
 	most := p.CeilingDepth - 2*askFor*p.CeilingRate
 	k.ceiling = min(most*part, k.ceiling+p.CeilingRate*dt*part)
 	k.demand *= math.Exp(-dt / demandSpan)
@@ -485,8 +486,8 @@
 	low, l := d.low(o.profile), &d.lat[o.profile]
 	margin := marginShare*contract + chance*l.spread/math.Sqrt(max(1, min(float64(l.samples), 2/smoothing)))
 	excess := max(0, d.recent(o.profile)-low-margin) / low
-	// Hundreds of doors press a fleet with less than one operation each: what was in flight of late counts, as nothing
-	// is out at most looks.
+	// Hundreds of doors press a fleet with less than one operation each: what was in flight of late counts, as
+	// nothing is out at most looks.
 	flight := min(1, l.flight) * math.Exp((l.flightAt-d.now)/flightSpan)
 	hold := alpha * excess * max(d.drain(o.profile), flight/d.best(o.profile))
 	if hold < tickEvery { // none: what fades never ends
@@ -522,7 +523,7 @@
 	return n * (1 - min(1, chance/math.Sqrt(max(1, float64(all))))) / d.best(profile)
 }
 
-// best is the rate at which this door finishes a profile's operations at its recent best, in operations per ms.
+// best is the rate at which this door finishes a profile's operations at its recent best, operations per ms.
 func (d *Door) best(profile int) float64 {
 	if l := &d.lat[profile]; l.samples >= lowAfter {
 		return l.best
@@ -530,8 +531,8 @@
 	return 1 / d.low(profile)
 }
 
-// mute tells whether the whole fleet has been silent for longer than an answer may take. Then what is out is no
-// matter of single backends or lost answers.
+// mute tells whether the whole fleet has been silent for longer than an answer may take. Then what is out is
+// no matter of single backends or lost answers.
 func (d *Door) mute(profile int) bool { return d.now > d.answeredAt+d.terms.Profiles[profile].Contract }
 
 // recent is a profile's recent latency. Silence gives no sample, so what is out longer than that adds its
@@ -635,7 +636,8 @@
 	return d.dice.draw(odds), any
 }
 
-// room is what a backend is thought to have free: size and pace, less for own work out, if it works at all.
+// room is what a backend is thought to have free: size and pace, less for own work out and for what it says
+// that it has waiting, if it works at all.
 func (d *Door) room(b int, o *operation) float64 {
 	f := &d.fleet
 	if d.now < f.fullUntil[b][o.plan] {
@@ -643,7 +645,8 @@
 	}
 	c := f.against(b, o.profile)
 	well := 1 / (1 + math.Exp(max(c[0].doubt, c[1].doubt)-priorNats))
-	return well * d.warmth(b) * f.size[b] / f.pace[b] / math.Pow(1+float64(f.out[b]), roomPower)
+	taken := (1 + f.queue[b]) * math.Pow(1+float64(f.out[b]), roomPower)
+	return well * d.warmth(b) * f.size[b] / f.pace[b] / taken
 }
 
 // allowed holds the rules for where an operation may go: listed, not yet told to drain, within the cold
@@ -810,6 +813,9 @@
 	f, b := &d.fleet, s.backend
 	switch e.Result {
 	case gate.Finished:
+		if e.Queue >= 0 {
+			f.queue[b] += queueWeight * (e.Queue - f.queue[b])
+		}
 		d.answeredAt = d.now
 		f.fullGap[b][o.plan] /= 2
 		for _, c := range f.against(b, o.profile) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -926,3 +926,22 @@
 	d.tick()
 	assert.Empty(t, d.ops[1].sends, "three at once over three doors is one at each")
 }
+
+func TestABackendThatReportsWorkWaitingIsDrawnLessOften(t *testing.T) {
+	d := sentOnce(replayable, 2)
+	o := operation{profile: replayable, plan: plain}
+	before := d.room(2, &o)
+	d.judge(&d.ops[0], &d.ops[0].sends[0], gate.Ended{Result: gate.Finished, Latency: 100, Queue: -1})
+	assert.InEpsilon(t, before, d.room(2, &o), 0.1, "nothing told")
+	d.judge(&d.ops[0], &d.ops[0].sends[0], gate.Ended{Result: gate.Finished, Latency: 100, Queue: 6})
+	assert.Less(t, d.room(2, &o), before/2)
+}
+
+// Each of hundreds of doors has nothing out at most looks, and together they keep a pressed fleet pressed.
+func TestWhatWasInFlightOfLatePressesAThinDoor(t *testing.T) {
+	d := door(4)
+	d.lat[replayable] = latency{recent: 900, low: 100, best: 0.001, samples: 100, flight: 0.8, flightAt: d.now}
+	assert.Positive(t, d.hold(&operation{profile: replayable}))
+	d.now += 10 * flightSpan
+	assert.Zero(t, d.hold(&operation{profile: replayable}), "what fades ends")
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -135,6 +135,7 @@
 	pace       []float64     // its latency over the fleet's
 	fullUntil  [][]float64   // turned work of a plan away; left alone for it until then
 	fullGap    [][]float64   // for so long, ms
+	queue      []float64     // waiting as reported
 	work       float64       // work sent lately to warm backends, decaying, ms of work
 	workAt     float64       // clock of that figure, ms
 	coldLeft   []int         // operations that it may still get in a window while it is cold
@@ -216,7 +217,7 @@
 		for r := range f.cases {
 			f.cases[r] = append(f.cases[r], suspicion{})
 		}
-		f.mark = append(f.mark, 0)
+		f.mark, f.queue = append(f.mark, 0), append(f.queue, 0)
 		f.pace, f.fullUntil = append(f.pace, 1), append(f.fullUntil, make([]float64, plans))
 		f.fullGap = append(f.fullGap, make([]float64, plans))
 		f.coldLeft, f.coldUntil = append(f.coldLeft, 0), append(f.coldUntil, 0)
