--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,7 +21,7 @@
 	marginShare = 0.2  // share of the contract time that latency may exceed its low by without any hold
 	tailTimes   = 5.0  // drains that a held operation must have left: slow ones take far more than the mean
 	chance      = 1.0  // deviations of what is in flight (Poisson) or of a mean latency that count as chance
-	smoothing   = 0.06 // weight of a new latency; some 16 samples, a second or two of one profile's traffic
+	smoothing   = 0.06 // weight of a new latency; some 16 samples: a second of a profile, ten at a door of few
 	lowAfter    = 16   // samples after which the smoothed latency may set a low; those that smoothing remembers
 	finishSpan  = 5e3  // ms over which the rate of finishing is averaged; some dozens of operations of a profile
 	leastKnown  = 0.1  // least share of finishSpan that a rate is taken to be averaged over, after a start
@@ -52,7 +52,7 @@
 	crowdedFor  = 20e3 // for this time, ms; shorter, calls came back in waves that crowded it again
 	awayAfter   = 8    // calls in a row without a word: the counter was away, as a crowded one answers some
 	askFor      = 120. // ms in which a call that is answered at all is answered; a few ways there and back
-	heldWeight  = 0.01 // weight of one more; a hundred, some ten to twenty seconds at a door of few
+	heldWeight  = 0.01 // weight of one more operation in the share that meets a hold; a hundred of them
 	openUnder   = 0.08 // share of operations that may meet a hold while one goes beyond its quota
 	debtShare   = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
 
