The hold is taken once at an arrival; look stands in the module, as it decides

Read over once more. arrive() computed the hold twice; open() only passed on to pays(), and the watch repeated welcome(), which now takes the terms it goes by; the clock of the averaged flight was the tick's clock kept a second time; look(), in which the last change put a decision, stood with the state types. members() told of ranks that are gone. Four operations out at four backends had been set up three times in the tests.

--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -54,6 +54,17 @@
 	return gate.Operation{Op: op, Profile: profile, Plan: plan, TTL: 3000, Units: 1, Spread: 3}
 }
 
+// sentEach returns a door of four backends with an operation out at each.
+func sentEach() *Door {
+	d := door(4)
+	for i := range 4 {
+		d.arrive(arriving(i, replayable, plain))
+		d.send(i, i)
+	}
+	d.settle()
+	return d
+}
+
 // sentOnce returns a door of four backends with operation 0 out at the given one.
 func sentOnce(profile, backend int) *Door {
 	d := door(4)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -163,8 +163,8 @@
 	k.demand += o.units / demandSpan
 	k.phase = e.Phase
 	k.open++
-	met := 0.0
-	if d.hold(o) > 0 {
+	hold, met := d.hold(o), 0.0
+	if hold > 0 {
 		met = 1
 	}
 	d.usualGain += max(smoothing, 1/float64(d.taken)) * (d.gain(o) - d.usualGain)
@@ -172,7 +172,7 @@
 	local, wait, why := !d.counts(k), 0.0, gate.OverQuota
 	charged := true
 	if local {
-		if wait, why = d.shortfall(k, o.units); wait > 0 && d.welcome(o, k) {
+		if wait, why = d.shortfall(k, o.units); wait > 0 && d.welcome(&d.terms, o) {
 			wait, charged = 0, false
 		}
 	} else if o.units >= k.barredUnits {
@@ -185,7 +185,7 @@
 	if local {
 		d.promise(k, o, charged)
 	}
-	if hold := d.hold(o); d.tooLong(o, hold) {
+	if d.tooLong(o, hold) {
 		d.reject(e.Op, d.drain(o.profile), gate.Pressed)
 	} else {
 		o.held = true
@@ -306,13 +306,8 @@
 
 // welcome tells whether an operation beyond its customer's quota is sent all the same: where its plan earns
 // more by that than it costs, its ceiling holds it, and the fleet is not pressed. The quota is not charged.
-func (d *Door) welcome(o *operation, k *bucket) bool {
-	return d.open(k) && d.ceilingWait(k, o.units) == 0
-}
-
-// open tells whether a customer's quota keeps nothing out for now.
-func (d *Door) open(k *bucket) bool {
-	return d.pays(&d.terms, k.plan)
+func (d *Door) welcome(t *gate.Terms, o *operation) bool {
+	return d.pays(t, o.plan) && d.ceilingWait(&d.buckets[o.customer], o.units) == 0
 }
 
 // pays tells whether what is sent beyond a plan's quota earns more than it costs, on a fleet not pressed.
@@ -349,7 +344,7 @@
 // A crowded counter is called for fewer operations; others go by part.
 
 func (d *Door) counts(k *bucket) bool {
-	return d.terms.Counter && d.terms.Plans[k.plan].Rate > 0 && !d.open(k)
+	return d.terms.Counter && d.terms.Plans[k.plan].Rate > 0 && !d.pays(&d.terms, k.plan)
 }
 
 // window numbers a customer's windows, which turn at a time of its own, and tells what is left of this one.
@@ -488,7 +483,7 @@
 	excess := max(0, d.recent(o.profile)-low-margin) / low
 	// Hundreds of doors press a fleet with less than one operation each: what was in flight of late counts, as
 	// nothing is out at most looks.
-	flight := min(1, l.flight) * math.Exp((l.flightAt-d.now)/flightSpan)
+	flight := min(1, l.flight) * math.Exp((d.ticked-d.now)/flightSpan)
 	hold := alpha * excess * max(d.drain(o.profile), flight/d.best(o.profile))
 	if hold < tickEvery { // none: what fades never ends
 		return 0
@@ -595,8 +590,8 @@
 }
 
 // members is how many backends this door keeps to: so many that it comes to each often enough to keep a
-// connection and know it. At a small site that is all of them. Who they are is each door's own chance, so
-// that the doors spread evenly, and one that is lost changes no other.
+// connection and know it. At a small site that is all of them. Who they are is told by the door's place on
+// the ring, so that the doors spread evenly; one that is lost moves a stretch by one at most.
 func (d *Door) members() int {
 	rate := d.fleet.sends * math.Exp((d.fleet.sendsAt-d.now)/finishSpan)
 	return max(memberMin, int(rate*memberGap))
@@ -801,8 +796,7 @@
 		return min(retryAfter, w.MaxRetryAfter) != o.retryAfter
 	})
 	d.differs(gate.SentBeyond, func(w *gate.Terms) bool {
-		return (why == gate.OverPart || why == gate.OverQuota) && d.pays(w, o.plan) &&
-			d.ceilingWait(&d.buckets[o.customer], o.units) == 0
+		return (why == gate.OverPart || why == gate.OverQuota) && d.welcome(w, o)
 	})
 	d.touch(i)
 }
@@ -898,8 +892,7 @@
 	d.look()
 	for p := range d.lat {
 		l := &d.lat[p]
-		l.flight += (float64(d.out[p]) - l.flight) * (1 - math.Exp((l.flightAt-d.now)/flightSpan))
-		l.flightAt = d.now
+		l.flight += (float64(d.out[p]) - l.flight) * (1 - math.Exp(-dt/flightSpan))
 	}
 	keep := d.live[:0]
 	for _, i := range d.live {
@@ -929,6 +922,29 @@
 	}
 }
 
+// look takes in by how much what is out is out longer than is usual. What is out past the contract time is
+// late already, and where answers are lost on the way it would look like a backlog for as long as clients
+// wait. What waits at a judged backend is not overdue: one silent backend is no pressed fleet.
+func (d *Door) look() {
+	for p := range d.lat {
+		d.lat[p].late, d.lat[p].overdue = 0, 0
+	}
+	for _, i := range d.live {
+		o := &d.ops[i]
+		l := &d.lat[o.profile]
+		for j := range o.sends {
+			s := &o.sends[j]
+			if age := d.now - s.at; s.out() && age > d.terms.Profiles[o.profile].Contract {
+				if l.late++; d.mute(o.profile) {
+					l.overdue += d.terms.Profiles[o.profile].Contract
+				}
+			} else if s.out() && !d.fleet.shunned(s.backend, o.profile) {
+				l.overdue += max(0, age-d.smoothed(o.profile))
+			}
+		}
+	}
+}
+
 // rescue gives up what is late on a pressed fleet, and sends a second copy of what waits at a judged backend:
 // silence, a stall, a lost zone. Slowness that all share calls for no copy: expected latency grows with it.
 func (d *Door) rescue(i int) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -60,12 +60,7 @@
 }
 
 func TestSilenceOfTheFleetRaisesTheEstimate(t *testing.T) {
-	d := door(4)
-	for i := range 4 {
-		d.arrive(arriving(i, replayable, plain))
-		d.send(i, i)
-	}
-	d.settle()
+	d := sentEach()
 	d.now += 800
 	d.look()
 	assert.InDelta(t, 100+smoothing*4*700, d.recent(replayable), 1)
@@ -468,12 +463,7 @@
 }
 
 func TestLostAnswersAreNoBacklog(t *testing.T) {
-	d := door(4)
-	for i := range 4 {
-		d.arrive(arriving(i, replayable, plain))
-		d.send(i, i)
-	}
-	d.settle()
+	d := sentEach()
 	assert.Positive(t, d.drain(replayable))
 	d.now += 1500 // past the contract time, not yet given up by the clients
 	d.answeredAt = d.now - 100
@@ -486,12 +476,7 @@
 // When nothing at all comes back, what is out is no lost answer: a door whose few samples dated from before went on
 // sending to a fleet that had come to a stand.
 func TestAFleetThatAnswersNothingIsPressed(t *testing.T) {
-	d := door(4)
-	for i := range 4 {
-		d.arrive(arriving(i, replayable, plain))
-		d.send(i, i)
-	}
-	d.settle()
+	d := sentEach()
 	d.now += 1500
 	d.answeredAt = d.now - 1500
 	d.look()
@@ -940,7 +925,7 @@
 // Each of hundreds of doors has nothing out at most looks, and together they keep a pressed fleet pressed.
 func TestWhatWasInFlightOfLatePressesAThinDoor(t *testing.T) {
 	d := door(4)
-	d.lat[replayable] = latency{recent: 900, low: 100, best: 0.001, samples: 100, flight: 0.8, flightAt: d.now}
+	d.lat[replayable] = latency{recent: 900, low: 100, best: 0.001, samples: 100, flight: 0.8}
 	assert.Positive(t, d.hold(&operation{profile: replayable}))
 	d.now += 10 * flightSpan
 	assert.Zero(t, d.hold(&operation{profile: replayable}), "what fades ends")
--- a/policy/state.go
+++ b/policy/state.go
@@ -231,8 +231,7 @@
 	lowAt       float64 // clock of the last sample, ms
 	spread      float64 // smoothed distance of a latency from the mean, ms
 	samples     int
-	flight      float64 // averaged transmissions in flight
-	flightAt    float64 // clock of that figure, ms
+	flight      float64 // averaged transmissions in flight, at the latest tick
 	late        int     // transmissions out past the contract time
 	overdue     float64 // sum of what the others are out beyond the usual, ms
 }
@@ -275,9 +274,9 @@
 	buckets    []bucket
 	fleet      fleet
 	lat        []latency
-	out        []int // transmissions out, by profile
-	bell       bool  // a Wake is pending
-	ticked     float64
+	out        []int   // transmissions out, by profile
+	bell       bool    // a Wake is pending
+	ticked     float64 // clock of the latest tick, ms
 	changed    []int
 	ask        bool          // the list must be asked for
 	askAt      float64       // clock before which it is not asked for
@@ -296,29 +295,6 @@
 	actions    []gate.Action
 }
 
-// look takes in by how much what is out is out longer than is usual. What is out past the contract time is
-// late already, and where answers are lost on the way it would look like a backlog for as long as clients
-// wait. What waits at a judged backend is not overdue: one silent backend is no pressed fleet.
-func (d *Door) look() {
-	for p := range d.lat {
-		d.lat[p].late, d.lat[p].overdue = 0, 0
-	}
-	for _, i := range d.live {
-		o := &d.ops[i]
-		l := &d.lat[o.profile]
-		for j := range o.sends {
-			s := &o.sends[j]
-			if age := d.now - s.at; s.out() && age > d.terms.Profiles[o.profile].Contract {
-				if l.late++; d.mute(o.profile) {
-					l.overdue += d.terms.Profiles[o.profile].Contract
-				}
-			} else if s.out() && !d.fleet.shunned(s.backend, o.profile) {
-				l.overdue += max(0, age-d.smoothed(o.profile))
-			}
-		}
-	}
-}
-
 // refill brings a known customer's bucket up to the clock.
 func (d *Door) refill(customer int) *bucket {
 	k := &d.buckets[customer]
