One check of terms serves settings and watch; faults under watch come in one order

The watch had checks of its own beside those of the settings, and fewer: an aim, a worth or a depth that settings refuse passed under watch, though migration.md promises that check names every faulty key there too. termFaults now serves both, so such a watch is refused with its key. Faults of names came in a map's order, another each time. What is refused of settings, and how it is worded, is as before.

--- a/config/config.go
+++ b/config/config.go
@@ -212,44 +212,16 @@
 	} else if t.Number < 0 || t.Number >= t.Doors {
 		fault("key \"settings.my_number\": %d of %d doors", t.Number, t.Doors)
 	}
-	if len(t.Profiles) == 0 {
-		fault("key \"settings.profiles\": none")
-	}
-	if len(t.Plans) == 0 {
-		fault("key \"settings.tariffs\": none")
-	}
-	if t.MaxTransmissions < 1 {
-		fault("key \"settings.limits.max_attempts\": %d", t.MaxTransmissions)
-	}
+	faults = append(faults, termFaults("settings", t)...)
 	if t.Counter && d.Counter == "" {
 		fault("key \"counter\": missing, though settings.extra.counter is true")
 	}
-	least := []figure{{"limits.cores", d.Cores}, {"limits.memory_mb", float64(d.MemoryMB)}, {"limits.sockets", float64(d.Sockets)},
+	return append(faults, below0([]figure{{"limits.cores", d.Cores}, {"limits.memory_mb", float64(d.MemoryMB)}, {"limits.sockets", float64(d.Sockets)},
 		{"pace.slow_input_ms", d.Pace.SlowInput}, {"pace.idle_client_ms", d.Pace.IdleClient}, {"pace.idle_backend_ms", d.Pace.IdleBackend},
 		{"pace.silence_ms", d.Pace.Silence}, {"pace.dead_counter_ms", d.Pace.DeadCounter},
 		{"pace.redial_ms", d.Pace.Redial}, {"pace.linger_ms", d.Pace.Linger},
 		{"settings.limits.conn_idle", d.Deal.ConnIdle}, {"settings.limits.connect_timeout", d.Deal.ConnectTimeout},
-		{"settings.extra.counter_timeout", d.Deal.CounterTimeout}, {"settings.extra.units_top", d.Deal.MostUnits}}
-	for i, p := range t.Profiles {
-		if p.Contract <= 0 {
-			fault("key \"settings.profiles[%d].aim\": %g", i, p.Contract/msPerSecond)
-		}
-		if p.Gain < 0 {
-			fault("key \"settings.profiles[%d].worth\": below 0", i)
-		}
-	}
-	for i, p := range t.Plans {
-		if p.Rate > 0 && p.Depth <= 0 {
-			fault("key \"settings.tariffs[%d].depth\": %g, though there is a rate", i, p.Depth)
-		}
-	}
-	least = append(least, planFigures("settings", t.Plans)...)
-	for _, l := range least {
-		if l.value < 0 {
-			fault("key %q: below 0", l.key)
-		}
-	}
-	return faults
+		{"settings.extra.counter_timeout", d.Deal.CounterTimeout}, {"settings.extra.units_top", d.Deal.MostUnits}})...)
 }
 
 // watch reads the settings of another shape. They must name the same profiles and plans in the same order, as an
@@ -262,22 +234,51 @@
 	if err != nil {
 		return []error{err}
 	}
-	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
-	for of, both := range map[string][2]map[string]int{"profiles": {d.Deal.Profiles, other.Profiles},
-		"tariffs": {d.Deal.Plans, other.Plans}} {
-		if !maps.Equal(both[0], both[1]) {
-			fault("key \"watch.%s\": other names than settings.%s has, or in another order", of, of)
+	for _, n := range []struct {
+		of            string
+		present, next map[string]int
+	}{{"profiles", d.Deal.Profiles, other.Profiles}, {"tariffs", d.Deal.Plans, other.Plans}} {
+		if !maps.Equal(n.present, n.next) {
+			faults = append(faults, fmt.Errorf("key \"watch.%s\": other names than settings.%s has, or in another order", n.of, n.of))
 		}
 	}
-	if other.Terms.MaxTransmissions < 1 {
-		fault("key \"watch.limits.max_attempts\": %d", other.Terms.MaxTransmissions)
+	d.Watch = &other.Terms
+	return append(faults, termFaults("watch", d.Watch)...)
+}
+
+// termFaults holds what decisions need of profiles, plans and limits, whether they go by them or are compared.
+func termFaults(under string, t *gate.Terms) (faults []error) {
+	fault := func(key, format string, args ...any) {
+		faults = append(faults, fmt.Errorf("key %q: "+format, append([]any{under + "." + key}, args...)...))
+	}
+	if len(t.Profiles) == 0 {
+		fault("profiles", "none")
+	}
+	if len(t.Plans) == 0 {
+		fault("tariffs", "none")
+	}
+	if t.MaxTransmissions < 1 {
+		fault("limits.max_attempts", "%d", t.MaxTransmissions)
+	}
+	for i, p := range t.Profiles {
+		at := fmt.Sprintf("profiles[%d].", i)
+		if p.Contract <= 0 {
+			fault(at+"aim", "%g", p.Contract/msPerSecond)
+		}
+		if p.Gain < 0 {
+			fault(at+"worth", "below 0")
+		}
 	}
-	for _, l := range planFigures("watch", other.Terms.Plans) {
-		if l.value < 0 {
-			fault("key %q: below 0", l.key)
+	for i, p := range t.Plans {
+		at := fmt.Sprintf("tariffs[%d].", i)
+		if p.Rate > 0 && p.Depth <= 0 {
+			fault(at+"depth", "%g, though there is a rate", p.Depth)
 		}
+		at = under + "." + at
+		faults = append(faults, below0([]figure{{at + "rate", p.Rate}, {at + "depth", p.Depth}, {at + "never_over_rate", p.CeilingRate},
+			{at + "ceiling_burst", p.CeilingDepth}, {at + "beyond_earns", p.Beyond}, {at + "over_cost", p.OverCost},
+			{at + "pays", p.Price}})...)
 	}
-	d.Watch = &other.Terms
 	return faults
 }
 
@@ -286,15 +287,14 @@
 	value float64
 }
 
-// planFigures are the figures of plans that must not be below 0.
-func planFigures(under string, plans []gate.Plan) (all []figure) {
-	for i, p := range plans {
-		at := fmt.Sprintf("%s.tariffs[%d].", under, i)
-		all = append(all, figure{at + "rate", p.Rate}, figure{at + "depth", p.Depth}, figure{at + "never_over_rate", p.CeilingRate},
-			figure{at + "ceiling_burst", p.CeilingDepth}, figure{at + "beyond_earns", p.Beyond}, figure{at + "over_cost", p.OverCost},
-			figure{at + "pays", p.Price})
+// below0 names the figures that are below 0.
+func below0(figures []figure) (faults []error) {
+	for _, f := range figures {
+		if f.value < 0 {
+			faults = append(faults, fmt.Errorf("key %q: below 0", f.key))
+		}
 	}
-	return all
+	return faults
 }
 
 func (d *Door) logDefaults() {
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -88,7 +88,7 @@
 	_, err := Read([]byte(watchingConfig(`{"profiles":[{"name":"read","semantics":"idempotent"}],
 		"tariffs":[{"name":"gold","over_cost":-1}]}`)), unset)
 	for _, want := range []string{`key "watch.tariffs": other names than settings.tariffs has`,
-		`key "watch.limits.max_attempts": 0`, `key "watch.tariffs[0].over_cost": below 0`} {
+		`key "watch.limits.max_attempts": 0`, `key "watch.tariffs[0].over_cost": below 0`, `key "watch.profiles[0].aim": 0`} {
 		assert.ErrorContains(t, err, want)
 	}
 	_, err = Read([]byte(watchingConfig(`{"reporting":{"how":"loudly"}}`)), unset)
