--- a/internal/http1/fuzz_test.go
+++ b/internal/http1/fuzz_test.go
@@ -26,6 +26,18 @@
 	return used, false, false
 }
 
+// fedAlike feeds p to one machine whole and to another byte by byte, and tells whether both have a message.
+func fedAlike(t *testing.T, whole, bytewise reader, p []byte) bool {
+	used, is, failed := fed(whole, p, len(p))
+	usedB, isB, failedB := fed(bytewise, p, 1)
+	require.Equal(t, is, isB, "however its bytes come")
+	require.Equal(t, failed, failedB)
+	if is {
+		require.Equal(t, used, usedB)
+	}
+	return is
+}
+
 func FuzzOperations(f *testing.F) {
 	f.Add([]byte(asked))
 	f.Add([]byte("GET /look?key=1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nhe\r\n0\r\n\r\n"))
@@ -33,14 +45,9 @@
 		var whole, bytewise Operations
 		defer whole.Drop()
 		defer bytewise.Drop()
-		used, is, failed := fed(&whole, p, len(p))
-		usedB, isB, failedB := fed(&bytewise, p, 1)
-		require.Equal(t, is, isB, "however its bytes come")
-		require.Equal(t, failed, failedB)
-		if !is {
+		if !fedAlike(t, &whole, &bytewise, p) {
 			return
 		}
-		require.Equal(t, used, usedB)
 		a, err := whole.Take()
 		b, errB := bytewise.Take()
 		require.Equal(t, err == nil, errB == nil)
@@ -61,12 +68,7 @@
 		var whole, bytewise Answers
 		defer whole.Drop()
 		defer bytewise.Drop()
-		used, is, failed := fed(&whole, p, len(p))
-		usedB, isB, failedB := fed(&bytewise, p, 1)
-		require.Equal(t, is, isB, "however its bytes come")
-		require.Equal(t, failed, failedB)
-		if is {
-			require.Equal(t, used, usedB)
+		if fedAlike(t, &whole, &bytewise, p) {
 			require.Equal(t, whole.Take(), bytewise.Take())
 		}
 	})
--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -46,12 +46,15 @@
 	t.free = append(t.free, i)
 }
 
-// Mark spreads names evenly from 0 to 1, the same in every process.
-func Mark(name string) float64 {
+// Hash makes a number of a name, the same in every process.
+func Hash(name string) uint64 {
 	h := fnv.New64a()
 	io.WriteString(h, name)
-	return Phase(h.Sum64())
+	return h.Sum64()
 }
 
+// Mark spreads names evenly from 0 to 1, the same in every process.
+func Mark(name string) float64 { return Phase(Hash(name)) }
+
 // Phase spreads ids evenly from 0 to 1, the same in every process.
 func Phase(id uint64) float64 { return float64(id*0x9E3779B97F4A7C15>>11) / (1 << 53) }
--- a/internal/wire/door.go
+++ b/internal/wire/door.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"hash/fnv"
 
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
@@ -157,9 +156,7 @@
 
 // countName names a customer's number for an epoch, the same at every door.
 func countName(customer string, epoch int64) uint64 {
-	h := fnv.New64a()
-	fmt.Fprintf(h, "%s/%d", customer, epoch)
-	return h.Sum64() >> 1
+	return index.Hash(fmt.Sprintf("%s/%d", customer, epoch)) >> 1
 }
 
 // counting is a customer's number that was called for and not yet answered.
