A backend that starts anew inherits no queue from the process before it

Found on reading over: renew() clears what is held against a former process, and the queue added lately was left out of it, also for another backend under a used index. Its odds stayed low until it was drawn and had reported.

--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -930,3 +930,12 @@
 	d.now += 10 * flightSpan
 	assert.Zero(t, d.hold(&operation{profile: replayable}), "what fades ends")
 }
+
+// What waited at a process that is gone waits no longer: its successor would be shunned for a queue it never had.
+func TestASuccessorInheritsNoQueue(t *testing.T) {
+	d := sentOnce(replayable, 2)
+	d.judge(&d.ops[0], &d.ops[0].sends[0], gate.Ended{Result: gate.Finished, Latency: 100, Queue: 6})
+	assert.Positive(t, d.fleet.queue[2])
+	d.list(gate.Fleet{Entries: []gate.Entry{{Backend: 2, Since: 5}}})
+	assert.Zero(t, d.fleet.queue[2])
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -159,7 +159,7 @@
 	if !f.known[b] { // one that is new under a used index
 		f.known[b], f.size[b], f.coldLeft[b], f.coldUntil[b] = true, 1, 0, 0
 	}
-	f.since[b], f.pace[b] = since, 1
+	f.since[b], f.pace[b], f.queue[b] = since, 1, 0
 	for r := range f.cases {
 		f.cases[r][b] = suspicion{}
 	}
