--- a/cmd/swifthall/commands.go
+++ b/cmd/swifthall/commands.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 
@@ -15,14 +14,14 @@
 	cmd := &cobra.Command{Use: "swifthall", Short: "An admission gateway for services sold by plan", Args: cobra.NoArgs,
 		Long: "Alone, swifthall serves as one front door, as swifthall serve does: it reads the file that GW_CONFIG names;\n" +
 			"GW_NAME, GW_LISTEN and GW_DISCOVERY win over its keys.",
-		SilenceUsage: true, SilenceErrors: true, RunE: func(*cobra.Command, []string) error { return serve(l) }}
+		RunE: func(*cobra.Command, []string) error { return serve(l) }}
 	cmd.PersistentFlags().StringVar(&l.level, "log-level", "", "debug, info, warn or error; wins over the key log.level")
 	cmd.PersistentFlags().StringVar(&l.format, "log-format", "", "text or json; wins over the key log.format")
 	cmd.AddCommand(
 		&cobra.Command{Use: "serve", Short: "Serve as one front door", Args: cobra.NoArgs,
 			RunE: func(*cobra.Command, []string) error { return serve(l) }},
 		&cobra.Command{Use: "check [FILE]", Short: "Say what is wrong with a configuration, key by key, without starting",
-			Long: "Reads FILE, or what GW_CONFIG names, with the environment as serve would. Exits with 1 where serve would not start.",
+			Long: "Reads FILE, or what GW_CONFIG names, with the environment as serve would. Exits with 3 where serve would not start.",
 			Args: cobra.MaximumNArgs(1), RunE: check},
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), version()) }},
@@ -52,7 +51,7 @@
 		fmt.Fprintln(cmd.OutOrStdout(), f)
 	}
 	if len(faults) > 0 {
-		return errors.New("the configuration cannot be served")
+		return &CheckError{len(faults), getenv("GW_CONFIG")}
 	}
 	fmt.Fprintln(cmd.OutOrStdout(), "ok")
 	return nil
--- a/cmd/swifthall/commands_test.go
+++ b/cmd/swifthall/commands_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"os"
 	"path/filepath"
 	"testing"
@@ -11,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/swifthall/swifthall/config"
+	"github.com/swifthall/swifthall/internal/cli"
+	"github.com/swifthall/swifthall/internal/remedy"
 )
 
 func do(args ...string) (string, error) {
@@ -19,7 +22,7 @@
 	cmd.SetOut(&out)
 	cmd.SetErr(&out)
 	cmd.SetArgs(args)
-	err := cmd.Execute()
+	err := cli.Execute(context.Background(), cmd)
 	return out.String(), err
 }
 
@@ -36,6 +39,23 @@
 	assert.Equal(t, "ok\n", out)
 }
 
+func TestEachKindOfErrorHasItsExitCodeAndSaysWhatToDo(t *testing.T) {
+	t.Setenv("PATH", "")
+	t.Setenv("GW_CONFIG", "")
+	for code, args := range map[int][]string{2: {"serve", "now"}, 3: {"serve"}, 5: {"lab", "list"}} {
+		var errs bytes.Buffer
+		cmd := root()
+		cmd.SetArgs(args)
+		assert.Equal(t, code, cli.Main(context.Background(), cmd, &errs), args)
+		assert.Contains(t, errs.String(), "to do: ")
+	}
+	_, err := do("chek")
+	var usage *cli.UsageError
+	assert.ErrorAs(t, err, &usage)
+	_, err = do("check", "nowhere.json")
+	assert.Equal(t, remedy.Configuration, remedy.Typed(err)[0].Kind())
+}
+
 func TestServeDoesNotStartOnAFaultyFlagOrFile(t *testing.T) {
 	t.Setenv("GW_CONFIG", "../../examples/config.json")
 	_, err := do("--log-level", "loud")
--- /dev/null
+++ b/cmd/swifthall/errors.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/swifthall/swifthall/internal/remedy"
+)
+
+// CheckError is a configuration that a door would not start with; what is wrong with it has been printed.
+type CheckError struct {
+	Faults int
+	File   string
+}
+
+func (e *CheckError) Error() string     { return "the configuration cannot be served" }
+func (e *CheckError) Kind() remedy.Kind { return remedy.Configuration }
+
+// Remedy names the file.
+func (e *CheckError) Remedy() string {
+	return fmt.Sprintf("Set each of the keys named above in %s, and check again: %d to go.", e.File, e.Faults)
+}
+
+// ProgramError is a program beside this one that can't be started.
+type ProgramError struct {
+	Name, Path string // Path is empty where the program wasn't found
+	Cause      error
+}
+
+func (e *ProgramError) Error() string {
+	if e.Path == "" {
+		return remedy.Because(e.Name+" is neither beside this program nor on the path", e.Cause)
+	}
+	return remedy.Because("starting "+e.Path, e.Cause)
+}
+func (e *ProgramError) Unwrap() error     { return e.Cause }
+func (e *ProgramError) Kind() remedy.Kind { return remedy.Unreachable }
+
+// Remedy names the command that builds the program.
+func (e *ProgramError) Remedy() string {
+	return fmt.Sprintf("Build it with go build -o bin/ ./cmd/... and keep %s beside swifthall.", e.Name)
+}
--- a/cmd/swifthall/lab.go
+++ b/cmd/swifthall/lab.go
@@ -19,11 +19,11 @@
 	}
 	if _, err := os.Stat(path); err != nil {
 		if path, err = exec.LookPath(labProgram); err != nil {
-			return fmt.Errorf("%s is neither beside this program nor on the path: go build ./cmd/... makes both: %w", labProgram, err)
+			return &ProgramError{Name: labProgram, Cause: err}
 		}
 	}
 	if err := syscall.Exec(path, append([]string{labProgram}, args...), os.Environ()); err != nil {
-		return fmt.Errorf("starting %s: %w", path, err)
+		return &ProgramError{labProgram, path, err}
 	}
 	return nil
 }
--- a/cmd/swifthall/main.go
+++ b/cmd/swifthall/main.go
@@ -3,13 +3,12 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
+
+	"github.com/swifthall/swifthall/internal/cli"
 )
 
 func main() {
-	if err := root().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "error:", err)
-		os.Exit(1)
-	}
+	os.Exit(cli.Main(context.Background(), root(), os.Stderr))
 }
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -2,10 +2,10 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/remedy"
 	"github.com/swifthall/swifthall/internal/wire"
 	"github.com/swifthall/swifthall/policy"
 )
@@ -15,7 +15,7 @@
 		return policy.New(t, seed)
 	})
 	if err := host.Serve(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "wirehost:", err)
-		os.Exit(1)
+		remedy.Tell(os.Stderr, err)
+		os.Exit(remedy.Exit(err))
 	}
 }
--- a/config/config.go
+++ b/config/config.go
@@ -59,10 +59,10 @@
 func (l Log) Check() error {
 	var faults []error
 	if !slices.Contains([]string{"debug", "info", "warn", "error"}, l.Level) {
-		faults = append(faults, fmt.Errorf("key \"log.level\": %q, one of debug, info, warn, error is wanted", l.Level))
+		faults = append(faults, keyFault("log.level", "%q, one of debug, info, warn, error is wanted", l.Level))
 	}
 	if l.Format != LogText && l.Format != LogJSON {
-		faults = append(faults, fmt.Errorf("key \"log.format\": %q, text or json is wanted", l.Format))
+		faults = append(faults, keyFault("log.format", "%q, text or json is wanted", l.Format))
 	}
 	return errors.Join(faults...)
 }
@@ -99,11 +99,11 @@
 func Load(getenv func(string) string) (Door, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
-		return Door{}, fmt.Errorf("GW_CONFIG is not set: it names the configuration file")
+		return Door{}, &FileError{}
 	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return Door{}, fmt.Errorf("GW_CONFIG: %w", err)
+		return Door{}, &FileError{path, err}
 	}
 	return Read(raw, getenv)
 }
@@ -143,24 +143,24 @@
 		may        bool
 	}{{"listen", d.Listen, false}, {"discovery", d.Discovery, false}, {"counter", d.Counter, true}} {
 		if _, port, err := net.SplitHostPort(a.value); (err != nil || port == "") && !(a.may && a.value == "") {
-			faults = append(faults, fmt.Errorf("key %q: %q is not an address with a port", a.key, a.value))
+			faults = append(faults, keyFault(a.key, "%q is not an address with a port", a.value))
 		}
 	}
 	var err error
 	if f.Seed != "" {
 		if d.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
-			faults = append(faults, fmt.Errorf("key \"seed\": %q is not a hexadecimal number of 64 bits", f.Seed))
+			faults = append(faults, keyFault("seed", "%q is not a hexadecimal number of 64 bits", f.Seed))
 		}
 	}
 	if len(f.Known) > 0 {
 		if d.Known, err = registry.ReadList(f.Known); err != nil {
-			faults = append(faults, fmt.Errorf("key \"known\": %w", err))
+			faults = append(faults, &KeyError{Key: "known", Cause: err})
 		}
 	}
 	d.logDefaults()
 	faults = append(faults, d.Log.Check())
 	if len(f.Settings) == 0 {
-		faults = append(faults, fmt.Errorf("key \"settings\": missing"))
+		faults = append(faults, keyFault("settings", "missing"))
 	} else if d.Deal, err = ReadDeal(f.Settings); err != nil {
 		faults = append(faults, err)
 	} else {
@@ -206,15 +206,15 @@
 // check holds what serving needs, over what the simulator's first message must have.
 func (d *Door) check() (faults []error) {
 	t := &d.Deal.Terms
-	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
+	fault := func(key, format string, args ...any) { faults = append(faults, keyFault(key, format, args...)) }
 	if t.Doors < 1 {
-		fault("key \"settings.fleet_size\": %d doors", t.Doors)
+		fault("settings.fleet_size", "%d doors", t.Doors)
 	} else if t.Number < 0 || t.Number >= t.Doors {
-		fault("key \"settings.my_number\": %d of %d doors", t.Number, t.Doors)
+		fault("settings.my_number", "%d of %d doors", t.Number, t.Doors)
 	}
 	faults = append(faults, termFaults("settings", t)...)
 	if t.Counter && d.Counter == "" {
-		fault("key \"counter\": missing, though settings.extra.counter is true")
+		fault("counter", "missing, though settings.extra.counter is true")
 	}
 	return append(faults, below0([]figure{{"limits.cores", d.Cores}, {"limits.memory_mb", float64(d.MemoryMB)}, {"limits.sockets", float64(d.Sockets)},
 		{"pace.slow_input_ms", d.Pace.SlowInput}, {"pace.idle_client_ms", d.Pace.IdleClient}, {"pace.idle_backend_ms", d.Pace.IdleBackend},
@@ -239,7 +239,7 @@
 		present, next map[string]int
 	}{{"profiles", d.Deal.Profiles, other.Profiles}, {"tariffs", d.Deal.Plans, other.Plans}} {
 		if !maps.Equal(n.present, n.next) {
-			faults = append(faults, fmt.Errorf("key \"watch.%s\": other names than settings.%s has, or in another order", n.of, n.of))
+			faults = append(faults, keyFault("watch."+n.of, "other names than settings.%s has, or in another order", n.of))
 		}
 	}
 	d.Watch = &other.Terms
@@ -249,7 +249,7 @@
 // termFaults holds what decisions need of profiles, plans and limits, whether they go by them or are compared.
 func termFaults(under string, t *gate.Terms) (faults []error) {
 	fault := func(key, format string, args ...any) {
-		faults = append(faults, fmt.Errorf("key %q: "+format, append([]any{under + "." + key}, args...)...))
+		faults = append(faults, keyFault(under+"."+key, format, args...))
 	}
 	if len(t.Profiles) == 0 {
 		fault("profiles", "none")
@@ -291,7 +291,7 @@
 func below0(figures []figure) (faults []error) {
 	for _, f := range figures {
 		if f.value < 0 {
-			faults = append(faults, fmt.Errorf("key %q: below 0", f.key))
+			faults = append(faults, keyFault(f.key, "below 0"))
 		}
 	}
 	return faults
--- a/config/deal.go
+++ b/config/deal.go
@@ -33,7 +33,7 @@
 // Queue takes what waits at a backend from its report, the values in the order of Reports; -1 where none tells.
 func (d *Deal) Queue(row []float64) (float64, error) {
 	if len(row) > len(d.Reports) {
-		return -1, fmt.Errorf("%d values where the settings name %d", len(row), len(d.Reports))
+		return -1, &ReportError{len(row), len(d.Reports)}
 	}
 	if i := slices.Index(d.Reports, reportQueue); i >= 0 && i < len(row) && row[i] >= 0 {
 		return row[i], nil
@@ -136,7 +136,7 @@
 		d.Reports = s.Reporting.Names
 	case "", "off", "on_probe": // the decisions probe nothing
 	default:
-		return Deal{}, fmt.Errorf("key %q: unknown word %q", under+".reporting.how", s.Reporting.How)
+		return Deal{}, keyFault(under+".reporting.how", "unknown word %q", s.Reporting.How)
 	}
 	if s.Limits.RetryAfter {
 		d.Terms.MaxRetryAfter = s.Limits.MaxRetryAfter * msPerSecond
@@ -144,11 +144,11 @@
 	for i, p := range s.Profiles {
 		sem, ok := semantics[p.Semantics]
 		if !ok {
-			return Deal{}, fmt.Errorf("key \"%s.profiles[%d].semantics\": unknown word %q", under, i, p.Semantics)
+			return Deal{}, keyFault(fmt.Sprintf("%s.profiles[%d].semantics", under, i), "unknown word %q", p.Semantics)
 		}
 		scope, ok := scopes[p.Scope]
 		if !ok {
-			return Deal{}, fmt.Errorf("key \"%s.profiles[%d].dedup_scope\": unknown word %q", under, i, p.Scope)
+			return Deal{}, keyFault(fmt.Sprintf("%s.profiles[%d].dedup_scope", under, i), "unknown word %q", p.Scope)
 		}
 		d.Profiles[p.Name] = i
 		d.LongestWait = max(d.LongestWait, p.GiveUp*msPerSecond)
@@ -175,7 +175,7 @@
 		if under != "" {
 			under += "."
 		}
-		return fmt.Errorf("key %q: %s where %s is wanted", under+wrong.Field, wrong.Value, wrong.Type)
+		return keyFault(under+wrong.Field, "%s where %s is wanted", wrong.Value, wrong.Type)
 	}
-	return fmt.Errorf("key %q: %w", under, err)
+	return &KeyError{Key: under, Cause: err}
 }
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"os"
 	"syscall"
@@ -21,12 +20,6 @@
 	"github.com/swifthall/swifthall/internal/fields"
 )
 
-var (
-	errNoSocket  = errors.New("no socket is free")
-	errUncalled  = errors.New("a reply to no call")
-	errWatchOver = errors.New("the watch was ended")
-)
-
 // Door is one front door.
 type Door struct{ core *core }
 
@@ -40,11 +33,11 @@
 func (d *Door) Serve(ctx context.Context) error {
 	c := d.core
 	if c.budget.short(0) {
-		return fmt.Errorf("key \"limits.sockets\": %d, or what the system allows, leave none for connections", c.cfg.Sockets)
+		return &SocketsError{c.cfg.Sockets}
 	}
 	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", c.cfg.Listen)
 	if err != nil {
-		return fmt.Errorf("listening: %w", err)
+		return &ListenError{c.cfg.Listen, err}
 	}
 	defer ln.Close()
 	c.listener, c.accepting = ln.(*net.TCPListener), true
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"strconv"
 )
 
@@ -17,8 +16,6 @@
 
 const longestLine = 256 // bytes in a chunk's size line or a trailer
 
-var errChunk = errors.New("malformed chunk")
-
 // body hands out what it is fed without its framing.
 type body struct {
 	framing framing
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"net/http"
 	"sync"
 
@@ -15,13 +14,6 @@
 // MaxBody is the most bytes in a body, either way.
 const MaxBody = 64 << 10
 
-var (
-	errHeadSize = errors.New("head too large")
-	errHead     = errors.New("malformed head")
-	errBodySize = errors.New("body too large")
-	errAhead    = errors.New("too many answers ahead")
-)
-
 // head gathers the bytes of one head.
 type head struct {
 	buf    []byte
--- a/internal/http1/operation.go
+++ b/internal/http1/operation.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"net/http"
 	"net/url"
@@ -9,6 +10,7 @@
 	"strings"
 
 	"github.com/swifthall/swifthall/internal/pool"
+	"github.com/swifthall/swifthall/internal/remedy"
 )
 
 // ReadyPath and LivePath are asked by whoever watches over the door.
@@ -45,7 +47,13 @@
 	Text   string
 }
 
-func (f *Fault) Error() string { return f.Text }
+func (f *Fault) Error() string     { return f.Text }
+func (f *Fault) Kind() remedy.Kind { return remedy.Refused }
+
+// Remedy names the answer that the client was given.
+func (f *Fault) Remedy() string {
+	return fmt.Sprintf("Have the client mend what it was answered %d for; the door itself needs nothing.", f.Status)
+}
 
 func fault(status int, text string) *Fault { return &Fault{status, text} }
 
@@ -158,8 +166,6 @@
 	return true
 }
 
-var errForm = errors.New("not in the protocol's form")
-
 // readSpan reads a number with its unit, m for ms or u for us.
 func readSpan(s string) (ms float64, err error) {
 	if s == "" {
--- a/internal/http1/stream.go
+++ b/internal/http1/stream.go
@@ -31,7 +31,7 @@
 				return false, err
 			}
 			if res.StatusCode != http.StatusOK {
-				return false, fmt.Errorf("answer %d", res.StatusCode)
+				return false, &StatusError{res.StatusCode}
 			}
 			s.open, s.body = true, newBody(res.ContentLength, len(res.TransferEncoding) > 0)
 			if s.body.done() {
--- a/internal/http1/strict.go
+++ b/internal/http1/strict.go
@@ -2,14 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
-)
-
-var (
-	errLines    = errors.New("lines that do not end in CR LF, or are folded")
-	errFraming  = errors.New("more than one word on the length")
-	errHosts    = errors.New("more than one host")
-	errUnframed = errors.New("no word on the length")
 )
 
 // strict turns away a head that two readers could take apart in different ways. net/http lets these pass: it
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -3,7 +3,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 
 	"github.com/swifthall/swifthall/gate"
 )
@@ -40,11 +39,11 @@
 func ReadList(raw []byte) (List, error) {
 	var l List
 	if err := json.Unmarshal(raw, &l); err != nil {
-		return List{}, fmt.Errorf("fleet list: %w", err)
+		return List{}, &ListError{Entry: -1, Cause: err}
 	}
 	for i := range l.Backends {
 		if l.Backends[i].ID == "" {
-			return List{}, fmt.Errorf("fleet list: entry %d has no instanceId", i)
+			return List{}, &ListError{Entry: i, Says: "has no instanceId"}
 		}
 	}
 	return l, nil
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 
 	"github.com/swifthall/swifthall/internal/http1"
@@ -10,8 +9,6 @@
 
 const longestLine = 4 << 20 // bytes of one object; some 20,000 backends
 
-var errLine = errors.New("fleet list: line too long")
-
 // Watch reads what one watch connection brings.
 type Watch struct {
 	stream http1.Stream
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -3,7 +3,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -15,8 +14,6 @@
 	longestKeep = 60_000 // ms that the counter remembers a name
 )
 
-var errForm = errors.New("counter: malformed reply")
-
 // AppendTally appends a call that adds to a named number; a new name is kept for that many ms.
 func AppendTally(dst []byte, name string, add, keep float64) []byte {
 	amount := strconv.FormatFloat(add, 'f', -1, 64)
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -18,12 +18,12 @@
 	raw, ok := f.m[name]
 	if !ok || string(raw) == "null" {
 		if required && f.fault == nil {
-			f.fault = fmt.Errorf("field %q is missing", name)
+			f.fault = &FieldError{Field: name, Says: "is missing"}
 		}
 		return v
 	}
 	if err := json.Unmarshal(raw, &v); err != nil && f.fault == nil {
-		f.fault = fmt.Errorf("field %q has the wrong type: %w", name, err)
+		f.fault = &FieldError{Field: name, Says: "has the wrong type", Cause: err}
 	}
 	return v
 }
@@ -33,7 +33,7 @@
 
 func (f *fields) fail(name string, format string, args ...any) {
 	if f.fault == nil {
-		f.fault = fmt.Errorf("field %q: "+format, append([]any{name}, args...)...)
+		f.fault = &FieldError{Field: name, Says: fmt.Sprintf(format, args...)}
 	}
 }
 
@@ -62,7 +62,7 @@
 func parseBatch(line []byte) (now float64, parts []part, err error) {
 	top := fields{}
 	if err := json.Unmarshal(line, &top.m); err != nil {
-		return 0, nil, fmt.Errorf("not a JSON object: %w", err)
+		return 0, nil, &FieldError{Says: "not a JSON object", Cause: err}
 	}
 	now = need[float64](&top, "t") * msPerSecond
 	raws := need[[]map[string]json.RawMessage](&top, "parts")
@@ -74,7 +74,7 @@
 		p := part{door: need[int](&pf, "door_id")}
 		msgs := need[[]map[string]json.RawMessage](&pf, "in")
 		if pf.fault != nil {
-			return 0, nil, fmt.Errorf("part %d: %w", i, pf.fault)
+			return 0, nil, at(pf.fault, "part %d", i)
 		}
 		for _, msg := range msgs {
 			if len(msg) != 1 {
@@ -83,13 +83,12 @@
 					names = append(names, name)
 				}
 				sort.Strings(names)
-				return 0, nil, fmt.Errorf("door %d: an event needs one name, got %q", p.door, names)
+				return 0, nil, at(&FieldError{Says: fmt.Sprintf("an event needs one name, got %q", names)}, "door %d", p.door)
 			}
 			for name, body := range msg {
 				m := message{name: name}
 				if err := json.Unmarshal(body, &m.m); err != nil {
-					return 0, nil, fmt.Errorf("door %d: event %s: field %q is not an object: %w",
-						p.door, name, name, err)
+					return 0, nil, at(&FieldError{Field: name, Says: "is not an object", Cause: err}, "door %d: event %s", p.door, name)
 				}
 				p.in = append(p.in, m)
 			}
--- a/internal/wire/door.go
+++ b/internal/wire/door.go
@@ -103,7 +103,7 @@
 			Since:  maybe[float64](&ef, "online_since") * msPerSecond,
 			Size:   maybe[float64](&ef, "units")}
 		if ef.fault != nil && f.fault == nil {
-			f.fault = fmt.Errorf("nodes_list: %w", ef.fault)
+			f.fault = at(ef.fault, "nodes_list")
 		}
 		ev.Entries = append(ev.Entries, e)
 	}
@@ -138,7 +138,7 @@
 		Units: maybe[float64](f, "final_units")}
 	var err error
 	if ev.Queue, err = d.deal.Queue(maybe[[]float64](f, "telemetry")); err != nil {
-		f.fail("telemetry", "%w", err)
+		f.fail("telemetry", "%v", err)
 	}
 	if !known {
 		f.fail("op_id", "unknown operation")
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -44,19 +44,19 @@
 	for n := 1; ; n++ {
 		line, err := r.ReadBytes('\n')
 		if err != nil && !errors.Is(err, io.EOF) {
-			return fmt.Errorf("input line %d: %w", n, err)
+			return at(err, "input line %d", n)
 		}
 		ended := err != nil
 		if len(bytes.TrimSpace(line)) > 0 {
 			answer, err := h.batch(line)
 			if err != nil {
-				return fmt.Errorf("input line %d: %w", n, err)
+				return at(err, "input line %d", n)
 			}
 			if err := enc.Encode(answer); err != nil {
-				return fmt.Errorf("writing the reply to line %d: %w", n, err)
+				return at(err, "writing the reply to line %d", n)
 			}
 			if err := w.Flush(); err != nil {
-				return fmt.Errorf("writing the reply to line %d: %w", n, err)
+				return at(err, "writing the reply to line %d", n)
 			}
 		}
 		if ended {
@@ -74,7 +74,7 @@
 	for _, p := range parts {
 		out, err := h.serve(now, p)
 		if err != nil {
-			return reply{}, fmt.Errorf("door %d: %w", p.door, err)
+			return reply{}, at(err, "door %d", p.door)
 		}
 		if len(out) > 0 {
 			answer.Parts = append(answer.Parts, outPart{p.door, out})
@@ -93,11 +93,11 @@
 		case "BORN":
 			seed, settings := need[uint64](&m.fields, "entropy"), need[json.RawMessage](&m.fields, "settings")
 			if m.fault != nil {
-				return nil, fmt.Errorf("event BORN: %w", m.fault)
+				return nil, at(m.fault, "event BORN")
 			}
 			deal, err := config.ReadDeal(settings)
 			if err != nil {
-				return nil, fmt.Errorf("event BORN: %w", err)
+				return nil, at(err, "event BORN")
 			}
 			d = newDoor(deal)
 			h.doors[p.door] = d
@@ -119,11 +119,11 @@
 			continue
 		}
 		if d == nil {
-			return nil, fmt.Errorf("event %s for a door that was never born", m.name)
+			return nil, &FieldError{Says: fmt.Sprintf("event %s for a door that was never born", m.name)}
 		}
 		ev := translate(d, &m.fields)
 		if m.fault != nil {
-			return nil, fmt.Errorf("event %s: %w", m.name, m.fault)
+			return nil, at(m.fault, "event %s", m.name)
 		}
 		if ev != nil {
 			d.pending = append(d.pending, ev)
--- a/lab/command/command.go
+++ b/lab/command/command.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -19,6 +18,7 @@
 	"github.com/schollz/progressbar/v3"
 	"github.com/spf13/cobra"
 
+	"github.com/swifthall/swifthall/internal/cli"
 	"github.com/swifthall/swifthall/lab/report"
 	"github.com/swifthall/swifthall/lab/rival"
 	"github.com/swifthall/swifthall/lab/run"
@@ -26,13 +26,10 @@
 	"github.com/swifthall/swifthall/lab/scenarios"
 )
 
-// ErrBroken is the end of a day on which a rule broke; its text names the rule.
-var ErrBroken = errors.New("rule broken")
-
 // New returns the command with all that is under it.
 func New() *cobra.Command {
-	root := &cobra.Command{Use: "lab", Short: "The laboratory: play scenarios, compare, sweep, hunt, load",
-		SilenceUsage: true, SilenceErrors: true}
+	root := &cobra.Command{Use: "lab", Short: "The laboratory: play scenarios, compare, sweep, hunt, load", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() }}
 	root.AddCommand(play(), list(), accounts(), tallies(), compare(), sweep(), hunt(), loads(), beside(), proxy())
 	return root
 }
@@ -41,11 +38,7 @@
 func Main(root *cobra.Command, errs io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := root.ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(errs, "error:", err)
-		return 1
-	}
-	return 0
+	return cli.Main(ctx, root, errs)
 }
 
 // bar shows long work on a terminal or a log alike; it writes to standard error.
@@ -68,10 +61,10 @@
 	for _, set := range sets {
 		key, value, ok := strings.Cut(set, "=")
 		if !ok {
-			return nil, fmt.Errorf("--set %q: KEY=VALUE is wanted", set)
+			return nil, &FlagError{Flag: fmt.Sprintf("--set %q", set), Says: "KEY=VALUE is wanted"}
 		}
 		if s, err = s.Set(key, value); err != nil {
-			return nil, fmt.Errorf("--set: %w", err)
+			return nil, &FlagError{Flag: "--set", Cause: err}
 		}
 	}
 	return &s, nil
@@ -86,7 +79,7 @@
 	cmd := &cobra.Command{Use: "play SCENARIO", Short: "Play a scenario's day and write its figures and a report", Args: cobra.ExactArgs(1),
 		ValidArgs: scenarios.Names(),
 		Long: "Plays a scenario, a file or the name of one that ships, and writes DIR/result.json and DIR/report.html.\n" +
-			"Beside it the floor, the textbook and the oracle play the same day, unless --alone. Exits with 1 if a rule broke.",
+			"Beside it the floor, the textbook and the oracle play the same day, unless --alone. Exits with 4 if a rule broke.",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			s, err := changed(args[0], doors, sets)
 			if err != nil {
@@ -100,7 +93,7 @@
 			case on == "sockets":
 				r, err = playOnSockets(cmd.Context(), s, seed, policy, door, logs, progress)
 			case on != "sim":
-				err = fmt.Errorf("--on %q: sim or sockets is wanted", on)
+				err = &FlagError{Flag: fmt.Sprintf("--on %q", on), Says: "sim or sockets is wanted"}
 			case alone:
 				r, err = day.Play(cmd.Context(), progress)
 			default:
@@ -119,7 +112,7 @@
 			summary(cmd.OutOrStdout(), r, time.Since(began))
 			fmt.Fprintf(cmd.OutOrStdout(), "written: %s, %s\n", filepath.Join(out, run.ResultFile), filepath.Join(out, "report.html"))
 			if rule := r.FirstBroken(); rule != "" {
-				return fmt.Errorf("%w: %s, %d times; first: %s", ErrBroken, rule, r.Broken[rule], r.Breaches[0].Text)
+				return &BrokenError{rule, r.Broken[rule], r.Breaches[0].Text}
 			}
 			return nil
 		}}
@@ -164,7 +157,7 @@
 				return err
 			}
 			if r.Account == nil {
-				return fmt.Errorf("%s: a day on sockets has no account", args[0])
+				return &FileError{Path: args[0], Says: "a day on sockets has no account"}
 			}
 			r.Account.Print(cmd.OutOrStdout())
 			return nil
@@ -215,7 +208,7 @@
 				}
 				rows, err := run.Compare(first, other)
 				if err != nil {
-					return fmt.Errorf("%s and %s: %w", args[0], dir, err)
+					return &FileError{Path: args[0] + " and " + dir, Cause: err}
 				}
 				fmt.Fprintf(t, "figure\t%s\t%s\tdifference\tnoise\t\n", args[0], dir)
 				for i := range rows {
@@ -246,10 +239,10 @@
 				return err
 			}
 			if seeds < 1 {
-				return fmt.Errorf("--seeds %d: at least one is wanted", seeds)
+				return &FlagError{Flag: fmt.Sprintf("--seeds %d", seeds), Says: "at least one is wanted"}
 			}
 			if (key == "") != (len(values) == 0) {
-				return errors.New("--key and --values go together")
+				return &FlagError{Flag: "--key, --values", Says: "they go together"}
 			}
 			w := run.Sweep{Scenario: s, Key: key, Values: values, Policies: policies, Jobs: jobs}
 			for i := range seeds {
@@ -310,12 +303,12 @@
 				return err
 			}
 			if err := os.WriteFile(out, raw, 0o644); err != nil {
-				return fmt.Errorf("hunt: %w", err)
+				return &FileError{Path: out, Cause: err}
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%d days played; %s: %s\n", found.Played, out, found.Scenario.Shows)
 			fmt.Fprintf(cmd.OutOrStdout(), "again: swifthall lab play %s --seed %d --policy %s --out DIR\n", out, found.Seed, h.Policy)
 			if found.Rule != "" {
-				return fmt.Errorf("%w: %s", ErrBroken, found.Rule)
+				return &BrokenError{Rule: found.Rule}
 			}
 			return nil
 		}}
--- a/lab/command/command_test.go
+++ b/lab/command/command_test.go
@@ -69,7 +69,8 @@
 	file := filepath.Join(t.TempDir(), "flood.toml")
 	require.NoError(t, os.WriteFile(file, []byte(careless), 0o644))
 	_, err := do("play", file, "--policy", "floor", "--alone", "--out", t.TempDir())
-	assert.ErrorIs(t, err, ErrBroken)
+	var broken *BrokenError
+	assert.ErrorAs(t, err, &broken)
 	assert.ErrorContains(t, err, "ceiling-kept")
 }
 
--- /dev/null
+++ b/lab/command/errors.go
@@ -0,0 +1,76 @@
+package command
+
+import (
+	"fmt"
+
+	"github.com/swifthall/swifthall/internal/remedy"
+	"github.com/swifthall/swifthall/lab/judge"
+)
+
+// BrokenError is the end of a day on which a rule broke.
+type BrokenError struct {
+	Rule  judge.Rule
+	Times int    // 0 where not counted
+	First string // the first breach in words
+}
+
+func (e *BrokenError) Error() string {
+	if e.Times == 0 {
+		return fmt.Sprintf("rule broken: %s", e.Rule)
+	}
+	return fmt.Sprintf("rule broken: %s, %d times; first: %s", e.Rule, e.Times, e.First)
+}
+func (e *BrokenError) Kind() remedy.Kind { return remedy.Refused }
+
+// Remedy names where the breaches stand.
+func (e *BrokenError) Remedy() string {
+	return "Look at \"breaches\" in result.json for when and where; the same seed breaks it again."
+}
+
+// FlagError is a flag whose value can't be used.
+type FlagError struct {
+	Flag  string // with its value, where that helps
+	Says  string
+	Cause error
+}
+
+func (e *FlagError) Error() string     { return e.Flag + ": " + remedy.Because(e.Says, e.Cause) }
+func (e *FlagError) Unwrap() error     { return e.Cause }
+func (e *FlagError) Kind() remedy.Kind { return remedy.Usage }
+
+// Remedy names the flag.
+func (e *FlagError) Remedy() string {
+	return fmt.Sprintf("Give %s a value that the command's --help allows.", e.Flag)
+}
+
+// FileError is a file or folder that a command needs or writes.
+type FileError struct {
+	Path  string
+	Says  string
+	Cause error
+}
+
+func (e *FileError) Error() string {
+	if e.Says != "" {
+		return remedy.Because(e.Path+": "+e.Says, e.Cause)
+	}
+	return remedy.Because(e.Path, e.Cause)
+}
+func (e *FileError) Unwrap() error     { return e.Cause }
+func (e *FileError) Kind() remedy.Kind { return remedy.Configuration }
+
+// Remedy names the file.
+func (e *FileError) Remedy() string {
+	return fmt.Sprintf("Check that %s is there, is what the command's --help asks for, and may be read or written.", e.Path)
+}
+
+// KneeError is a search for the knee whose first rate was too high.
+type KneeError struct{ Rate float64 }
+
+func (e *KneeError) Error() string     { return "the first rate did not hold: begin with a lower --rate" }
+func (e *KneeError) Kind() remedy.Kind { return remedy.Usage }
+
+// Remedy names the rate that was too high.
+func (e *KneeError) Remedy() string {
+	return fmt.Sprintf("Give a --rate under %g, or a longer --p99.", e.Rate)
+}
--- a/lab/command/load.go
+++ b/lab/command/load.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -19,10 +18,10 @@
 func loopback(target string) error {
 	host, _, err := net.SplitHostPort(target)
 	if err != nil {
-		return fmt.Errorf("--target: %w", err)
+		return &FlagError{Flag: "--target", Cause: err}
 	}
 	if ip := net.ParseIP(host); host != "localhost" && (ip == nil || !ip.IsLoopback()) {
-		return fmt.Errorf("--target %s is not on this machine; --anywhere loads it all the same", target)
+		return &FlagError{Flag: "--target " + target, Says: "is not on this machine; --anywhere loads it all the same"}
 	}
 	return nil
 }
@@ -66,7 +65,7 @@
 					return err
 				}
 				if best == 0 {
-					return errors.New("the first rate did not hold: begin with a lower --rate")
+					return &KneeError{r.Rate}
 				}
 				fmt.Fprintf(t, "knee: %.0f operations a second\n", best)
 				return nil
@@ -82,11 +81,11 @@
 			if hist != "" {
 				f, err := os.Create(hist)
 				if err != nil {
-					return fmt.Errorf("--hist: %w", err)
+					return &FlagError{Flag: "--hist", Cause: err}
 				}
 				defer f.Close()
 				if _, err := o.Latency.PercentilesPrint(f, 5, 1000); err != nil {
-					return fmt.Errorf("--hist: %w", err)
+					return &FlagError{Flag: "--hist", Cause: err}
 				}
 			}
 			return nil
@@ -120,7 +119,7 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			self, err := os.Executable()
 			if err != nil {
-				return fmt.Errorf("beside: %w", err)
+				return &FileError{Path: "this program", Cause: err}
 			}
 			if b.Binary == "" {
 				b.Binary = filepath.Join(filepath.Dir(self), "swifthall")
--- a/lab/command/tally.go
+++ b/lab/command/tally.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
 
@@ -39,7 +38,7 @@
 	for _, a := range args {
 		info, err := os.Stat(a)
 		if err != nil {
-			return nil, err
+			return nil, &FileError{Path: a, Cause: err}
 		}
 		if !info.IsDir() {
 			logs = append(logs, a)
@@ -50,7 +49,7 @@
 			return nil, err
 		}
 		if len(in) == 0 {
-			return nil, fmt.Errorf("%s: no *.log in it", a)
+			return nil, &FileError{Path: a, Says: "no *.log in it"}
 		}
 		logs = append(logs, in...)
 	}
@@ -60,11 +59,11 @@
 func door(f *tally.Fleet, name string) error {
 	r, err := os.Open(name)
 	if err != nil {
-		return err
+		return &FileError{Path: name, Cause: err}
 	}
 	defer r.Close()
 	if err := f.Door(r); err != nil {
-		return fmt.Errorf("%s: %w", name, err)
+		return &FileError{Path: name, Cause: err}
 	}
 	return nil
 }
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -58,18 +58,18 @@
 func (r *Run) check() error {
 	switch {
 	case !(r.Rate > 0 && r.Rate <= mostRate):
-		return fmt.Errorf("rate %g: above 0 and up to %g is wanted", r.Rate, mostRate)
+		return &RunError{What: fmt.Sprintf("rate %g", r.Rate), Says: fmt.Sprintf("above 0 and up to %g is wanted", mostRate)}
 	case r.For <= 0:
-		return fmt.Errorf("length %v: above 0 is wanted", r.For)
+		return &RunError{What: fmt.Sprintf("length %v", r.For), Says: "above 0 is wanted"}
 	case r.Rate*r.For.Seconds() > mostAsked:
-		return fmt.Errorf("rate %g for %v: over %g operations", r.Rate, r.For, float64(mostAsked))
+		return &RunError{What: fmt.Sprintf("rate %g for %v", r.Rate, r.For), Says: fmt.Sprintf("over %g operations", float64(mostAsked))}
 	case r.Conns < 1 || r.Conns > mostConns:
-		return fmt.Errorf("%d connections: 1 to %d are wanted", r.Conns, mostConns)
+		return &RunError{What: fmt.Sprintf("%d connections", r.Conns), Says: fmt.Sprintf("1 to %d are wanted", mostConns)}
 	case r.Patience <= 0:
-		return fmt.Errorf("patience %v: above 0 is wanted", r.Patience)
+		return &RunError{What: fmt.Sprintf("patience %v", r.Patience), Says: "above 0 is wanted"}
 	}
 	if _, _, err := net.SplitHostPort(r.Target); err != nil {
-		return fmt.Errorf("target %q: %w", r.Target, err)
+		return &RunError{What: fmt.Sprintf("target %q", r.Target), Cause: err}
 	}
 	return nil
 }
@@ -89,7 +89,7 @@
 // Play plays the run. progress hears how much of it is over, 0 to 1.
 func (r *Run) Play(ctx context.Context, progress func(done float64)) (*Outcome, error) {
 	if err := r.check(); err != nil {
-		return nil, fmt.Errorf("load: %w", err)
+		return nil, err
 	}
 	// All that will be due fits in, so that handing out never waits for a connection.
 	dues := make(chan due, int(r.Rate*r.For.Seconds()*1.5)+1000)
@@ -136,7 +136,7 @@
 		o.Latency.Merge(t.latency)
 	}
 	if err := ctx.Err(); err != nil {
-		return o, fmt.Errorf("load: %w", err)
+		return o, &StoppedError{err}
 	}
 	return o, nil
 }
@@ -157,7 +157,7 @@
 			busy.Add(-1)
 			continue
 		}
-		status, last, err := 0, false, errors.New("not sent")
+		status, last, err := 0, false, error(errCrossed)
 		for attempt := 0; attempt < 2 && err != nil; attempt++ {
 			used := nc != nil
 			if !used {
@@ -192,9 +192,6 @@
 	}
 }
 
-// errCrossed is a connection that had been closed before the operation came: it is sent once more.
-var errCrossed = errors.New("the connection had been closed")
-
 func (r *Run) one(nc net.Conn, in *bufio.Reader, d due) (status int, last bool, err error) {
 	if err := nc.SetDeadline(d.at.Add(r.Patience)); err != nil {
 		return 0, false, err
--- a/lab/model/outer.go
+++ b/lab/model/outer.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -106,19 +104,19 @@
 	for patience := time.After(startMost); ; {
 		is, err := ready()
 		if err != nil {
-			return 0, fmt.Errorf("waiting for the doors: %w", err)
+			return 0, &WaitError{err}
 		}
 		if is {
 			break
 		}
 		select {
 		case <-patience:
-			return 0, errors.New("waiting for the doors: not all are ready")
+			return 0, &WaitError{}
 		case do := <-w.posted:
 			do()
 		case <-time.After(time.Millisecond):
 		case <-ctx.Done():
-			return 0, fmt.Errorf("waiting for the doors: %w", ctx.Err())
+			return 0, &WaitError{ctx.Err()}
 		}
 	}
 	began := time.Now()
@@ -150,7 +148,7 @@
 			do()
 		case <-timer.C:
 		case <-ctx.Done():
-			return behind, fmt.Errorf("day stopped at %.1f s: %w", w.now/1000, ctx.Err())
+			return behind, &StoppedError{w.now / 1000, ctx.Err()}
 		}
 	}
 	w.tell(trace.Event{Kind: trace.Over})
--- a/lab/model/world.go
+++ b/lab/model/world.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"runtime"
@@ -145,7 +144,7 @@
 	for len(w.q.heap) > 0 {
 		if w.steps++; w.steps%lookCtx == 0 {
 			if err := ctx.Err(); err != nil {
-				return fmt.Errorf("day stopped at %.1f s: %w", w.now/1000, err)
+				return &StoppedError{w.now / 1000, err}
 			}
 			if progress != nil {
 				progress(min(1, w.now/end))
--- /dev/null
+++ b/lab/report/errors.go
@@ -0,0 +1,22 @@
+package report
+
+import (
+	"fmt"
+
+	"github.com/swifthall/swifthall/internal/remedy"
+)
+
+// WriteError is a report that could not be drawn or written.
+type WriteError struct {
+	What  string // a figure or a file
+	Cause error
+}
+
+func (e *WriteError) Error() string     { return remedy.Because("report: "+e.What, e.Cause) }
+func (e *WriteError) Unwrap() error     { return e.Cause }
+func (e *WriteError) Kind() remedy.Kind { return remedy.Refused }
+
+// Remedy names the file, or the figure.
+func (e *WriteError) Remedy() string {
+	return fmt.Sprintf("Check that %s can be written; the figures stand in result.json all the same.", e.What)
+}
--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -67,7 +67,7 @@
 func Write(r *run.Result, dir string) error {
 	figures, err := plots(r)
 	if err != nil {
-		return fmt.Errorf("report: %w", err)
+		return err
 	}
 	var out bytes.Buffer
 	err = shape.Execute(&out, struct {
@@ -78,10 +78,11 @@
 		HasScore bool
 	}{r, figures, judge.AllRules, r.Kept(), r.Score != nil})
 	if err != nil {
-		return fmt.Errorf("report: %w", err)
+		return &WriteError{"the page", err}
 	}
-	if err := os.WriteFile(filepath.Join(dir, "report.html"), out.Bytes(), 0o644); err != nil {
-		return fmt.Errorf("report: %w", err)
+	path := filepath.Join(dir, "report.html")
+	if err := os.WriteFile(path, out.Bytes(), 0o644); err != nil {
+		return &WriteError{path, err}
 	}
 	return nil
 }
@@ -111,7 +112,7 @@
 	} {
 		svg, err := curve(r, f.unit, f.log, f.lines)
 		if err != nil {
-			return nil, fmt.Errorf("%s: %w", f.title, err)
+			return nil, &WriteError{fmt.Sprintf("the figure %q", f.title), err}
 		}
 		figures = append(figures, figure{f.title, svg})
 	}
--- a/lab/run/hunt.go
+++ b/lab/run/hunt.go
@@ -63,7 +63,7 @@
 	dice := rand.New(rand.NewPCG(h.Seed, 0))
 	kinds := h.kinds()
 	if len(kinds) == 0 {
-		return nil, fmt.Errorf("hunt: no kind of fault is left to try")
+		return nil, &HuntError{h.Only}
 	}
 	batch := huntKeeps * 2 // a fixed number, so that a seed hunts alike on any machine
 	var best []*candidate
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -116,12 +115,12 @@
 		maker, known = *o.Maker, true
 	}
 	if !known {
-		return nil, fmt.Errorf("policy %q: one of %v is wanted", o.Policy, rival.Names)
+		return nil, &PolicyError{o.Policy, rival.Names}
 	}
 	deal := model.Deal(o.Scenario)
 	j, book := judge.New(deal), account.NewBook(deal)
 	if err := model.New(o.Scenario, o.Seed, maker, both{j, book}).Run(ctx, progress); err != nil {
-		return nil, fmt.Errorf("playing %s: %w", o.Scenario.Name, err)
+		return nil, &DayError{o.Scenario.Name, err}
 	}
 	r := Sum(o.Scenario, o.Seed, o.Policy, Simulated, j)
 	r.Account = book.Sum()
@@ -226,14 +225,14 @@
 // Save writes a day's figures into a folder, which is made.
 func (r *Result) Save(dir string) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return fmt.Errorf("saving: %w", err)
+		return &ResultsError{Doing: doingSave, Dir: dir, Cause: err}
 	}
 	raw, err := json.MarshalIndent(r, "", " ")
 	if err != nil {
-		return fmt.Errorf("saving: %w", err)
+		return &ResultsError{Doing: doingSave, Dir: dir, Cause: err}
 	}
 	if err := os.WriteFile(filepath.Join(dir, ResultFile), append(raw, '\n'), 0o644); err != nil {
-		return fmt.Errorf("saving: %w", err)
+		return &ResultsError{Doing: doingSave, Dir: dir, Cause: err}
 	}
 	return nil
 }
@@ -242,11 +241,11 @@
 func Load(dir string) (*Result, error) {
 	raw, err := os.ReadFile(filepath.Join(dir, ResultFile))
 	if err != nil {
-		return nil, fmt.Errorf("loading: %w", err)
+		return nil, &ResultsError{Doing: doingLoad, Dir: dir, Cause: err}
 	}
 	var r Result
 	if err := json.Unmarshal(raw, &r); err != nil {
-		return nil, fmt.Errorf("loading %s: %w", dir, err)
+		return nil, &ResultsError{Doing: doingLoad, Dir: dir, Cause: err}
 	}
 	return &r, nil
 }
--- a/lab/run/sweep.go
+++ b/lab/run/sweep.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io/fs"
 	"math"
@@ -140,10 +139,10 @@
 		return err
 	})
 	if err != nil {
-		return nil, fmt.Errorf("looking for results: %w", err)
+		return nil, &ResultsError{Doing: doingFind, Dir: dir, Cause: err}
 	}
 	if len(results) == 0 {
-		return nil, fmt.Errorf("looking for results: no %s in %s or below it", ResultFile, dir)
+		return nil, &ResultsError{Doing: doingFind, Dir: dir, Says: "no " + ResultFile + " in " + dir + " or below it"}
 	}
 	slices.SortFunc(results, func(a, b *Result) int { return int(a.Seed) - int(b.Seed) })
 	return results, nil
@@ -159,8 +158,6 @@
 // Clear tells whether the difference stands out of its noise: over two standard errors.
 func (r *Row) Clear() bool { return r.Diff.N > 1 && math.Abs(r.Diff.Mean) > 2*r.Diff.Err() }
 
-var errNoPair = errors.New("no seed is in both")
-
 // Compare sets two sets of days side by side.
 func Compare(first, other []*Result) ([]Row, error) {
 	figures := []struct {
--- a/lab/scenario/faults.go
+++ b/lab/scenario/faults.go
@@ -134,8 +134,7 @@
 		for j := range i {
 			g := &s.Faults[j]
 			if slices.Contains(k.Versus, g.Kind) && f.overlaps(g) && f.sameTarget(g) {
-				return fmt.Errorf("keys \"fault[%d]\" and \"fault[%d]\": %s and %s strike the same at the same time, from %g to %g s",
-					j, i, g.Kind, f.Kind, max(f.AtS, g.AtS), min(f.End(), g.End()))
+				return &ClashError{j, i, [2]string{g.Kind, f.Kind}, max(f.AtS, g.AtS), min(f.End(), g.End())}
 			}
 		}
 	}
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -231,11 +231,11 @@
 func ReadFile(path string) (Scenario, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return Scenario{}, fmt.Errorf("scenario: %w", err)
+		return Scenario{}, &FileError{path, err}
 	}
 	s, err := Read(raw)
 	if err != nil {
-		return Scenario{}, fmt.Errorf("scenario %s: %w", path, err)
+		return Scenario{}, &FileError{path, err}
 	}
 	return s, nil
 }
@@ -244,7 +244,7 @@
 func (s *Scenario) Write() ([]byte, error) {
 	raw, err := toml.Marshal(s)
 	if err != nil {
-		return nil, fmt.Errorf("scenario: %w", err)
+		return nil, &FileError{Cause: err}
 	}
 	return raw, nil
 }
@@ -263,17 +263,14 @@
 	if errors.As(err, &strict) && len(strict.Errors) > 0 {
 		e := strict.Errors[0]
 		row, _ := e.Position()
-		return fmt.Errorf("key %q: unknown (line %d)", strings.Join(e.Key(), "."), row)
+		return &KeyError{Key: strings.Join(e.Key(), "."), Line: row, Says: "unknown"}
 	}
 	var wrong *toml.DecodeError
 	if errors.As(err, &wrong) {
 		row, _ := wrong.Position()
-		if key := strings.Join(wrong.Key(), "."); key != "" {
-			return fmt.Errorf("key %q: %w (line %d)", key, err, row)
-		}
-		return fmt.Errorf("line %d: %w", row, err)
+		return &KeyError{Key: strings.Join(wrong.Key(), "."), Line: row, Cause: err}
 	}
-	return fmt.Errorf("toml: %w", err)
+	return &KeyError{Cause: err}
 }
 
 // base holds what a scenario has where it says nothing else. Lists come from the file alone.
@@ -526,7 +523,7 @@
 }
 
 func fault(key, format string, args ...any) error {
-	return fmt.Errorf("key %q: %s", key, fmt.Sprintf(format, args...))
+	return &KeyError{Key: key, Says: fmt.Sprintf(format, args...)}
 }
 
 func oneOf(key, word string, words ...string) error {
--- a/lab/scenario/tree.go
+++ b/lab/scenario/tree.go
@@ -1,8 +1,6 @@
 package scenario
 
 import (
-	"errors"
-	"fmt"
 	"strconv"
 	"strings"
 
@@ -15,15 +13,13 @@
 func decodeTree(raw []byte) (tree, error) {
 	t := tree{}
 	if err := toml.Unmarshal(raw, &t); err != nil {
-		return nil, fmt.Errorf("toml: %w", err)
+		return nil, &KeyError{Cause: err}
 	}
 	return t, nil
 }
 
 func (t tree) bytes() ([]byte, error) { return toml.Marshal(map[string]any(t)) }
 
-var errNoKey = errors.New("no such key")
-
 // set follows path, whose steps may carry an index, and replaces a value by one of the same kind.
 func (t tree) set(path []string, value string) error {
 	name, at, indexed, err := step(path[0])
@@ -32,31 +28,31 @@
 	}
 	old, known := t[name]
 	if !known {
-		return errNoKey
+		return fault(path[0], "no such key")
 	}
 	if indexed {
 		list, ok := old.([]any)
 		if !ok || at >= len(list) {
-			return errNoKey
+			return fault(path[0], "no such key")
 		}
 		if len(path) > 1 {
 			inner, ok := list[at].(map[string]any)
 			if !ok {
-				return errNoKey
+				return fault(path[0], "no such key")
 			}
 			return tree(inner).set(path[1:], value)
 		}
-		list[at], err = like(list[at], value)
+		list[at], err = like(path[0], list[at], value)
 		return err
 	}
 	if len(path) > 1 {
 		inner, ok := old.(map[string]any)
 		if !ok {
-			return errNoKey
+			return fault(path[0], "no such key")
 		}
 		return tree(inner).set(path[1:], value)
 	}
-	t[name], err = like(old, value)
+	t[name], err = like(path[0], old, value)
 	return err
 }
 
@@ -67,13 +63,13 @@
 	}
 	at, err = strconv.Atoi(strings.TrimSuffix(rest, "]"))
 	if err != nil || at < 0 || !strings.HasSuffix(rest, "]") {
-		return "", 0, false, fmt.Errorf("%q is no index", "["+rest)
+		return "", 0, false, fault(s, "%q is no index", "["+rest)
 	}
 	return name, at, true, nil
 }
 
 // like reads a value of the same kind as the one that stands there.
-func like(old any, value string) (any, error) {
+func like(key string, old any, value string) (any, error) {
 	switch old.(type) {
 	case bool:
 		return strconv.ParseBool(value)
@@ -88,11 +84,11 @@
 		for _, part := range strings.Split(value, ":") {
 			v, err := strconv.ParseFloat(part, 64)
 			if err != nil {
-				return nil, fmt.Errorf("%q is no span such as 0.5:2", value)
+				return nil, fault(key, "%q is no span such as 0.5:2", value)
 			}
 			span = append(span, v)
 		}
 		return span, nil
 	}
-	return nil, errors.New("not a plain value")
+	return nil, fault(key, "not a plain value")
 }
--- a/lab/scenarios/scenarios.go
+++ b/lab/scenarios/scenarios.go
@@ -3,7 +3,6 @@
 
 import (
 	"embed"
-	"fmt"
 	"os"
 	"path"
 	"strings"
@@ -34,11 +33,11 @@
 	}
 	raw, err := files.ReadFile(path.Base(name) + ".toml")
 	if err != nil || strings.ContainsRune(name, '/') {
-		return scenario.Scenario{}, fmt.Errorf("scenario %q: no such file, and none that ships; those are %s", name, strings.Join(Names(), ", "))
+		return scenario.Scenario{}, &NameError{name}
 	}
 	s, err := scenario.Read(raw)
 	if err != nil {
-		return scenario.Scenario{}, fmt.Errorf("scenario %s: %w", name, err)
+		return scenario.Scenario{}, &scenario.FileError{Path: name, Cause: err}
 	}
 	return s, nil
 }
--- a/lab/stand/beside.go
+++ b/lab/stand/beside.go
@@ -109,7 +109,7 @@
 	}{{"door", d.listen, func() int { return d.cmd.Process.Pid }}, {"reverse proxy", proxyAt, func() int { return proxy.Process.Pid }}}
 	for _, t := range targets {
 		if err := answers(ctx, t.at); err != nil {
-			return nil, nil, fmt.Errorf("%s on core %d: %w", t.name, core, err)
+			return nil, nil, &PartyError{fmt.Sprintf("%s on core %d", t.name, core), "", err}
 		}
 	}
 	word := func(at string, seed uint64) func(int) string {
@@ -165,7 +165,7 @@
 func (b Beside) start(d *door, list registry.List, backends []string) (at string, proxy *exec.Cmd, err error) {
 	raw, err := json.Marshal(d.config(list))
 	if err != nil {
-		return "", nil, fmt.Errorf("wording the configuration: %w", err)
+		return "", nil, &PartyError{"the door's configuration", "", err}
 	}
 	d.launch(raw)
 	if err := d.fault.Load(); err != nil {
@@ -178,13 +178,13 @@
 	at = free.Addr().String()
 	free.Close()
 	if len(b.Proxy) == 0 {
-		return "", nil, errors.New("no program for the reverse proxy")
+		return "", nil, &PartyError{"reverse proxy", "no program", nil}
 	}
 	proxy = exec.Command(b.Proxy[0], append(append(append([]string(nil), b.Proxy[1:]...), at), backends...)...)
 	proxy.Env = append(os.Environ(), "GOMAXPROCS=1")
 	proxy.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := proxy.Start(); err != nil {
-		return "", nil, fmt.Errorf("reverse proxy: %w", err)
+		return "", nil, &PartyError{"reverse proxy", "", err}
 	}
 	return at, proxy, nil
 }
@@ -195,7 +195,7 @@
 	var had, one unix.CPUSet
 	if err := unix.SchedGetaffinity(0, &had); err != nil {
 		runtime.UnlockOSThread()
-		return 0, nil, fmt.Errorf("cores: %w", err)
+		return 0, nil, &PartyError{"cores", "", err}
 	}
 	core = -1
 	for i := range len(had) * 64 {
@@ -206,7 +206,7 @@
 	one.Set(core)
 	if err := unix.SchedSetaffinity(0, &one); err != nil {
 		runtime.UnlockOSThread()
-		return 0, nil, fmt.Errorf("core %d: %w", core, err)
+		return 0, nil, &PartyError{fmt.Sprintf("core %d", core), "", err}
 	}
 	return core, func() {
 		_ = unix.SchedSetaffinity(0, &had)
@@ -231,7 +231,7 @@
 		case <-time.After(50 * time.Millisecond):
 		}
 	}
-	return errors.New("it does not answer")
+	return &PartyError{at, "it does not answer", nil}
 }
 
 // ServeProxy is the standard library's reverse proxy over some backends, taken in turn. It ends with ctx.
@@ -242,7 +242,7 @@
 		urls = append(urls, &url.URL{Scheme: "http", Host: b})
 	}
 	if len(urls) == 0 {
-		return errors.New("reverse proxy: no backend")
+		return &PartyError{"reverse proxy", "no backend", nil}
 	}
 	proxy := &httputil.ReverseProxy{
 		Rewrite:   func(r *httputil.ProxyRequest) { r.SetURL(urls[next.Add(1)%uint64(len(urls))]) },
@@ -251,7 +251,7 @@
 	srv := &http.Server{Addr: at, Handler: proxy}
 	defer context.AfterFunc(ctx, func() { srv.Close() })()
 	if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("reverse proxy: %w", err)
+		return &PartyError{"reverse proxy", "", err}
 	}
 	return nil
 }
--- a/lab/stand/counter.go
+++ b/lab/stand/counter.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,8 +11,6 @@
 	"github.com/swifthall/swifthall/gate"
 )
 
-var errCall = errors.New("malformed call")
-
 // readCall reads one RESP2 array of bulk strings.
 func readCall(r *bufio.Reader) ([]string, error) {
 	n, err := readCount(r, '*')
--- a/lab/stand/door.go
+++ b/lab/stand/door.go
@@ -170,7 +170,7 @@
 	d.cmd, d.ending = cmd, ending
 	d.f.later(func() {
 		if err := cmd.Wait(); err != nil && !d.f.over.Load() && !ending.Load() {
-			d.fail(fmt.Errorf("its program ended: %w", err))
+			d.fail(&PartyError{d.f.play.Binary, "its program ended", err})
 		}
 	})
 }
--- a/lab/stand/stand.go
+++ b/lab/stand/stand.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -48,8 +47,6 @@
 	over   atomic.Bool
 }
 
-var errEmbedded = errors.New("a door within this process can't be killed: name its program with --door")
-
 // Run plays the day and judges it.
 func (p Play) Run(ctx context.Context, progress func(done float64)) (*run.Result, error) {
 	s := p.Scenario
@@ -59,22 +56,22 @@
 			most *= 2
 		}
 		if (f.Kind == "door_deaths" || f.Kind == "door_roll") && p.Binary == "" {
-			return nil, fmt.Errorf("fault %s: %w", f.Kind, errEmbedded)
+			return nil, &UnplayableError{f.Kind, saysEmbedded, "Give --door the path of the built swifthall."}
 		}
 	}
 	if n := most * s.Fleet.Doors; n > mostListeners {
-		return nil, fmt.Errorf("%d doors and %d backends need %d addresses, more than %d: play it with fewer, or simulated", s.Fleet.Doors, most,
-			n, mostListeners)
+		return nil, &UnplayableError{Says: fmt.Sprintf("%d doors and %d backends need %d addresses, more than %d", s.Fleet.Doors, most, n, mostListeners),
+			Do: "Play it with fewer doors (--doors), or simulated (--on sim)."}
 	}
 	if p.Binary != "" && p.Policy != rival.Swifthall {
-		return nil, fmt.Errorf("policy %q: a door's program decides by itself", p.Policy)
+		return nil, &UnplayableError{Says: fmt.Sprintf("policy %q: a door's program decides by itself", p.Policy), Do: "Leave --policy or --door out."}
 	}
 	if p.Binary == "" {
 		if p.Policy == rival.Oracle {
-			return nil, errors.New("the oracle sees the true state, which no door on sockets can")
+			return nil, &UnplayableError{Says: "the oracle sees the true state, which no door on sockets can", Do: "Play the oracle with --on sim."}
 		}
 		if _, known := rival.Makers[p.Policy]; !known {
-			return nil, fmt.Errorf("policy %q: one of %v is wanted", p.Policy, rival.Names)
+			return nil, &run.PolicyError{Name: p.Policy, Known: rival.Names}
 		}
 	}
 	ctx, stop := context.WithCancel(ctx)
@@ -112,7 +109,7 @@
 func (f *fleet) ready() (bool, error) {
 	for _, d := range f.doors {
 		if err := d.fault.Load(); err != nil {
-			return false, fmt.Errorf("door %d: %w", d.number, *err)
+			return false, &PartyError{fmt.Sprintf("door %d", d.number), "", *err}
 		}
 		if !d.ready() {
 			return false, nil
@@ -159,7 +156,7 @@
 func (f *fleet) listen(addr string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, fmt.Errorf("stand-in: %w", err)
+		return nil, &PartyError{"stand-in at " + addr, "", err}
 	}
 	return ln, nil
 }
--- a/lab/stand/stand_test.go
+++ b/lab/stand/stand_test.go
@@ -76,7 +76,7 @@
 
 func TestDoorsThatDieNeedAProgram(t *testing.T) {
 	_, err := Play{Scenario: read(t, "\n[[fault]]\nkind = \"door_deaths\"\nat_s = 1.0\nfor_s = 1.0"), Policy: rival.Swifthall}.Run(context.Background(), nil)
-	assert.ErrorIs(t, err, errEmbedded)
+	assert.ErrorContains(t, err, saysEmbedded)
 	_, err = Play{Scenario: read(t, ""), Policy: rival.Oracle}.Run(context.Background(), nil)
 	assert.ErrorContains(t, err, "oracle")
 }
--- a/lab/tally/tally.go
+++ b/lab/tally/tally.go
@@ -48,15 +48,15 @@
 			rec[string(d.Key())] = string(d.Value())
 		}
 		if err := d.Err(); err != nil {
-			return fmt.Errorf("line %d: %w", line, err)
+			return &LineError{Line: line, Cause: err}
 		}
 		switch rec["msg"] {
 		case started:
 			lives = append(lives, nil)
 		case account:
-			c, err := counts(rec)
+			c, err := counts(line, rec)
 			if err != nil {
-				return fmt.Errorf("line %d: %w", line, err)
+				return err
 			}
 			if len(lives) == 0 { // a log that begins after the start
 				lives = append(lives, nil)
@@ -65,14 +65,14 @@
 		}
 	}
 	if err := d.Err(); err != nil {
-		return fmt.Errorf("after the last line: %w", err)
+		return &LineError{Cause: err}
 	}
 	f.add(lives)
 	return nil
 }
 
 // counts takes the counts of one account line.
-func counts(rec map[string]string) (Counts, error) {
+func counts(line int, rec map[string]string) (Counts, error) {
 	c := Counts{}
 	for k, v := range rec {
 		if !counted(k) {
@@ -80,7 +80,7 @@
 		}
 		n, err := strconv.Atoi(v)
 		if err != nil || n < 0 {
-			return nil, fmt.Errorf("key %q: %q is no count", k, v)
+			return nil, &LineError{Line: line, Key: k, Value: v}
 		}
 		c[k] = n
 	}
