--- /dev/null
+++ b/lab/procs/rivals.go
@@ -0,0 +1,73 @@
+package procs
+
+import (
+	"github.com/swifthall/swifthall/members"
+)
+
+// What the module is compared with on the same schedules.
+const (
+	beatEvery = 1000.0 // ms between heartbeats
+	beatMost  = 3000.0 // ms without one after which a member is held to be away: as the deaths known within 3 s ask
+)
+
+// Heartbeats makes plain heartbeats with a fixed time-out: every door tells every other that it is here, and holds one
+// that it hasn't heard for long to be away until it hears it again.
+func Heartbeats(self members.Peer, fleet []members.Peer, _ uint64) Detector {
+	h := &heartbeats{self: self, index: map[string]int{}}
+	for _, p := range fleet {
+		if p.Name != self.Name {
+			h.index[p.Name] = len(h.others)
+			h.others = append(h.others, p)
+		}
+	}
+	h.heard, h.state = make([]float64, len(h.others)), make([]members.State, len(h.others))
+	return h
+}
+
+type heartbeats struct {
+	self   members.Peer
+	others []members.Peer
+	index  map[string]int
+	heard  []float64
+	state  []members.State
+	beat   float64
+	began  bool
+}
+
+func (h *heartbeats) All() []members.Record { return nil }
+
+func (h *heartbeats) Step(now float64, events ...members.Event) (out []members.Action) {
+	if !h.began {
+		h.began, h.beat = true, now
+		for i := range h.heard {
+			h.heard[i] = now
+		}
+	}
+	turn := func(i int, to members.State) {
+		if h.state[i] != to {
+			out = append(out, members.Changed{Peer: h.others[i], From: h.state[i], To: to, Life: 1})
+			h.state[i] = to
+		}
+	}
+	for _, e := range events {
+		switch e := e.(type) {
+		case members.Received:
+			if i, ok := h.index[e.Message.From.Name]; ok {
+				h.heard[i] = now
+				turn(i, members.Here)
+			}
+		case members.Tick:
+			for i := range h.others {
+				if h.state[i] == members.Here && now-h.heard[i] > beatMost {
+					turn(i, members.Away)
+				}
+			}
+			for ; h.beat <= now; h.beat += beatEvery {
+				for i := range h.others {
+					out = append(out, members.Send{To: h.others[i], Message: &members.Message{Kind: members.Tell, From: h.self, Life: 1, State: members.Here}})
+				}
+			}
+		}
+	}
+	return out
+}
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -216,9 +216,8 @@
 // Read decodes and checks a scenario.
 func Read(raw []byte) (Scenario, error) {
 	s := base()
-	dec := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return Scenario{}, decodeFault(err)
+	if err := Decode(raw, &s); err != nil {
+		return Scenario{}, err
 	}
 	s.fill()
 	if err := s.check(); err != nil {
@@ -227,7 +226,15 @@
 	return s, nil
 }
 
-// Load reads a scenario file.
+// Decode reads TOML into what it names and refuses keys that it doesn't know; its errors are KeyErrors.
+func Decode(raw []byte, into any) error {
+	if err := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields().Decode(into); err != nil {
+		return decodeFault(err)
+	}
+	return nil
+}
+
+// ReadFile reads a scenario file.
 func ReadFile(path string) (Scenario, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
