--- a/internal/fields/fields.go
+++ b/internal/fields/fields.go
@@ -16,3 +16,15 @@
 	Scrapped = "scrapped_" // followed by the cause: operations scrapped for it
 	Differs  = "differs_"  // followed by the kind: decisions that the settings under watch would have taken otherwise
 )
+
+// Fields of what a door holds of its fleet.
+const (
+	Member = "member"   // name of another door, or its address
+	From   = "from"     // state before
+	To     = "to"       // state from here on
+	Life   = "life"     // of the member
+	Doubts = "doubts"   // observers that doubt it
+	Why    = "why"      // in words
+	Clock  = "clock_ms" // the machine's monotonic clock
+	Remedy = "remedy"   // what an operator can do about the error
+)
--- a/members/members.go
+++ b/members/members.go
@@ -469,7 +469,7 @@
 		m.ofMe(r)
 		return
 	}
-	if r.State == Doubted || r.State == Unknown || r.Life == 0 || r.Name == "" {
+	if r.State >= Doubted || r.State == Unknown || r.Life == 0 || r.Name == "" {
 		return
 	}
 	i, ok := m.index[r.Name]
--- a/members/words.go
+++ b/members/words.go
@@ -21,10 +21,12 @@
 
 var stateNames = [...]string{"unknown", "joining", "here", "leaving", "away", "left", "doubted"}
 
-func (s State) String() string { return stateNames[s] }
-
-// MarshalText words a state as people read it.
-func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+func (s State) String() string {
+	if int(s) >= len(stateNames) {
+		return stateNames[Unknown]
+	}
+	return stateNames[s]
+}
 
 // standing tells whether a member in this state is looked at and counted as an observer.
 func (s State) standing() bool { return s == Joining || s == Here || s == Leaving }
