A door of a fleet tells its decisions who is here, and operators what it holds

Need: a door's number of doors is told at its start and never changes; cold budgets and parts of quotas divide by it.

Change: gate.Doors tells which doors are believed to be here. The decisions have the parts of absent doors pass to the others of a customer's set within seconds and take cold budgets by the doors that are here; slices of ceilings stay as they are whatever is believed. Key fleet, checked; with it swifthall goes over into swifthall-fleet, which carries membership and the door's status on loopback (net/http, JSON); swifthall members shows it.

--- /dev/null
+++ b/admin/admin_test.go
@@ -0,0 +1,64 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/swifthall/swifthall/fleet"
+	"github.com/swifthall/swifthall/members"
+)
+
+func view() fleet.View {
+	return fleet.View{Self: "a", Fleet: "prod", Alone: 20, Rows: []members.Row{
+		{Peer: members.Peer{Name: "a", Zone: "z1", Address: "10.0.0.1:7946"}, State: members.Here, Life: 1, Looks: 2, Since: 61e3},
+		{Peer: members.Peer{Name: "b", Zone: "z2", Address: "10.0.0.2:7946", Release: "abc"}, State: members.Doubted, Life: 3, Looks: 2, Doubts: 1, Observe: true, Trip: 1.25},
+	}}
+}
+
+func TestADoorsStatusIsToldAndAsked(t *testing.T) {
+	srv := httptest.NewServer(Handler(view))
+	defer srv.Close()
+	m, err := Ask(context.Background(), strings.TrimPrefix(srv.URL, "http://"))
+	require.NoError(t, err)
+	assert.Equal(t, Word(view()), m)
+	require.Len(t, m.Members, 2)
+	assert.Equal(t, 1, m.Members[1].SeenBy)
+	assert.False(t, *m.Members[1].Reached)
+	assert.Nil(t, m.Members[0].Reached)
+	var out bytes.Buffer
+	m.Print(&out)
+	assert.Regexp(t, `b +z2 +doubted +0s +1 of 2 +3 +abc +no answer +10.0.0.2:7946`, out.String())
+	assert.Contains(t, out.String(), "1m1s")
+}
+
+func TestARefusedDoorSaysWhatToDo(t *testing.T) {
+	v := view()
+	v.Taken = &members.NameTakenError{Name: "a", Address: "10.0.0.9:7946"}
+	var out bytes.Buffer
+	Word(v).Print(&out)
+	assert.Contains(t, out.String(), "no member: ")
+	assert.Contains(t, out.String(), "GW_NAME")
+}
+
+func TestNobodyThereOrNoDoorIsToldWithWhatToDo(t *testing.T) {
+	var ask *AskError
+	_, err := Ask(context.Background(), "127.0.0.1:1")
+	require.ErrorAs(t, err, &ask)
+	assert.Contains(t, ask.Remedy(), "fleet.status")
+	for _, answer := range []http.HandlerFunc{http.NotFound, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("hello")) }} {
+		srv := httptest.NewServer(answer)
+		_, err = Ask(context.Background(), strings.TrimPrefix(srv.URL, "http://"))
+		assert.ErrorAs(t, err, &ask)
+		srv.Close()
+	}
+	err = Serve(context.Background(), "127.0.0.1:99999", view)
+	var listen *ListenError
+	assert.ErrorAs(t, err, &listen)
+}
--- /dev/null
+++ b/cmd/swifthall-fleet/commands.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/swifthall/swifthall/admin"
+	"github.com/swifthall/swifthall/config"
+	"github.com/swifthall/swifthall/internal/doorfleet"
+	"github.com/swifthall/swifthall/internal/serving"
+)
+
+func root() *cobra.Command {
+	var l serving.Log
+	cmd := &cobra.Command{Use: "swifthall-fleet", Short: "A front door that is a member of a fleet", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() }}
+	serve := &cobra.Command{Use: "serve", Short: "Serve as one front door of a fleet", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return serving.Door(l, nil, doorfleet.Beside) }}
+	serve.Flags().StringVar(&l.Level, "log-level", "", "debug, info, warn or error; wins over the key log.level")
+	serve.Flags().StringVar(&l.Format, "log-format", "", "text or json; wins over the key log.format")
+	cmd.AddCommand(serve, members())
+	return cmd
+}
+
+const defaultStatus = "127.0.0.1:7980"
+
+// status is where the door that GW_CONFIG configures tells its status.
+func status() string {
+	if os.Getenv("GW_CONFIG") != "" {
+		if cfg, err := config.Load(os.Getenv); err == nil && cfg.Fleet != nil && cfg.Fleet.Status != "" {
+			return cfg.Fleet.Status
+		}
+	}
+	return defaultStatus
+}
+
+func members() *cobra.Command {
+	var at string
+	var watch, asJSON bool
+	var every time.Duration
+	cmd := &cobra.Command{Use: "members", Short: "Show which doors a door holds to be here", Args: cobra.NoArgs,
+		Long: "Asks the door whose status is told at --at, the key fleet.status of what GW_CONFIG names, or " + defaultStatus + ".\n" +
+			"A door that is seen by fewer than all its observers is doubted by the rest; docs/members.md tells what that means.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if at == "" {
+				at = status()
+			}
+			for {
+				m, err := admin.Ask(cmd.Context(), at)
+				if err != nil {
+					return err
+				}
+				if asJSON {
+					if err := json.NewEncoder(cmd.OutOrStdout()).Encode(m); err != nil {
+						return err
+					}
+				} else {
+					m.Print(cmd.OutOrStdout())
+				}
+				if !watch {
+					return nil
+				}
+				select {
+				case <-cmd.Context().Done():
+					return nil
+				case <-time.After(every):
+				}
+				if !asJSON {
+					fmt.Fprintln(cmd.OutOrStdout())
+				}
+			}
+		}}
+	f := cmd.Flags()
+	f.StringVar(&at, "at", "", "address where the door tells its status")
+	f.BoolVar(&watch, "watch", false, "again and again, until interrupted")
+	f.DurationVar(&every, "every", time.Second, "between two tables of --watch")
+	f.BoolVar(&asJSON, "json", false, "one line of JSON in place of a table")
+	return cmd
+}
--- a/cmd/swifthall/commands.go
+++ b/cmd/swifthall/commands.go
@@ -7,16 +7,17 @@
 	"github.com/spf13/cobra"
 
 	"github.com/swifthall/swifthall/config"
+	"github.com/swifthall/swifthall/internal/serving"
 )
 
 func root() *cobra.Command {
-	var l logging
+	var l serving.Log
 	cmd := &cobra.Command{Use: "swifthall", Short: "An admission gateway for services sold by plan", Args: cobra.NoArgs,
 		Long: "Alone, swifthall serves as one front door, as swifthall serve does: it reads the file that GW_CONFIG names;\n" +
 			"GW_NAME, GW_LISTEN and GW_DISCOVERY win over its keys.",
 		RunE: func(*cobra.Command, []string) error { return serve(l) }}
-	cmd.PersistentFlags().StringVar(&l.level, "log-level", "", "debug, info, warn or error; wins over the key log.level")
-	cmd.PersistentFlags().StringVar(&l.format, "log-format", "", "text or json; wins over the key log.format")
+	cmd.PersistentFlags().StringVar(&l.Level, "log-level", "", "debug, info, warn or error; wins over the key log.level")
+	cmd.PersistentFlags().StringVar(&l.Format, "log-format", "", "text or json; wins over the key log.format")
 	cmd.AddCommand(
 		&cobra.Command{Use: "serve", Short: "Serve as one front door", Args: cobra.NoArgs,
 			RunE: func(*cobra.Command, []string) error { return serve(l) }},
@@ -24,10 +25,15 @@
 			Long: "Reads FILE, or what GW_CONFIG names, with the environment as serve would. Exits with 3 where serve would not start.",
 			Args: cobra.MaximumNArgs(1), RunE: check},
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
-			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), version()) }},
+			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), serving.Version()) }},
 		&cobra.Command{Use: "lab", Short: "The laboratory: play, list, compare, sweep, hunt, load", DisableFlagParsing: true,
 			Long: "Starts swifthall-lab, which lies beside this program or on the path: the laboratory is a program of its own.",
-			RunE: func(_ *cobra.Command, args []string) error { return laboratory(args) }},
+			RunE: func(_ *cobra.Command, args []string) error { return become(labProgram, args...) }},
+		&cobra.Command{Use: "members", Short: "Show which doors a door of a fleet holds to be here (--watch, --json, --at)", DisableFlagParsing: true,
+			Long: "Starts swifthall-fleet, which lies beside this program or on the path; swifthall members --help lists the flags.",
+			RunE: func(_ *cobra.Command, args []string) error {
+				return become(fleetProgram, append([]string{"members"}, args...)...)
+			}},
 	)
 	return cmd
 }
--- a/cmd/swifthall/commands_test.go
+++ b/cmd/swifthall/commands_test.go
@@ -7,11 +7,9 @@
 	"path/filepath"
 	"testing"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/internal/cli"
 	"github.com/swifthall/swifthall/internal/remedy"
 )
@@ -65,20 +63,7 @@
 	assert.ErrorContains(t, err, "GW_CONFIG")
 }
 
-func TestFlagsWinOverTheFilesLog(t *testing.T) {
-	of, err := logging{format: "json"}.over(config.Log{Level: "warn", Format: "text"})
-	require.NoError(t, err)
-	log := logrus.New()
-	var out bytes.Buffer
-	log.SetOutput(&out)
-	apply(log, of)
-	log.Info("quiet")
-	log.Warn("loud")
-	assert.NotContains(t, out.String(), "quiet")
-	assert.Contains(t, out.String(), `"level":"warning"`)
-}
-
 func TestTheLaboratoryThatIsNotThereIsNamed(t *testing.T) {
 	t.Setenv("PATH", "")
-	assert.ErrorContains(t, laboratory([]string{"list"}), "swifthall-lab")
+	assert.ErrorContains(t, become(labProgram, "list"), "swifthall-lab")
 }
--- a/config/config.go
+++ b/config/config.go
@@ -29,6 +29,7 @@
 	Watch                   *gate.Terms // terms of another shape that decisions are compared with; nil where there is no watch
 	Pace                    Pace
 	Log                     Log
+	Fleet                   *Fleet   // nil where the door goes by itself
 	Odd                     []string // keys that nothing reads, each with a word on it
 }
 
@@ -83,6 +84,7 @@
 	Watch    json.RawMessage `json:"watch"`
 	Pace     Pace            `json:"pace"`
 	Log      Log             `json:"log"`
+	Fleet    *Fleet          `json:"fleet"`
 }
 
 // Again reads a file that has been replaced. Its discovery counts, as the environment is older than it.
@@ -136,7 +138,7 @@
 		}
 	}
 	d := Door{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter, Cores: f.Limits.Cores,
-		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Pace: f.Pace, Log: f.Log, Odd: oddKeys(raw)}
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Pace: f.Pace, Log: f.Log, Fleet: f.Fleet, Odd: oddKeys(raw)}
 	var faults []error
 	for _, a := range []struct {
 		key, value string
@@ -159,6 +161,9 @@
 	}
 	d.logDefaults()
 	faults = append(faults, d.Log.Check())
+	if d.Fleet != nil {
+		faults = append(faults, d.Fleet.check(d.Name)...)
+	}
 	if len(f.Settings) == 0 {
 		faults = append(faults, keyFault("settings", "missing"))
 	} else if d.Deal, err = ReadDeal(f.Settings); err != nil {
@@ -193,7 +198,7 @@
 		}
 	}
 	look("", tree, file{})
-	for under, into := range map[string]any{"limits": file{}.Limits, "pace": Pace{}, "log": Log{}} {
+	for under, into := range map[string]any{"limits": file{}.Limits, "pace": Pace{}, "log": Log{}, "fleet": Fleet{}} {
 		var inner map[string]json.RawMessage
 		if json.Unmarshal(tree[under], &inner) == nil {
 			look(under+".", inner, into)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -1,6 +1,9 @@
 package config
 
 import (
+	"encoding/json"
+	"maps"
+	"os"
 	"strings"
 	"testing"
 
@@ -103,3 +106,34 @@
 	_, err = Read([]byte(with(`"beyond_earns":-0.3`)), unset)
 	assert.ErrorContains(t, err, `key "settings.tariffs[0].beyond_earns": below 0`)
 }
+
+func TestTheFleetIsCheckedKeyByKey(t *testing.T) {
+	raw, err := os.ReadFile("../examples/config.json")
+	require.NoError(t, err)
+	var tree map[string]any
+	require.NoError(t, json.Unmarshal(raw, &tree))
+	read := func(fleet map[string]any) (Door, error) {
+		tree["fleet"] = fleet
+		with, err := json.Marshal(tree)
+		require.NoError(t, err)
+		return Read(with, func(string) string { return "" })
+	}
+	good := map[string]any{"name": "prod", "zone": "a", "listen": "10.1.2.3:7946", "peers": []string{"10.1.2.4:7946", "d2/10.1.2.5:7946"},
+		"routes": map[string]string{"d3": "127.0.0.1:9"}, "status": "127.0.0.1:7980"}
+	d, err := read(good)
+	require.NoError(t, err)
+	assert.Equal(t, "prod", d.Fleet.Name)
+	assert.Empty(t, d.Odd)
+	for key, value := range map[string]any{"name": "", "listen": "8.8.8.8:7946", "peers": []string{"door-2:7946"}, "routes": map[string]string{"d3": "there"},
+		"status": "10.1.2.3:80", "join_again_ms": -1, "leave_ms": -1} {
+		bad := maps.Clone(good)
+		bad[key] = value
+		_, err := read(bad)
+		assert.ErrorContains(t, err, `key "fleet.`+key, "%s", key)
+	}
+	bad := maps.Clone(good)
+	bad["zones"] = "a"
+	d, err = read(bad)
+	require.NoError(t, err)
+	assert.Equal(t, []string{`key "fleet.zones": nothing reads it`}, d.Odd)
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,11 +31,9 @@
 	listTimeout = time.Second            // of one
 	listGossip  = 500 * time.Millisecond // between its rounds of gossip
 	listSync    = time.Minute            // between its exchanges of whole states; the module asks for its own
-	joinAgain   = time.Second            // between tries to find any other door
 	joinRest    = 10 * time.Second       // where some are known, between tries to find those that are not
 	tcpTimeout  = 2 * time.Second        // of a connection, and of what is written to it
 	waiting     = 1024                   // events that wait for the owner; more are lost, as datagrams may be
-	leaveMost   = 3 * time.Second        // for which Leave says that the door goes
 	mostNames   = 64                     // doors turned away that are remembered, to be logged once
 )
 
@@ -46,7 +44,9 @@
 	Zone    string
 	Number  int // of the door; -1 for none
 	Release string
-	Peers   []string // addresses to be asked for others; its own is passed over
+	Peers   []string      // addresses to be asked for others; its own is passed over
+	Join    time.Duration // between tries to find any other door
+	Leave   time.Duration // at most, in which Leave says that the door goes
 }
 
 // meta rides on the library's own list.
@@ -96,13 +96,13 @@
 		return nil, &BindError{id.Name, err}
 	}
 	d.address = net.JoinHostPort(ip.String(), fmt.Sprint(port))
-	d.member = members.New(members.Peer{Name: id.Name, Address: d.address, Zone: id.Zone, Number: id.Number, Nonce: nonce}, nonce)
+	d.member = members.New(members.Peer{Name: id.Name, Address: d.address, Zone: id.Zone, Number: id.Number, Release: id.Release, Nonce: nonce}, nonce)
 	cfg := memberlist.DefaultLANConfig()
 	cfg.Name, cfg.Transport, cfg.Label = id.Name, t, id.Fleet
 	cfg.AdvertiseAddr, cfg.AdvertisePort = ip.String(), port
 	cfg.ProbeInterval, cfg.ProbeTimeout, cfg.GossipInterval, cfg.PushPullInterval = listProbe, listTimeout, listGossip, listSync
 	cfg.TCPTimeout, cfg.DisableTcpPings, cfg.EnableCompression = tcpTimeout, true, false
-	cfg.DeadNodeReclaimTime = joinAgain // a door may come back elsewhere under its name
+	cfg.DeadNodeReclaimTime = listTimeout // a door may come back elsewhere under its name
 	cfg.Delegate, cfg.Alive, cfg.Merge = d, d, d
 	cfg.Logger = log.New(lines{l}, "", 0)
 	if d.list, err = memberlist.Create(cfg); err != nil {
@@ -257,7 +257,7 @@
 				d.log.WithField(fields.Member, p).Info("joined")
 			}
 		}
-		if rest = joinAgain; others > 0 {
+		if rest = d.id.Join; others > 0 {
 			rest = joinRest
 		}
 	}
@@ -382,7 +382,7 @@
 	case <-d.gone:
 	case <-d.done:
 	case <-ctx.Done():
-	case <-time.After(leaveMost):
+	case <-time.After(d.id.Leave):
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -56,7 +56,7 @@
 }
 
 func identity(i int) Identity {
-	return Identity{Fleet: "test", Name: name(i), Zone: fmt.Sprint("z", i%3), Number: i, Peers: []string{at(0), at(1)}}
+	return Identity{Fleet: "test", Name: name(i), Zone: fmt.Sprint("z", i%3), Number: i, Join: time.Second, Leave: 3 * time.Second, Peers: []string{at(0), at(1)}}
 }
 
 func crowded(t *testing.T, n int, way func(from, to string) Fate) *crowd {
@@ -109,7 +109,7 @@
 		time.Sleep(8 * time.Second)
 		began := time.Now()
 		c.all[3].Leave(context.Background())
-		assert.Less(t, time.Since(began), leaveMost)
+		assert.Less(t, time.Since(began), 3*time.Second)
 		c.all[3].Close()
 		time.Sleep(time.Second)
 		assert.Equal(t, map[members.State]int{members.Here: 4, members.Left: 1}, counts(c.all[0]))
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -60,6 +60,14 @@
 // is under way goes on, and so does the fleet list until the new discovery has told its own.
 func (d *Door) Reload(cfg config.Door) { d.core.post(reloaded{cfg.Discovery, cfg.Counter}) }
 
+// Members tells the door which doors of its fleet are here, as far as is known. It may be called at any time, or never: no
+// operation waits for it.
+func (d *Door) Members(e gate.Doors) { d.core.post(present(e)) }
+
+type present gate.Doors
+
+func (n present) take(c *core) { c.pending = append(c.pending, gate.Doors(n)) }
+
 type reloaded struct{ discovery, counter string }
 
 func (n reloaded) take(c *core) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -143,6 +143,14 @@
 	Entries          []Entry
 }
 
+// Doors tells which doors of the fleet are here, as far as is known: Here by their numbers, this one's among them. It is a
+// belief, held by each door for itself, and may be wrong: parts of quotas may follow it, ceilings never. Without it all
+// doors that the terms tell of count as here.
+type Doors struct {
+	Here  []bool // by number; one beyond its end counts as here
+	Count int    // all that are here, those without a number among them
+}
+
 // Probed and Counted answer Probe and Count.
 type Probed struct {
 	Backend int
--- /dev/null
+++ b/internal/doorfleet/doorfleet.go
@@ -0,0 +1,104 @@
+// Package doorfleet makes a door a member of its fleet: it starts the fleet's driver beside the door, tells the door's
+// decisions who is here, and operators what is held.
+package doorfleet
+
+import (
+	"context"
+	"io"
+	"log"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/swifthall/swifthall/admin"
+	"github.com/swifthall/swifthall/config"
+	"github.com/swifthall/swifthall/fleet"
+	"github.com/swifthall/swifthall/frontdoor"
+	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/serving"
+	"github.com/swifthall/swifthall/members"
+)
+
+const tellAtMost = 100 * time.Millisecond // between two words to the decisions: changes come in crowds
+
+// Beside runs a door's membership until ctx ends, and says that the door leaves. The door serves whatever becomes of it.
+func Beside(ctx context.Context, cfg config.Door, door *frontdoor.Door, l logrus.FieldLogger) error {
+	f := cfg.Fleet
+	if f == nil {
+		return nil
+	}
+	t, err := fleet.Bind(f.Listen, log.New(io.Discard, "", 0))
+	if err != nil {
+		return err
+	}
+	changed := make(chan struct{}, 1)
+	d, err := fleet.Start(fleet.Identity{Fleet: f.Name, Name: cfg.Name, Zone: f.Zone, Number: cfg.Deal.Terms.Number, Release: serving.Release(),
+		Peers: f.Peers, Join: ms(f.JoinMs, config.JoinAgain), Leave: ms(f.LeaveMs, config.LeaveMost)},
+		fleet.Routed(t, f.Routes), rand.Uint64()>>1, l, func(members.Changed) {
+			select {
+			case changed <- struct{}{}:
+			default:
+			}
+		})
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	failed := make(chan error, 1)
+	if f.Status != "" {
+		status, stop := context.WithCancel(context.WithoutCancel(ctx))
+		defer stop()
+		go func() { failed <- admin.Serve(status, f.Status, d.View) }()
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			said, stop := context.WithTimeout(context.WithoutCancel(ctx), ms(f.LeaveMs, config.LeaveMost))
+			defer stop()
+			d.Leave(said)
+			return nil
+		case err := <-failed: // operators see less; the door and its fleet go on
+			if err != nil {
+				l.WithError(err).Error("no status is told")
+			}
+		case <-changed:
+			door.Members(Word(d.View().Rows, cfg.Deal.Terms.Doors))
+			select {
+			case <-time.After(tellAtMost):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+func ms(told, def float64) time.Duration {
+	if told == 0 {
+		told = def
+	}
+	return time.Duration(told * float64(time.Millisecond))
+}
+
+// Word words what is held of the fleet for the decisions. Only of one who was a member is it known that it has gone: the
+// doors that were never heard of count as here, as they do without membership.
+func Word(rows []members.Row, doors int) gate.Doors {
+	e := gate.Doors{Here: make([]bool, doors)}
+	for i := range e.Here {
+		e.Here[i] = true
+	}
+	numbered := func(r *members.Row) bool { return r.Number >= 0 && r.Number < doors }
+	for i := range rows {
+		if r := &rows[i]; numbered(r) && (r.State == members.Away || r.State == members.Left) {
+			e.Here[r.Number] = false
+		}
+	}
+	for i := range rows {
+		if r := &rows[i]; r.State == members.Here || r.State == members.Doubted || r.State == members.Leaving {
+			e.Count++
+			if numbered(r) { // one that follows another of its number stands in for it
+				e.Here[r.Number] = true
+			}
+		}
+	}
+	return e
+}
--- a/cmd/swifthall/serve.go
+++ b/internal/serving/serving.go
@@ -1,4 +1,5 @@
-package main
+// Package serving is one front door as a program: configuration, log, limits, signals, and what runs beside it.
+package serving
 
 import (
 	"context"
@@ -13,19 +14,21 @@
 
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/frontdoor"
+	"github.com/swifthall/swifthall/internal/fields"
+	"github.com/swifthall/swifthall/internal/remedy"
 	"github.com/swifthall/swifthall/policy"
 )
 
-// logging is what the flags say of the log; empty where they say nothing.
-type logging struct{ level, format string }
+// Log is what the flags say of the log; empty where they say nothing.
+type Log struct{ Level, Format string }
 
 // over puts the flags over the file's keys.
-func (l logging) over(of config.Log) (config.Log, error) {
-	if l.level != "" {
-		of.Level = l.level
+func (l Log) over(of config.Log) (config.Log, error) {
+	if l.Level != "" {
+		of.Level = l.Level
 	}
-	if l.format != "" {
-		of.Format = l.format
+	if l.Format != "" {
+		of.Format = l.Format
 	}
 	return of, of.Check()
 }
@@ -41,8 +44,12 @@
 	}
 }
 
-// serve is one front door from its start to its end.
-func serve(l logging) error {
+// Beside is what runs beside a door that serves, until ctx ends and it has said what it has to say.
+type Beside func(ctx context.Context, cfg config.Door, door *frontdoor.Door, log logrus.FieldLogger) error
+
+// Door is one front door from its start to its end. before sees the configuration first, and may go over into another
+// program; what runs beside the door is started with it. Both may be nil. The door serves whatever becomes of the latter.
+func Door(l Log, before func(config.Door) error, beside Beside) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	log := logrus.New()
@@ -54,6 +61,11 @@
 		return err
 	}
 	apply(log, cfg.Log)
+	if before != nil {
+		if err := before(cfg); err != nil {
+			return err
+		}
+	}
 	for _, odd := range cfg.Odd {
 		log.Warn(odd)
 	}
@@ -75,5 +87,23 @@
 			}
 		}
 	}()
-	return door.Serve(ctx)
+	if beside == nil {
+		return door.Serve(ctx)
+	}
+	over := make(chan struct{})
+	with, end := context.WithCancel(ctx)
+	go func() {
+		defer close(over)
+		if err := beside(with, cfg, door, log); err != nil {
+			entry := log.WithError(err)
+			for _, what := range remedy.Of(err) {
+				entry = entry.WithField(fields.Remedy, what)
+			}
+			entry.Error("the door serves by itself")
+		}
+	}()
+	err = door.Serve(ctx)
+	end()
+	<-over
+	return err
 }
--- a/lab/model/door.go
+++ b/lab/model/door.go
@@ -108,6 +108,10 @@
 	d.tracking = !w.s.Discovery.Ask
 	w.tell(trace.Event{Kind: trace.Started, Door: d.id})
 	d.listed = append(d.listed, known)
+	w.moved(d)
+	if w.s.Fleet.MembersMs > 0 && d.life > 1 {
+		d.inbox = append(d.inbox, w.present())
+	}
 	if d.life > 1 && d.tracking {
 		w.pass(d, w.whole())
 	}
@@ -121,6 +125,7 @@
 	}
 	d.up, d.diedAt = false, w.now
 	w.tell(trace.Event{Kind: trace.Died, Door: d.id})
+	w.moved(d)
 	if d.outer != nil {
 		d.outer.Kill()
 	}
--- a/lab/model/world.go
+++ b/lab/model/world.go
@@ -57,6 +57,8 @@
 
 	backends []*backend
 	doors    []*door
+	here     []bool // the doors that all believe to be here, by number
+	telling  bool   // they are about to hear of it
 	clients  clients
 	counter  counter
 	meter    meter
--- a/lab/procs/stack_test.go
+++ b/lab/procs/stack_test.go
@@ -164,7 +164,7 @@
 	}
 	l := logrus.New()
 	l.SetOutput(io.Discard)
-	id := fleet.Identity{Fleet: "x", Name: Door(i), Zone: fmt.Sprint("z", s.Truth.Zones[i]), Number: i, Peers: []string{s.address(0), s.address(1), s.address(2)}}
+	id := fleet.Identity{Fleet: "x", Name: Door(i), Zone: fmt.Sprint("z", s.Truth.Zones[i]), Number: i, Join: time.Second, Leave: 3 * time.Second, Peers: []string{s.address(0), s.address(1), s.address(2)}}
 	d, err := fleet.Start(id, t, uint64(i*1000+nth), l, func(c members.Changed) { on(c.Name, c.From.String(), c.To.String()) })
 	if err != nil {
 		panic(err)
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -57,6 +57,8 @@
 	Backends int `toml:"backends"`
 	Zones    int `toml:"zones"`
 	CellSize int `toml:"cell_size"`
+
+	MembersMs float64 `toml:"members_ms"` // after which every door knows that another has come or gone; 0: never
 }
 
 // Machine is a kind of backend.
@@ -377,6 +379,8 @@
 		return fault("fleet.zones", "%d", s.Fleet.Zones)
 	case s.Fleet.CellSize < 1:
 		return fault("fleet.cell_size", "%d", s.Fleet.CellSize)
+	case !(s.Fleet.MembersMs >= 0 && s.Fleet.MembersMs <= 600e3):
+		return fault("fleet.members_ms", "%g, 0 to 600e3 is wanted", s.Fleet.MembersMs)
 	case !(s.Day.Seconds > 0 && s.Day.Seconds <= mostSeconds):
 		return fault("day.seconds", "%g, up to %d can be played", s.Day.Seconds, mostSeconds)
 	case !(s.Day.TickMs > 0 && s.Day.TickMs <= 1000):
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,6 +52,7 @@
 	crowdedFor  = 20e3 // for this time, ms; shorter, calls came back in waves that crowded it again
 	awayAfter   = 8    // calls in a row without a word: the counter was away, as a crowded one answers some
 	askFor      = 120. // ms in which a call that is answered at all is answered; a few ways there and back
+	takeOver    = 4e3  // ms in which parts of doors that are gone pass to others of a set; as demand is averaged
 	heldWeight  = 0.01 // weight of one more operation in the share that meets a hold; a hundred of them
 	openUnder   = 0.08 // share of operations that may meet a hold while one goes beyond its quota
 	debtShare   = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
@@ -100,6 +101,8 @@
 		switch e := e.(type) {
 		case gate.Fleet:
 			d.list(e)
+		case gate.Doors:
+			d.here, d.doors = append(d.here[:0], e.Here...), e.Count
 		case gate.Operation:
 			d.arrive(e)
 		case gate.Ended:
@@ -200,6 +203,7 @@
 	k.of(plan, first, max(1, spread), p.Depth, d.now, d.born)
 	dt := d.now - k.filled
 	k.filled = d.now
+	k.set += (d.ofSet(k) - k.set) * (1 - math.Exp(-dt/takeOver))
 	k.level = min(p.Depth, k.level+p.Rate*dt)
 	part := 1 / float64(k.spread) // what is granted is sent later, when it would have filled up: it holds less
 	most := p.CeilingDepth - 2*askFor*p.CeilingRate
@@ -209,10 +213,22 @@
 	return k
 }
 
+// ofSet is how many of a customer's doors are here. Parts of those that are not pass to the others little by
+// little. Only parts of the quota do: slices of the ceiling stay, as two doors may each think the other gone.
+func (d *Door) ofSet(k *bucket) float64 {
+	n := k.spread
+	for i := k.first; len(d.here) > 0 && i < k.first+k.spread; i++ {
+		if at := i % max(1, d.terms.Doors); at < len(d.here) && !d.here[at] && at != d.terms.Number {
+			n--
+		}
+	}
+	return float64(max(1, n))
+}
+
 // part is this door's part of the customer's recent demand: local demand over local demand plus others'
 // metered use, drawn to the even slice by a little prior weight, and wholly when nothing is heard.
 func (d *Door) part(k *bucket) float64 {
-	even := 1 / float64(k.spread)
+	even := 1 / k.set
 	if d.now-k.heard > heardFor {
 		return k.trim * even
 	}
@@ -366,7 +382,7 @@
 	} else if c.window != n {
 		*c = counting{window: n, fill: p.Rate / float64(k.spread), before: p.Depth}
 	}
-	dense := p.Depth >= float64(k.spread)*o.units // its part holds it
+	dense := p.Depth >= k.set*o.units // its part holds it
 	switch {
 	case c.granted >= o.units:
 		if wait = d.ceilingWait(k, o.units); wait == 0 {
@@ -699,7 +715,7 @@
 	if d.now >= f.coldUntil[b] {
 		share := coldShare * d.terms.FallMultiple * warm * d.warmRate(b) * d.terms.FallWindow / d.low(o.profile)
 		if share == 0 { // no warm backend is known to compare with
-			share = coldBlind / float64(d.terms.Doors)
+			share = coldBlind / float64(cmp.Or(d.doors, d.terms.Doors))
 		}
 		f.coldLeft[b], f.coldUntil[b] = int(share+d.dice.roll()), d.now+d.terms.FallWindow
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -939,3 +939,62 @@
 	d.list(gate.Fleet{Entries: []gate.Entry{{Backend: 2, Since: 5}}})
 	assert.Zero(t, d.fleet.queue[2])
 }
+
+func TestPartsOfAbsentDoorsPassToTheOthersLittleByLittle(t *testing.T) {
+	d := door(4)
+	clock := d.now
+	even := func() float64 { k := d.fill(0, 0, 0, 3); return d.part(k) }
+	before := even()
+	d.Decide(clock, []gate.Event{gate.Doors{Here: []bool{true, false, false}, Count: 1}})
+	assert.InDelta(t, before, even(), 1e-9, "no jump")
+	last := before
+	for range 40 {
+		clock += 500
+		d.now = clock
+		now := even()
+		assert.GreaterOrEqual(t, now, last-1e-9)
+		assert.Less(t, now-last, 0.2)
+		last = now
+	}
+	assert.InDelta(t, 1, last, 0.02, "it is alone with this customer")
+	d.Decide(clock, []gate.Event{gate.Doors{Here: []bool{true, true, true}, Count: 3}})
+	for range 40 {
+		clock += 500
+		d.now = clock
+		last = even()
+	}
+	assert.InDelta(t, before, last, 0.02)
+}
+
+func TestABeliefWidensNoCeiling(t *testing.T) {
+	d := door(4)
+	clock := d.now
+	apart := door(4)
+	d.Decide(clock, []gate.Event{gate.Doors{Here: []bool{true, false, false}, Count: 1}})
+	for range 200 {
+		clock += 100
+		d.now, apart.now = clock, clock
+		a, b := d.fill(0, capped, 0, 3), apart.fill(0, capped, 0, 3)
+		assert.InDelta(t, b.ceiling, a.ceiling, 1e-9, "whatever it believes of others, its slice is its own third")
+		assert.InDelta(t, apart.ceilingWait(b, 2), d.ceilingWait(a, 2), 1e-9)
+	}
+}
+
+func TestColdBudgetsGoByTheDoorsThatAreHere(t *testing.T) {
+	d := door(4)
+	clock := d.now
+	share := func() (n int) {
+		const draws = 4000
+		for range draws {
+			f := &d.fleet
+			f.coldUntil[0] = 0
+			d.coldRoom(&operation{}, 0)
+			n += f.coldLeft[0]
+		}
+		return n
+	}
+	d.Decide(clock, []gate.Event{gate.Fleet{Complete: true, Entries: []gate.Entry{{Backend: 0, Since: clock, Size: 1}}}})
+	told := share()
+	d.Decide(clock, []gate.Event{gate.Doors{Here: []bool{true, true, true}, Count: 6}})
+	assert.InEpsilon(t, float64(told)/2, float64(share()), 0.15, "the fleet has doubled")
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -65,6 +65,7 @@
 	plan          int
 	first, spread int      // the customer's doors
 	phase         float64  // of its windows
+	set           float64  // of its doors, those that are here
 	level         float64  // what the customer's quota is thought to hold, units
 	ceiling       float64  // what this door's slice of the ceiling holds, units
 	promised      float64  // charges of held operations, units
@@ -91,7 +92,7 @@
 	}
 	if !k.known || k.plan != plan || k.first != first || k.spread != spread {
 		*k = bucket{known: true, plan: plan, first: first, spread: spread, level: depth, filled: now, store: depth, trim: 1,
-			heard: math.Inf(-1), open: k.open, out: k.out, promised: k.promised,
+			heard: math.Inf(-1), set: float64(spread), open: k.open, out: k.out, promised: k.promised,
 			promisedUnits: k.promisedUnits}
 	}
 }
@@ -266,6 +267,8 @@
 type Door struct {
 	terms      gate.Terms
 	watch      *gate.Terms // terms that decisions are compared with; nil for none
+	here       []bool      // doors that are here, by number; empty where nobody tells
+	doors      int         // all that are here; 0 where nobody tells
 	now        float64
 	born       float64
 	dice       dice
