A rig of many processes: real doors, a relay for each directed pair, one schedule for both kinds of play

Need: what many doors do together under faults was seen in virtual time only.

Change: lab/procs starts 3 to 24 real doors on loopback with stand-in backends, discovery and clients, and a relay in each directed pair that cuts one way, loses, repeats, delays, reorders datagrams and holds connections open and silent; processes are stopped, killed, started anew under their names, told a wrong wall clock. Their log lines with the machine's monotonic clock make one history for the same checkers. swifthall lab procs plays schedules, random ones as well, and writes a timeline of who held what of whom. A door whose fleet address is taken tries again: found by the rig, where a port had gone to another process and the door stayed out for good.

--- a/internal/doorfleet/doorfleet.go
+++ b/internal/doorfleet/doorfleet.go
@@ -4,11 +4,15 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"time"
 
+	"github.com/hashicorp/memberlist"
 	"github.com/sirupsen/logrus"
 
 	"github.com/swifthall/swifthall/admin"
@@ -16,10 +20,25 @@
 	"github.com/swifthall/swifthall/fleet"
 	"github.com/swifthall/swifthall/frontdoor"
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/fields"
 	"github.com/swifthall/swifthall/internal/serving"
 	"github.com/swifthall/swifthall/members"
 )
 
+// WallOffset names a variable by which a rig has this process's wall clock be wrong, by so many seconds. All that membership
+// uses of the wall clock is the time in the log; its own clock is monotonic.
+const WallOffset = "SWIFTHALL_WALL_OFFSET_S"
+
+// wrongClock moves the times of a log.
+type wrongClock time.Duration
+
+func (wrongClock) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (w wrongClock) Fire(e *logrus.Entry) error {
+	e.Time = e.Time.Add(time.Duration(w))
+	return nil
+}
+
 const tellAtMost = 100 * time.Millisecond // between two words to the decisions: changes come in crowds
 
 // Beside runs a door's membership until ctx ends, and says that the door leaves. The door serves whatever becomes of it.
@@ -28,8 +47,13 @@
 	if f == nil {
 		return nil
 	}
-	t, err := fleet.Bind(f.Listen, log.New(io.Discard, "", 0))
-	if err != nil {
+	if s, err := strconv.ParseFloat(os.Getenv(WallOffset), 64); err == nil && s != 0 {
+		if logger, ok := l.(*logrus.Logger); ok {
+			logger.AddHook(wrongClock(time.Duration(s * float64(time.Second))))
+		}
+	}
+	t, err := bind(ctx, f, l)
+	if t == nil {
 		return err
 	}
 	changed := make(chan struct{}, 1)
@@ -72,6 +96,26 @@
 	}
 }
 
+// bind takes the fleet's address; while another process has it, as the one before this may, it tries again.
+func bind(ctx context.Context, f *config.Fleet, l logrus.FieldLogger) (memberlist.NodeAwareTransport, error) {
+	for told := false; ; {
+		t, err := fleet.Bind(f.Listen, log.New(io.Discard, "", 0))
+		if err == nil {
+			return t, nil
+		}
+		var at *fleet.BindError
+		if errors.As(err, &at) && !told {
+			told = true
+			l.WithError(err).WithField(fields.Remedy, at.Remedy()).Warn("no member of the fleet so far")
+		}
+		select {
+		case <-ctx.Done():
+			return nil, nil
+		case <-time.After(ms(f.JoinMs, config.JoinAgain)):
+		}
+	}
+}
+
 func ms(told, def float64) time.Duration {
 	if told == 0 {
 		told = def
--- a/lab/command/command_test.go
+++ b/lab/command/command_test.go
@@ -119,3 +119,24 @@
 	assert.Contains(t, out, "retry-storm")
 	assert.Contains(t, out, "counter_split")
 }
+
+func TestSchedulesArePlayedAndReported(t *testing.T) {
+	dir := t.TempDir()
+	out, err := do("procs", "short-cut", "--random", "30", "--doors", "6", "--seeds", "2", "--out", dir)
+	require.NoError(t, err)
+	assert.Contains(t, out, "short-cut")
+	for _, name := range []string{"result.json", "schedule.toml", "report.html"} {
+		raw, err := os.ReadFile(filepath.Join(dir, "random-2-6-2", name))
+		require.NoError(t, err)
+		assert.NotEmpty(t, raw)
+	}
+	again, err := do("procs", filepath.Join(dir, "short-cut-6-1", "schedule.toml"), "--seed", "1")
+	require.NoError(t, err)
+	assert.Contains(t, again, "short-cut")
+	_, err = do("procs", "half-heard", "--who", "heartbeats")
+	var broken *ScheduleError
+	require.ErrorAs(t, err, &broken)
+	out, err = do("procs", "--list")
+	require.NoError(t, err)
+	assert.Contains(t, out, "half-heard")
+}
--- a/lab/command/errors.go
+++ b/lab/command/errors.go
@@ -74,3 +74,22 @@
 func (e *KneeError) Remedy() string {
 	return fmt.Sprintf("Give a --rate under %g, or a longer --p99.", e.Rate)
 }
+
+// ScheduleError is a schedule of faults between doors on which a rule broke.
+type ScheduleError struct {
+	Schedule string
+	Seed     uint64
+	Rule     string
+	Times    int
+	First    string
+}
+
+func (e *ScheduleError) Error() string {
+	return fmt.Sprintf("%s, seed %d: rules broken %d times; first: %s: %s", e.Schedule, e.Seed, e.Times, e.Rule, e.First)
+}
+func (e *ScheduleError) Kind() remedy.Kind { return remedy.Refused }
+
+// Remedy names the command that shows it.
+func (e *ScheduleError) Remedy() string {
+	return fmt.Sprintf("Look at the timeline: swifthall lab procs %s --seed %d --out DIR, then DIR's report.html; schedule.toml there plays it again.", e.Schedule, e.Seed)
+}
--- a/lab/procs/errors.go
+++ b/lab/procs/errors.go
@@ -34,3 +34,40 @@
 
 // Remedy says what became of the play.
 func (e *StoppedError) Remedy() string { return "Play it again and let it end; nothing was judged." }
+
+// RigError is something that the rig needs of this machine and can't have.
+type RigError struct {
+	What  string
+	Cause error
+}
+
+func (e *RigError) Error() string     { return remedy.Because("rig: "+e.What, e.Cause) }
+func (e *RigError) Unwrap() error     { return e.Cause }
+func (e *RigError) Kind() remedy.Kind { return remedy.Unreachable }
+
+// Remedy names what it is.
+func (e *RigError) Remedy() string {
+	return fmt.Sprintf("See that this machine gives %s: programs built by go build -o bin/ ./cmd/..., free loopback ports, room in the temporary folder, open files (ulimit -n).", e.What)
+}
+
+// CrowdError is more processes than one machine plays well.
+type CrowdError struct{ Doors int }
+
+func (e *CrowdError) Error() string {
+	return fmt.Sprintf("%d doors, up to %d processes are played", e.Doors, mostProcesses)
+}
+func (e *CrowdError) Kind() remedy.Kind { return remedy.Usage }
+
+// Remedy names the flags.
+func (e *CrowdError) Remedy() string { return "Give --doors 12, or play it with --on sim." }
+
+// DoorsError is doors that did not start, or did not find each other.
+type DoorsError struct{ Says []string }
+
+func (e *DoorsError) Error() string     { return "doors: " + strings.Join(e.Says, "; ") }
+func (e *DoorsError) Kind() remedy.Kind { return remedy.Unreachable }
+
+// Remedy names where they say why.
+func (e *DoorsError) Remedy() string {
+	return "Keep the processes' logs with --logs DIR and look there for errors and what to do."
+}
--- /dev/null
+++ b/lab/procs/real.go
@@ -0,0 +1,557 @@
+package procs
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/swifthall/swifthall/fleet"
+	"github.com/swifthall/swifthall/internal/doorfleet"
+	"github.com/swifthall/swifthall/internal/fields"
+	"github.com/swifthall/swifthall/lab/load"
+	"github.com/swifthall/swifthall/lab/procs/check"
+	"github.com/swifthall/swifthall/lab/stand"
+)
+
+// Real plays a plan on processes of the built program.
+type Real struct {
+	Plan   *Plan
+	Binary string  // swifthall, with swifthall-fleet beside it
+	Logs   string  // folder for the processes' logs; empty for none
+	Rate   float64 // operations a second that clients ask of each door; 0 for none
+}
+
+const (
+	mostProcesses = 24
+	startMost     = 30 * time.Second // in which all doors must hold all others to be here
+	endMost       = 10 * time.Second // that a process is given to end once told to
+	clientsWait   = 2 * time.Second  // that clients have for an answer
+)
+
+// rig is the processes, and the ways between them.
+type rig struct {
+	Real
+	ctx    context.Context
+	site   *stand.Site
+	dir    string
+	procs  []*process
+	extra  []*process // further processes under doors' names
+	relays []*relay   // by from*doors+to; nil on the diagonal
+	zero   float64    // machine's monotonic clock at the day's start, ms; 0 while it has not begun
+
+	mu      sync.Mutex
+	history []check.Event
+	view    [][]string
+	news    chan struct{}
+	fails   []string
+	refused int
+	index   map[string]int
+}
+
+// process is one door's process, over its lives.
+type process struct {
+	r              *rig
+	door           int
+	fleetAt, serve string
+	status         string
+	mu             sync.Mutex
+	cmd            *exec.Cmd
+	done           chan struct{}
+	meant          bool // its end is
+	lives          int
+}
+
+// clock is the machine's monotonic clock, ms, as the processes log it.
+func clock() float64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		return 0
+	}
+	return float64(t.Sec)*1e3 + float64(t.Nsec)/1e6
+}
+
+// Ports for processes, which take them only later: below those that the system hands out by itself, or another connection
+// could have one meanwhile.
+const (
+	portFrom = 12000
+	portTo   = 32000
+)
+
+var given sync.Map // ports that this rig's process has handed out
+
+// free finds a loopback port that neither protocol uses.
+func free() (string, error) {
+	for range 64 * relayTries {
+		port := portFrom + rand.IntN(portTo-portFrom) // which one is no part of the plan
+		if _, before := given.LoadOrStore(port, true); before {
+			continue
+		}
+		at := fmt.Sprintf("127.0.0.1:%d", port)
+		ln, err := net.Listen("tcp", at)
+		if err != nil {
+			continue
+		}
+		pc, err := net.ListenPacket("udp", at)
+		ln.Close()
+		if err == nil {
+			pc.Close()
+			return at, nil
+		}
+	}
+	return "", &RigError{"a port", os.ErrExist}
+}
+
+// Play plays the plan and judges it.
+func (p Real) Play(ctx context.Context, progress func(done float64)) (*Result, error) {
+	n := p.Plan.Fleet.Doors
+	if n > mostProcesses {
+		return nil, &CrowdError{n}
+	}
+	if _, err := os.Stat(p.Binary); err != nil {
+		return nil, &RigError{"the program " + p.Binary, err}
+	}
+	dir, err := os.MkdirTemp("", "procs-")
+	if err != nil {
+		return nil, &RigError{"a folder", err}
+	}
+	defer os.RemoveAll(dir)
+	site, err := stand.NewSite()
+	if err != nil {
+		return nil, err
+	}
+	defer site.Close()
+	r := &rig{Real: p, ctx: ctx, site: site, dir: dir, relays: make([]*relay, n*n), view: make([][]string, n), news: make(chan struct{}, 1), index: map[string]int{}}
+	defer r.end()
+	for i := range n {
+		r.view[i] = make([]string, n)
+		r.index[Door(i)] = i
+		one, err := r.process(i)
+		if err != nil {
+			return nil, err
+		}
+		r.procs = append(r.procs, one)
+	}
+	if err := r.ways(); err != nil {
+		return nil, err
+	}
+	if err := r.begin(); err != nil {
+		return nil, err
+	}
+	served, err := r.day(progress)
+	if err != nil {
+		return nil, err
+	}
+	return r.result(served), nil
+}
+
+func (r *rig) process(door int) (*process, error) {
+	p := &process{r: r, door: door}
+	for _, at := range []*string{&p.fleetAt, &p.serve, &p.status} {
+		a, err := free()
+		if err != nil {
+			return nil, err
+		}
+		*at = a
+	}
+	return p, nil
+}
+
+// ms is the day's clock; below 0 before it.
+func (r *rig) ms() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.zero == 0 {
+		return -warmup
+	}
+	return clock() - r.zero
+}
+
+// ways puts a relay in each directed pair. Where a second process has a door's name, names don't tell where to go, and the
+// doors reach each other as they say.
+func (r *rig) ways() error {
+	n := r.Plan.Fleet.Doors
+	if len(r.Plan.Names) > 0 {
+		return nil
+	}
+	cut := func(way int, at float64) bool {
+		return slices.ContainsFunc(r.Plan.Truth.Cuts, func(c check.Cut) bool { return c.Way[way] && at >= c.From && at < c.To })
+	}
+	for i := range n {
+		for j := range n {
+			if i == j {
+				continue
+			}
+			there, back := i*n+j, j*n+i
+			one, err := newRelay(r.procs[j].fleetAt, r.Plan.Seed<<16+uint64(there), func() fate {
+				at := r.ms()
+				return fate{cut: cut(there, at), loss: max(r.Plan.Net.Loss, in(r.Plan.Loss, there, at)), delay: in(r.Plan.Delay, there, at),
+					twice: in(r.Plan.Twice, there, at), late: in(r.Plan.Late, there, at)}
+			}, func() bool { at := r.ms(); return cut(there, at) || cut(back, at) })
+			if err != nil {
+				return err
+			}
+			r.relays[there] = one
+		}
+	}
+	return nil
+}
+
+// start begins a life of a process.
+func (p *process) start() error {
+	r, n := p.r, p.r.Plan.Fleet.Doors
+	routes, peers := map[string]string{}, []string{}
+	for j := range n {
+		at := r.procs[j].fleetAt
+		if one := r.relays[p.door*n+j]; one != nil {
+			at = one.at
+			routes[Door(j)] = at
+		}
+		if j < seeds {
+			peers = append(peers, Door(j)+"/"+at)
+		}
+	}
+	cfg := r.site.Config(Door(p.door), p.serve, p.door, n)
+	cfg["log"] = map[string]string{"format": "json", "level": "info"}
+	cfg["fleet"] = map[string]any{"name": "rig", "zone": fmt.Sprint("z", r.Plan.Truth.Zones[p.door]), "listen": p.fleetAt, "peers": peers, "routes": routes,
+		"status": p.status}
+	raw, err := json.Marshal(cfg)
+	if err != nil {
+		return &RigError{"a configuration", err}
+	}
+	p.lives++
+	file := filepath.Join(r.dir, fmt.Sprintf("%s-%s.json", Door(p.door), p.fleetAt[len("127.0.0.1:"):]))
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		return &RigError{"a configuration", err}
+	}
+	cmd := exec.Command(r.Binary)
+	cmd.Env = append(os.Environ(), "GW_CONFIG="+file, "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY=", fmt.Sprintf("%s=%g", doorfleet.WallOffset, r.Plan.Wall[p.door]))
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		return &RigError{"a process", err}
+	}
+	var log *os.File
+	if r.Logs != "" {
+		if log, err = os.Create(filepath.Join(r.Logs, fmt.Sprintf("%s-%d.log", Door(p.door), p.lives))); err != nil {
+			return &RigError{"a log", err}
+		}
+	}
+	if p.ours() {
+		r.take(check.Event{At: clock(), Door: p.door, About: p.door, From: "born"})
+	}
+	if err := cmd.Start(); err != nil {
+		return &RigError{"a process", err}
+	}
+	p.mu.Lock()
+	p.cmd, p.meant, p.done = cmd, false, make(chan struct{})
+	done := p.done
+	p.mu.Unlock()
+	go func() {
+		defer close(done)
+		var last []byte
+		lines := bufio.NewScanner(out)
+		lines.Buffer(make([]byte, 64<<10), 1<<20)
+		for lines.Scan() {
+			last = append(last[:0], lines.Bytes()...)
+			if log != nil {
+				_, _ = log.Write(append(lines.Bytes(), '\n'))
+			}
+			p.line(lines.Bytes())
+		}
+		err := cmd.Wait()
+		if log != nil {
+			log.Close()
+		}
+		p.mu.Lock()
+		meant := p.meant
+		p.mu.Unlock()
+		if err != nil && !meant {
+			r.fail("%s ended by itself: %v: %s", Door(p.door), err, last)
+		}
+	}()
+	return nil
+}
+
+// ours tells whether the process is the door's, and no namesake.
+func (p *process) ours() bool { return p.r.procs[p.door] == p }
+
+// line takes one line of a process's log.
+func (p *process) line(raw []byte) {
+	var l struct {
+		Msg    string  `json:"msg"`
+		Member string  `json:"member"`
+		From   string  `json:"from"`
+		To     string  `json:"to"`
+		Life   uint32  `json:"life"`
+		Why    string  `json:"why"`
+		Clock  float64 `json:"clock_ms"`
+	}
+	if !bytes.Contains(raw, []byte(`"`+fields.Clock+`"`)) && !bytes.Contains(raw, []byte("no member")) || json.Unmarshal(raw, &l) != nil {
+		return
+	}
+	if !p.ours() {
+		if l.Msg == "no member of the fleet" {
+			p.r.mu.Lock()
+			p.r.refused++
+			p.r.mu.Unlock()
+		}
+		return
+	}
+	if about, ok := p.r.index[l.Member]; ok && l.Msg == fleet.MemberChanged {
+		p.r.take(check.Event{At: l.Clock, Door: p.door, About: about, From: l.From, To: l.To, Life: l.Life, Why: l.Why})
+	}
+}
+
+// take puts an event into the history, on the machine's clock so far.
+func (r *rig) take(e check.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history = append(r.history, e)
+	if e.From == "born" {
+		clear(r.view[e.Door])
+	} else {
+		r.view[e.Door][e.About] = e.To
+	}
+	select {
+	case r.news <- struct{}{}:
+	default:
+	}
+}
+
+func (r *rig) fail(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fails = append(r.fails, fmt.Sprintf(format, args...))
+}
+
+// begin starts the doors that are there from the beginning, and waits until they all hold each other to be here.
+func (r *rig) begin() error {
+	var early []int
+	for i, p := range r.procs {
+		if r.Plan.Start[i] == 0 {
+			early = append(early, i)
+			if err := p.start(); err != nil {
+				return err
+			}
+		}
+	}
+	patience := time.After(startMost)
+	for {
+		all := true
+		r.mu.Lock()
+		failed := slices.Clone(r.fails)
+		for _, i := range early {
+			for _, j := range early {
+				all = all && r.view[i][j] == "here"
+			}
+		}
+		r.mu.Unlock()
+		if len(failed) > 0 {
+			return &DoorsError{failed}
+		}
+		if all {
+			return nil
+		}
+		select {
+		case <-r.news:
+		case <-patience:
+			return &DoorsError{[]string{"not all hold each other to be here"}}
+		case <-r.ctx.Done():
+			return &StoppedError{0, r.ctx.Err()}
+		}
+	}
+}
+
+// stop sends a signal to the running process.
+func (p *process) signal(s syscall.Signal, meant bool) (ended <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return nil
+	}
+	p.meant = p.meant || meant
+	_ = p.cmd.Process.Signal(s)
+	return p.done
+}
+
+// day plays the faults by the clock.
+func (r *rig) day(progress func(float64)) (served []*load.Outcome, err error) {
+	type what struct {
+		at float64
+		do func() error
+	}
+	var todo []what
+	add := func(at float64, do func()) { todo = append(todo, what{at, func() error { do(); return nil }}) }
+	end := r.Plan.Truth.EndMs
+	for i, p := range r.procs {
+		if at := r.Plan.Start[i]; at > 0 {
+			todo = append(todo, what{at, p.start})
+		}
+		for _, s := range r.Plan.Truth.Paused[i] {
+			add(s.From, func() { p.signal(syscall.SIGSTOP, false) })
+			add(s.To, func() { p.signal(syscall.SIGCONT, false) })
+		}
+		for _, s := range r.Plan.Truth.Dead[i] {
+			add(s.From, func() {
+				if ended := p.signal(syscall.SIGKILL, true); ended != nil {
+					<-ended
+				}
+			})
+			if s.To < end {
+				todo = append(todo, what{s.To, p.start})
+			}
+		}
+		if at := r.Plan.Truth.Left[i]; at < end {
+			add(at, func() { p.signal(syscall.SIGTERM, true) })
+		}
+	}
+	for _, s := range r.Plan.Reset {
+		add(s.From, func() {
+			for way, one := range r.relays {
+				if one != nil && s.Way[way] {
+					one.reset()
+				}
+			}
+		})
+	}
+	for _, x := range r.Plan.Names {
+		todo = append(todo, what{x.AtMs, func() error {
+			p, err := r.process(x.Door)
+			if err != nil {
+				return err
+			}
+			r.extra = append(r.extra, p)
+			return p.start()
+		}})
+	}
+	sort.SliceStable(todo, func(a, b int) bool { return todo[a].at < todo[b].at })
+	r.mu.Lock()
+	r.zero = clock()
+	r.mu.Unlock()
+	finish := r.clients(end)
+	for _, w := range append(todo, what{end, func() error { return nil }}) {
+		for left := w.at - r.ms(); left > 0; left = w.at - r.ms() {
+			if progress != nil {
+				progress(min(1, r.ms()/end))
+			}
+			select {
+			case <-time.After(time.Duration(min(left, 500) * 1e6)):
+			case <-r.ctx.Done():
+				return nil, &StoppedError{r.ms() / msPerSecond, r.ctx.Err()}
+			}
+		}
+		if err := w.do(); err != nil {
+			return nil, err
+		}
+	}
+	return finish()
+}
+
+// clients ask of each door that nothing befalls for as long as the day lasts: no operation waits for membership.
+func (r *rig) clients(end float64) (finish func() ([]*load.Outcome, error)) {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var all []*load.Outcome
+	var first error
+	for i, p := range r.procs {
+		t := &r.Plan.Truth
+		if r.Rate == 0 || len(t.Paused[i]) > 0 || len(t.Dead[i]) > 0 || t.Left[i] < end || r.Plan.Start[i] > 0 {
+			continue
+		}
+		run := r.site.Client(p.serve, uint64(i+1))
+		run.Rate, run.For, run.Patience = r.Rate, time.Duration(end*1e6), clientsWait
+		group.Go(func() {
+			o, err := run.Play(r.ctx, nil)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil && first == nil {
+				first = err
+			}
+			all = append(all, o)
+		})
+	}
+	return func() ([]*load.Outcome, error) { group.Wait(); return all, first }
+}
+
+// Rules besides those of package check, which knows doors alone.
+const (
+	ServedOn  = "doors serve on"
+	StandBack = "the second of a name stands back"
+	RunsOn    = "no process ends by itself"
+)
+
+const leastServed = 0.995 // share of operations at doors that nothing befell
+
+func (r *rig) result(served []*load.Outcome) *Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var history []check.Event
+	for _, e := range r.history {
+		e.At -= r.zero
+		history = append(history, e)
+	}
+	p := r.Plan
+	res := &Result{Schedule: p.Name, Shows: p.Shows, On: "on processes", Who: "module", Seed: p.Seed, Doors: p.Fleet.Doors, Truth: p.Truth, History: Sorted(history)}
+	res.Breaches, res.Figures = check.Judge(&p.Truth, res.History, p.Limits())
+	for _, f := range r.fails {
+		res.Breaches = append(res.Breaches, check.Breach{Rule: RunsOn, Text: f})
+	}
+	for _, o := range served {
+		res.Asked, res.Finished = res.Asked+o.Asked, res.Finished+o.Finished
+	}
+	if res.Asked > 0 && float64(res.Finished) < leastServed*float64(res.Asked) {
+		res.Breaches = append(res.Breaches, check.Breach{Rule: ServedOn, Text: fmt.Sprintf("%d of %d operations finished at doors that nothing befell", res.Finished, res.Asked)})
+	}
+	res.standBack(p, r.refused)
+	datagrams := int64(0)
+	for _, one := range r.relays {
+		if one != nil {
+			datagrams += one.passed.Load()
+		}
+	}
+	res.Messages = float64(datagrams) / float64(p.Fleet.Doors) / max(1, p.Truth.EndMs/msPerSecond)
+	return res
+}
+
+// end ends all that the rig started.
+func (r *rig) end() {
+	all := append(slices.Clone(r.procs), r.extra...)
+	var ended []<-chan struct{}
+	for _, p := range all {
+		p.signal(syscall.SIGCONT, true)
+		if done := p.signal(syscall.SIGTERM, true); done != nil {
+			ended = append(ended, done)
+		}
+	}
+	patience := time.After(endMost)
+	for _, done := range ended {
+		select {
+		case <-done:
+		case <-patience:
+			patience = time.After(0)
+			for _, p := range all {
+				p.signal(syscall.SIGKILL, true)
+			}
+			<-done
+		}
+	}
+	for _, one := range r.relays {
+		if one != nil {
+			one.close()
+		}
+	}
+}
--- a/lab/procs/schedule.go
+++ b/lab/procs/schedule.go
@@ -47,13 +47,13 @@
 
 // Must is what the checkers hold the history against; a limit of 0 is not checked.
 type Must struct {
-	KnownMs  float64 `toml:"known_ms"`   // deaths are known at 99 in 100 pairs of doors
-	BackMs   float64 `toml:"back_ms"`    // who was paused is held to be here again
-	AgreeMs  float64 `toml:"agree_ms"`   // of a cut's beginning, all that can hear hold the same
-	OneMs    float64 `toml:"one_ms"`     // of the last fault's end, there is one view
-	DoubtMs  float64 `toml:"doubt_ms"`   // a door cut off in part is doubted somewhere
-	AnyWrong bool    `toml:"any_wrong"`  // somebody may wrongly be away: the fault makes up most of the fleet
-	Changes  int     `toml:"changes_at"` // most changes of a verdict during a cut; 0 for one
+	KnownMs  float64 `toml:"known_ms"`  // deaths are known at 99 in 100 pairs of doors
+	BackMs   float64 `toml:"back_ms"`   // who was paused is held to be here again
+	AgreeMs  float64 `toml:"agree_ms"`  // of a cut's beginning, all that can hear hold the same
+	OneMs    float64 `toml:"one_ms"`    // of the last fault's end, there is one view
+	DoubtMs  float64 `toml:"doubt_ms"`  // a door cut off in part is doubted somewhere
+	AnyWrong bool    `toml:"any_wrong"` // somebody may wrongly be away: the fault makes up most of the fleet
+	Changes  int     `toml:"changes"`   // most changes of a verdict during a cut; 0 for one
 }
 
 // Fault is one line of a schedule.
@@ -346,6 +346,9 @@
 
 // in sums how much spoils the way from one door to another at a time.
 func in(spells []PairSpell, way int, at float64) (much float64) {
+	if way < 0 {
+		return 0
+	}
 	for i := range spells {
 		if s := &spells[i]; s.Way[way] && at >= s.From && at < s.To {
 			much = max(much, s.Much)
--- a/lab/procs/virtual.go
+++ b/lab/procs/virtual.go
@@ -38,6 +38,8 @@
 	Messages float64        `json:"messages_per_s"` // sent by a door, a second
 	Bytes    float64        `json:"bytes_per_s"`
 	Truth    check.Truth    `json:"-"`
+	Asked    int            `json:"asked,omitempty"` // on processes, of doors that nothing befell
+	Finished int            `json:"finished,omitempty"`
 	History  []check.Event  `json:"history"`
 }
 
@@ -127,6 +129,7 @@
 	fleet    []members.Peer
 	index    map[string]int
 	history  []check.Event
+	refused  int
 	messages int
 	bytes    float64
 }
@@ -140,10 +143,18 @@
 	for i := range p.Fleet.Doors {
 		peer := members.Peer{Name: Door(i), Address: fmt.Sprintf("10.0.%d.%d:7946", i/250, i%250), Zone: fmt.Sprint("z", p.Truth.Zones[i]), Number: i}
 		w.fleet = append(w.fleet, peer)
-		w.index[peer.Name] = i
+		w.index[peer.Address] = i
 		w.doors = append(w.doors, &machine{peer: peer})
 	}
-	for i := range w.doors {
+	for i, x := range p.Names { // further processes under doors' names, at addresses of their own
+		peer := w.fleet[x.Door]
+		peer.Address = fmt.Sprintf("10.9.0.%d:7946", i)
+		at := len(w.doors)
+		w.index[peer.Address] = at
+		w.doors = append(w.doors, &machine{peer: peer})
+		w.at(x.AtMs, func() { w.start(at) })
+	}
+	for i := range w.fleet {
 		w.schedule(i)
 	}
 	end := p.Truth.EndMs
@@ -177,9 +188,17 @@
 	r := &Result{Schedule: p.Name, Shows: p.Shows, On: "simulated", Who: who, Seed: p.Seed, Doors: p.Fleet.Doors, Truth: p.Truth, History: w.history,
 		Messages: float64(w.messages) / seconds, Bytes: w.bytes / seconds}
 	r.Breaches, r.Figures = check.Judge(&p.Truth, r.History, p.Limits())
+	r.standBack(p, w.refused)
 	return r, nil
 }
 
+// standBack tells of doors under others' names that did not find out.
+func (r *Result) standBack(p *Plan, refused int) {
+	if len(p.Names) > refused {
+		r.Breaches = append(r.Breaches, check.Breach{Rule: StandBack, Text: fmt.Sprintf("%d of %d said that their name is taken", refused, len(p.Names))})
+	}
+}
+
 // Limits are what the schedule says must hold.
 func (p *Plan) Limits() check.Limits {
 	m := p.Must
@@ -218,13 +237,29 @@
 	}
 }
 
+// note puts an event into the history; what a further process under a door's name holds is no part of it.
+func (w *world) note(e check.Event) {
+	if e.Door < w.Fleet.Doors && e.About < w.Fleet.Doors {
+		e.At = w.now
+		w.history = append(w.history, e)
+	}
+}
+
+// way is the place of a directed pair in the plan; -1 where the plan does nothing to it.
+func (w *world) way(a, b int) int {
+	if n := w.Fleet.Doors; a < n && b < n {
+		return a*n + b
+	}
+	return -1
+}
+
 func (w *world) start(i int) {
 	m := w.doors[i]
 	m.life++
 	m.up, m.paused, m.waiting, m.joined, m.ticking = true, false, nil, false, false
 	m.peer.Nonce = w.dice.Uint64() >> 12
 	m.det = w.make(m.peer, w.fleet, w.Seed<<20+uint64(i)<<8+uint64(m.life))
-	w.history = append(w.history, check.Event{At: w.now, Door: i, About: i, From: "born"})
+	w.note(check.Event{Door: i, About: i, From: "born"})
 	w.tick(i)
 	w.join(i)
 }
@@ -300,8 +335,9 @@
 }
 
 func (w *world) cut(a, b int) bool {
+	way := w.way(a, b)
 	for i := range w.Truth.Cuts {
-		if c := &w.Truth.Cuts[i]; c.Way[a*len(w.doors)+b] && w.now >= c.From && w.now < c.To {
+		if c := &w.Truth.Cuts[i]; way >= 0 && c.Way[way] && w.now >= c.From && w.now < c.To {
 			return true
 		}
 	}
@@ -309,7 +345,7 @@
 }
 
 func (w *world) delay(a, b int) float64 {
-	way := a*len(w.doors) + b
+	way := w.way(a, b)
 	d := w.Net.DelayMs.At(w.dice.Float64())
 	if len(w.Delay) > 0 {
 		d += in(w.Delay, way, w.now) * w.dice.Float64()
@@ -328,11 +364,13 @@
 		case members.Send:
 			w.send(i, a)
 		case members.Meet:
-			if j, ok := w.index[a.With.Name]; ok {
+			if j, ok := w.index[a.With.Address]; ok {
 				w.meet(i, j, nil)
 			}
 		case members.Changed:
-			w.history = append(w.history, check.Event{At: w.now, Door: i, About: w.index[a.Name], From: a.From.String(), To: a.To.String(), Life: a.Life, Why: a.Why})
+			w.note(check.Event{Door: i, About: w.index[a.Address], From: a.From.String(), To: a.To.String(), Life: a.Life, Why: a.Why})
+		case members.Refused:
+			w.refused++
 		case members.Departed:
 			m.up = false
 		}
@@ -343,7 +381,7 @@
 }
 
 func (w *world) send(i int, s members.Send) {
-	j, ok := w.index[s.To.Name]
+	j, ok := w.index[s.To.Address]
 	if !ok {
 		return
 	}
@@ -351,7 +389,7 @@
 		raw, _ := json.Marshal(s.Message)
 		w.bytes += float64(sampled * len(raw))
 	}
-	way := i*len(w.doors) + j
+	way := w.way(i, j)
 	if loss := max(w.Net.Loss, in(w.Loss, way, w.now)); w.cut(i, j) || loss > 0 && w.dice.Float64() < loss {
 		return
 	}
--- /dev/null
+++ b/lab/stand/site.go
@@ -0,0 +1,80 @@
+package stand
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/swifthall/swifthall/internal/registry"
+	"github.com/swifthall/swifthall/lab/load"
+	"github.com/swifthall/swifthall/lab/model"
+)
+
+// Site is the least that doors need to serve on loopback: backends that answer at once, and discovery that lists them.
+type Site struct {
+	Discovery string // its address
+
+	list    registry.List
+	servers []*http.Server
+	group   sync.WaitGroup
+}
+
+// NewSite starts one.
+func NewSite() (*Site, error) {
+	s := &Site{}
+	agent := newDiscovery()
+	var entries []registry.Entry
+	var lines []model.Line
+	for i := range besideBackends {
+		at, err := s.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("done")) }))
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		entries = append(entries, registry.Entry{ID: fmt.Sprintf("b-%d", i), Addr: at, Zone: "z", State: "Ready", Size: 1})
+		lines = append(lines, model.Line{Backend: i})
+	}
+	agent.tell(true, entries, lines)
+	s.list = registry.List{Version: agent.version, Whole: true, Backends: entries}
+	at, err := s.serve(agent)
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	s.Discovery = at
+	return s, nil
+}
+
+func (s *Site) serve(h http.Handler) (at string, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", &PartyError{"stand-in", "", err}
+	}
+	srv := &http.Server{Handler: h}
+	s.servers = append(s.servers, srv)
+	s.group.Go(func() { _ = srv.Serve(ln) })
+	return ln.Addr().String(), nil
+}
+
+// Config words the configuration of one of so many doors, without a counter.
+func (s *Site) Config(name, listen string, number, doors int) map[string]any {
+	world := instant
+	world.Fleet.Doors = doors
+	return map[string]any{"name": name, "listen": listen, "discovery": s.Discovery, "seed": fmt.Sprintf("%x", number+1), "known": s.list,
+		"limits": map[string]any{"cores": 1, "memory_mb": defaultMemoryMB, "sockets": sockets}, "settings": settings(&world, number)}
+}
+
+// Client is load on one door of the site.
+func (s *Site) Client(target string, seed uint64) load.Run {
+	return load.Run{Target: target, Conns: 8, Poisson: true, Seed: seed,
+		Word: load.Door{Host: target, Profile: "look", Plan: "ample", Customers: 50, Wait: besideWait, Seed: seed}.Word}
+}
+
+// Close ends all of it.
+func (s *Site) Close() {
+	for _, srv := range s.servers {
+		srv.Close()
+	}
+	s.group.Wait()
+}
