Observers add up to eight by zone; a verdict that is not plain is contested; fewer words that one is reached

Cause: seats of zones were rounded one by one, so that a door could have three observers of the deaf zone in seven and not come in again; a verdict was taken over on the three votes that came with it, as the five words against it were still on their way: each doubt called for a word of all others, and what was told piled up for seconds.

Change: seats are rounded together; another's verdict is taken over at once only on six in ten of all observers' votes; of those who reach a doubted member two or three say so, and again before their words grow old; votes are worded as lists.

--- a/lab/command/procs.go
+++ b/lab/command/procs.go
@@ -21,7 +21,7 @@
 	var seeds, doors, jobs int
 	var on, who, door, out, logs string
 	var random, rate float64
-	var list bool
+	var list, plain bool
 	cmd := &cobra.Command{Use: "procs [SCHEDULE...]", Short: "Play schedules of faults between the doors of a fleet, in virtual time or on processes",
 		Long: "Plays each SCHEDULE, a file or the name of one that ships (all where none is named), and judges what the doors held of each other.\n" +
 			"--on sim plays the membership module in virtual time, --on processes real doors with a relay for each directed pair of them.\n" +
@@ -78,14 +78,14 @@
 				if on == "sim" {
 					return p.Play(ctx, who, makers[who])
 				}
-				return procs.Real{Plan: p, Binary: door, Logs: logs, Rate: rate}.Play(ctx, nil)
+				return procs.Real{Plan: p, Binary: door, Logs: logs, Rate: rate, Plain: plain}.Play(ctx, nil)
 			}
 			t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
-			fmt.Fprintln(t, "schedule\tdoors\tseed\tbroken\twrongly away\tchanges\tknown p99, ms\tback, ms\tone view, ms\tdoubted, ms\tmessages/s\tbytes/s\ttook")
+			fmt.Fprintln(t, "schedule\tdoors\tseed\tbroken\twrongly away\tchanges\tknown p99, ms\tback, ms\tone view, ms\tdoubted, ms\tmessages/s\tbytes/s\tCPU ms/s\tresident MB\ttook")
 			broken, err := all(cmd.Context(), plays, jobs, play, func(p *procs.Plan, r *procs.Result, took time.Duration) error {
 				f := &r.Figures
-				fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.0f\t%v\n", r.Schedule, r.Doors, r.Seed, len(r.Breaches), f.Wrong, f.Changes,
-					check.At(f.Known, 99), check.At(f.Back, 100), f.One, f.Doubt, r.Messages, r.Bytes, took.Round(100*time.Millisecond))
+				fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.0f\t%.1f\t%.1f\t%v\n", r.Schedule, r.Doors, r.Seed, len(r.Breaches), f.Wrong, f.Changes,
+					check.At(f.Known, 99), check.At(f.Back, 100), f.One, f.Doubt, r.Messages, r.Bytes, r.CPU, r.Resident, took.Round(100*time.Millisecond))
 				if out == "" {
 					return nil
 				}
@@ -111,6 +111,7 @@
 	f.Float64Var(&random, "random", 0, "play a schedule drawn from the seed as well, of so many seconds")
 	f.StringVar(&door, "door", "", "the door's program; swifthall beside this one where empty")
 	f.Float64Var(&rate, "rate", 20, "operations a second that clients ask of each door; on processes")
+	f.BoolVar(&plain, "plain", false, "doors without a fleet, to see what membership costs; on processes")
 	f.StringVar(&out, "out", "", "folder for each play's result, report and schedule")
 	f.StringVar(&logs, "logs", "", "folder for the processes' logs")
 	f.IntVar(&jobs, "jobs", 0, "plays at once; 0 for one a core, or one on processes")
--- a/lab/procs/real.go
+++ b/lab/procs/real.go
@@ -8,11 +8,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"sort"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -33,6 +36,7 @@
 	Binary string  // swifthall, with swifthall-fleet beside it
 	Logs   string  // folder for the processes' logs; empty for none
 	Rate   float64 // operations a second that clients ask of each door; 0 for none
+	Plain  bool    // doors without a fleet, to see what membership costs
 }
 
 const (
@@ -53,13 +57,14 @@
 	relays []*relay   // by from*doors+to; nil on the diagonal
 	zero   float64    // machine's monotonic clock at the day's start, ms; 0 while it has not begun
 
-	mu      sync.Mutex
-	history []check.Event
-	view    [][]string
-	news    chan struct{}
-	fails   []string
-	refused int
-	index   map[string]int
+	mu            sync.Mutex
+	history       []check.Event
+	view          [][]string
+	news          chan struct{}
+	fails         []string
+	refused       int
+	index         map[string]int
+	cpu, resident []float64 // by door: ms a second, MB
 }
 
 // process is one door's process, over its lives.
@@ -184,7 +189,7 @@
 // doors reach each other as they say.
 func (r *rig) ways() error {
 	n := r.Plan.Fleet.Doors
-	if len(r.Plan.Names) > 0 {
+	if len(r.Plan.Names) > 0 || r.Plain {
 		return nil
 	}
 	cut := func(way int, at float64) bool {
@@ -226,8 +231,9 @@
 	}
 	cfg := r.site.Config(Door(p.door), p.serve, p.door, n)
 	cfg["log"] = map[string]string{"format": "json", "level": "info"}
-	cfg["fleet"] = map[string]any{"name": "rig", "zone": fmt.Sprint("z", r.Plan.Truth.Zones[p.door]), "listen": p.fleetAt, "peers": peers, "routes": routes,
-		"status": p.status}
+	if !r.Plain {
+		cfg["fleet"] = p.fleet(peers, routes)
+	}
 	raw, err := json.Marshal(cfg)
 	if err != nil {
 		return &RigError{"a configuration", err}
@@ -286,6 +292,35 @@
 	return nil
 }
 
+// fleet words the key fleet.
+func (p *process) fleet(peers []string, routes map[string]string) map[string]any {
+	return map[string]any{"name": "rig", "zone": fmt.Sprint("z", p.r.Plan.Truth.Zones[p.door]), "listen": p.fleetAt, "peers": peers, "routes": routes,
+		"status": p.status}
+}
+
+// use is what a running process has taken so far: processor time, ms, and resident memory, MB.
+func (p *process) use() (cpu, resident float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0, 0
+	}
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, 0
+	}
+	// The name stands in brackets; state is the first field behind it, times the 12th and 13th, resident pages the 22nd.
+	f := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	if len(f) < 22 {
+		return 0, 0
+	}
+	const hz = 100 // of the kernel's clock ticks, as it tells them
+	user, _ := strconv.ParseFloat(f[11], 64)
+	system, _ := strconv.ParseFloat(f[12], 64)
+	pages, _ := strconv.ParseFloat(f[21], 64)
+	return (user + system) * 1e3 / hz, pages * float64(os.Getpagesize()) / (1 << 20)
+}
+
 // ours tells whether the process is the door's, and no namesake.
 func (p *process) ours() bool { return p.r.procs[p.door] == p }
 
@@ -349,6 +384,9 @@
 			}
 		}
 	}
+	if r.Plain {
+		return r.ready()
+	}
 	patience := time.After(startMost)
 	for {
 		all := true
@@ -376,7 +414,33 @@
 	}
 }
 
-// stop sends a signal to the running process.
+// ready waits until all doors without a fleet say that they can serve.
+func (r *rig) ready() error {
+	client := http.Client{Timeout: clientsWait}
+	for patience := time.Now().Add(startMost); ; {
+		all := true
+		for _, p := range r.procs {
+			resp, err := client.Get("http://" + p.serve + "/health/ready")
+			if err == nil {
+				resp.Body.Close()
+			}
+			all = all && err == nil && resp.StatusCode == http.StatusOK
+		}
+		if all {
+			return nil
+		}
+		if time.Now().After(patience) {
+			return &DoorsError{[]string{"not all can serve"}}
+		}
+		select {
+		case <-time.After(relayLook):
+		case <-r.ctx.Done():
+			return &StoppedError{0, r.ctx.Err()}
+		}
+	}
+}
+
+// signal sends a signal to the running process.
 func (p *process) signal(s syscall.Signal, meant bool) (ended <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -443,6 +507,10 @@
 	r.zero = clock()
 	r.mu.Unlock()
 	finish := r.clients(end)
+	before := make([]float64, len(r.procs))
+	for i, p := range r.procs {
+		before[i], _ = p.use()
+	}
 	for _, w := range append(todo, what{end, func() error { return nil }}) {
 		for left := w.at - r.ms(); left > 0; left = w.at - r.ms() {
 			if progress != nil {
@@ -458,6 +526,11 @@
 			return nil, err
 		}
 	}
+	for i, p := range r.procs { // those that ran all through
+		if cpu, resident := p.use(); cpu >= before[i] && before[i] > 0 {
+			r.cpu, r.resident = append(r.cpu, (cpu-before[i])/end*msPerSecond), append(r.resident, resident)
+		}
+	}
 	return finish()
 }
 
@@ -506,7 +579,9 @@
 	}
 	p := r.Plan
 	res := &Result{Schedule: p.Name, Shows: p.Shows, On: "on processes", Who: "module", Seed: p.Seed, Doors: p.Fleet.Doors, Truth: p.Truth, History: Sorted(history)}
-	res.Breaches, res.Figures = check.Judge(&p.Truth, res.History, p.Limits())
+	if !r.Plain {
+		res.Breaches, res.Figures = check.Judge(&p.Truth, res.History, p.Limits())
+	}
 	for _, f := range r.fails {
 		res.Breaches = append(res.Breaches, check.Breach{Rule: RunsOn, Text: f})
 	}
@@ -517,6 +592,7 @@
 		res.Breaches = append(res.Breaches, check.Breach{Rule: ServedOn, Text: fmt.Sprintf("%d of %d operations finished at doors that nothing befell", res.Finished, res.Asked)})
 	}
 	res.standBack(p, r.refused)
+	res.CPU, res.Resident = check.At(r.cpu, 50), check.At(r.resident, 50)
 	datagrams := int64(0)
 	for _, one := range r.relays {
 		if one != nil {
--- a/lab/procs/virtual.go
+++ b/lab/procs/virtual.go
@@ -38,6 +38,8 @@
 	Messages float64        `json:"messages_per_s"` // sent by a door, a second
 	Bytes    float64        `json:"bytes_per_s"`
 	Truth    check.Truth    `json:"-"`
+	CPU      float64        `json:"cpu_ms_per_s,omitempty"` // on processes, of the middle door
+	Resident float64        `json:"resident_mb,omitempty"`
 	Asked    int            `json:"asked,omitempty"` // on processes, of doors that nothing befell
 	Finished int            `json:"finished,omitempty"`
 	History  []check.Event  `json:"history"`
--- a/members/members.go
+++ b/members/members.go
@@ -27,6 +27,7 @@
 	aloneAfter  = 5000. // and for so long, hold nobody to be here but those that it has heard in voteFor
 	ticketFor   = 1700. // ms for which an observer's word that it reaches this door counts: two looks and some
 	freshReach  = 700.0 // ms for which an answer counts as reaching: a look, a lost one, and the next
+	speakUp     = 0.3   // chance in a tick that an observer says that it reaches one whom others doubt
 	voteFor     = 10e3  // ms for which a vote counts
 	voteAgain   = 3e3   // ms after which one that stands is cast again
 	most        = 0.6   // share of the votes, and of the observers, that make a verdict: over half, and no more than a zone
@@ -49,10 +50,11 @@
 	tellPackets = 3     // packets to each in a round
 	packetSize  = 1150  // bytes of records in one; the path carries 1,400
 	recordSize  = 110   // bytes of a record without votes, and
-	voteSize    = 48    // of a vote, about
+	voteSize    = 28    // of a vote, about
 	rideMost    = 4     // records that ride on a look or an answer
 	rideFor     = 4000. // ms for which a change rides
 	forgetAfter = 600e3 // ms after which one that is away or has left is forgotten
+	mostKnown   = 4096  // members; what comes beyond is noise
 	nameRest    = 5000. // ms between tries where the name is taken
 )
 
@@ -96,9 +98,9 @@
 
 // favour is a look made for another.
 type favour struct {
-	no   uint32
-	for_ int
-	at   float64
+	no    uint32
+	asker int
+	at    float64
 }
 
 // Member is one door's view of its fleet.
@@ -305,7 +307,7 @@
 // begin puts a member's later life, or another process, in the place of what was known.
 func (m *Member) begin(i int, r *Record) {
 	k := &m.all[i]
-	kept := (k.shown == Here || k.shown == Doubted) && !m.borneOut(i) && k.Nonce == r.Nonce && r.State == Joining
+	kept := (k.shown == Here || k.shown == Doubted) && !m.plain(i) && k.Nonce == r.Nonce && r.State == Joining
 	m.moves(i, r.State)
 	k.Peer, k.Life = r.Peer, r.Life
 	k.kept, k.foreign, k.at = kept, false, m.own-r.Age
@@ -399,7 +401,7 @@
 
 // compare asks for an exchange of whole states with one that holds something else, once no news is on its way.
 func (m *Member) compare(from int, in *Message) {
-	if in.Sum == m.state() || in.Kind != Look && in.Kind != Ack {
+	if in.Sum == m.digest() || in.Kind != Look && in.Kind != Ack {
 		return
 	}
 	if rest := m.own - m.met; rest > meetAnyway || rest > meetRest && m.own-m.news > calmFor {
@@ -408,8 +410,8 @@
 	}
 }
 
-// state sums up all that is held: equal sums, equal states.
-func (m *Member) state() uint64 {
+// digest sums up all that is held: equal sums, equal states.
+func (m *Member) digest() uint64 {
 	if m.sumOld {
 		m.sumOld, m.sum = false, 0
 		for i := range m.all {
@@ -442,7 +444,7 @@
 	for j, f := range m.favours {
 		if f.no == in.No {
 			m.favours = slices.Delete(m.favours, j, j+1)
-			m.send(m.all[f.for_].Peer, &Message{Kind: Found, About: k.Name})
+			m.send(m.all[f.asker].Peer, &Message{Kind: Found, About: k.Name})
 			return
 		}
 	}
@@ -474,8 +476,8 @@
 	}
 	i, ok := m.index[r.Name]
 	if !ok {
-		if !direct && (r.State == Away || r.State == Left) && r.Age > forgetAfter/2 {
-			return // forgotten here already, or soon
+		if !direct && (r.State == Away || r.State == Left) && r.Age > forgetAfter/2 || len(m.all) >= mostKnown {
+			return // forgotten here already, or soon; or more than any fleet has
 		}
 		i = m.add(*r)
 		m.touch(i)
@@ -485,11 +487,9 @@
 	}
 	k := &m.all[i]
 	if k.Nonce != r.Nonce {
-		taken := k.State.standing() && k.Address != r.Address
-		if direct && taken || r.Life < k.Life || r.Life == k.Life && (taken || r.Nonce >= k.Nonce || !direct) {
-			return
-		}
-		if r.Life > k.Life {
+		// Another process has the name. One that follows begins a later life; one elsewhere, while the one known is here, is
+		// told that the name is taken, and heard of through others only where a part of the fleet has taken it in.
+		if elsewhere := k.State.standing() && k.Address != r.Address; r.Life > k.Life && !(direct && elsewhere) {
 			m.begin(i, r)
 			m.mergeVotes(i, r)
 		}
@@ -513,7 +513,7 @@
 	}
 	// What others have judged is taken over with their votes. Where the votes known here don't bear it out, the member
 	// is given time to gainsay it: one part of a fleet that hears no other would else have all the rest away.
-	if r.State == Away && !m.borneOut(i) {
+	if r.State == Away && !m.plain(i) {
 		m.contest(i)
 		return
 	}
@@ -544,7 +544,13 @@
 	return doubts > 0 && doubts >= most*(doubts+float64(reached)) && (reached == 0 || m.twoZones(&m.all[i]))
 }
 
-// contest gives a member time to gainsay a verdict that the votes known here don't bear out.
+// plain tells whether a verdict is borne out by as many votes as there could be in its favour, so that it needs no time.
+func (m *Member) plain(i int) bool {
+	doubts, n := m.doubts(i)
+	return float64(doubts) >= most*float64(n) && m.borneOut(i)
+}
+
+// contest gives a member time to gainsay a verdict that the votes known here don't bear out plainly.
 func (m *Member) contest(i int) {
 	if k := &m.all[i]; !k.foreign {
 		k.foreign, k.applies = true, m.own+contest
@@ -828,7 +834,7 @@
 			says = Unreached
 		}
 	case open:
-		say = m.own-k.answered < freshReach && k.inLife == k.Life
+		say = m.own-k.answered < freshReach && k.inLife == k.Life && m.wanted(i)
 	}
 	if say && (math.IsInf(k.votedAt, -1) || k.myVote != says || m.own-k.votedAt > voteAgain) {
 		m.cast(i, says)
@@ -837,6 +843,21 @@
 	}
 }
 
+// wanted tells whether one more word that a member is reached matters: not where one less would do. Words half as old as
+// they may be don't count, so that the next is said before they go. Not all say so at once: a single doubt calls for two
+// words or three, and not for seven.
+func (m *Member) wanted(i int) bool {
+	doubts, reached := 0.0, 0.0
+	for _, v := range m.all[i].votes {
+		if v.says != Reached {
+			doubts++
+		} else if m.own-v.at < voteFor/2 {
+			reached++
+		}
+	}
+	return doubts >= most*(doubts+reached-1) && m.dice.Float64() < speakUp
+}
+
 func (m *Member) look(i int) {
 	k := &m.all[i]
 	m.no++
@@ -937,6 +958,7 @@
 				}
 			}
 		}
+		delete(m.tickets, i)
 		if t, ok := m.tickets[last]; ok {
 			m.tickets[i] = t
 		}
@@ -993,8 +1015,13 @@
 			m.zones[z].members = append(m.zones[z].members, i)
 		}
 	}
-	for z := range m.zones {
-		slices.SortFunc(m.zones[z].members, func(i, j int) int { return cmp.Compare(m.all[i].point, m.all[j].point) })
+	slices.SortFunc(m.zones, func(a, b ring) int { return cmp.Compare(a.name, b.name) })
+	for z, sum := 0, 0; z < len(m.zones); z++ {
+		one := &m.zones[z]
+		slices.SortFunc(one.members, func(i, j int) int { return cmp.Compare(m.all[i].point, m.all[j].point) })
+		one.from = observers * float64(sum) / float64(m.standing)
+		sum += len(one.members)
+		one.to = observers * float64(sum) / float64(m.standing)
 	}
 	was := append([]int(nil), m.subjects...)
 	m.subjects = m.subjects[:0]
@@ -1020,10 +1047,11 @@
 	}
 }
 
-// ring is the members of one zone that stand, in the order of their places.
+// ring is the members of one zone that stand, in the order of their places, and the zone's part of the observers' number.
 type ring struct {
-	name    string
-	members []int
+	name     string
+	members  []int
+	from, to float64
 }
 
 // before calls out with a member's observers of one zone until one call says true, and tells whether one did.
@@ -1046,17 +1074,14 @@
 	return false
 }
 
-// quota is how many of a member's observers are of a zone. What is left over of its share is drawn by the member's name.
+// quota is how many of a member's observers are of a zone: what the zone's share makes out of all observers, rounded so
+// that they add up, up or down by the member's name.
 func (m *Member) quota(z *ring, i int) int {
 	if m.standing <= observers+1 {
 		return observers // all look at all
 	}
-	share := observers * float64(len(z.members)) / float64(m.standing)
-	whole, rest := math.Modf(share)
-	if float64((m.all[i].point^xxhash.Sum64String(z.name))*0x9e3779b97f4a7c15>>11)/(1<<53) < rest {
-		whole++
-	}
-	return int(whole)
+	at := float64(m.all[i].point*0x9e3779b97f4a7c15>>11) / (1 << 53)
+	return int(math.Floor(z.to+at) - math.Floor(z.from+at))
 }
 
 // observersOf counts those that look at a member.
@@ -1091,7 +1116,7 @@
 // send fills in who sends, and lets news ride along.
 func (m *Member) send(to Peer, out *Message) {
 	me := &m.all[m.self]
-	out.From, out.Life, out.State, out.Sum = me.Peer, me.Life, me.State, m.state()
+	out.From, out.Life, out.State, out.Sum = me.Peer, me.Life, me.State, m.digest()
 	if out.Kind == Look || out.Kind == Ack {
 		m.ride(out)
 	}
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"testing"
@@ -280,6 +281,7 @@
 		for zone, n := range count {
 			assert.InDelta(t, observers/3.0, n, 1, zone)
 		}
+		assert.Equal(t, observers, m.observersOf(i), "they add up")
 	}
 }
 
@@ -306,3 +308,16 @@
 		m.Step(*now, Tick{})
 	}
 }
+
+func TestAVoteIsReadAsItWasWorded(t *testing.T) {
+	r := Record{Peer: peer(3), Life: 2, State: Here, Votes: []Vote{{By: "d01", Seq: 1<<32 - 1, Says: Silent, Age: 12.5}, {By: "d02"}}}
+	raw, err := json.Marshal(r)
+	require.NoError(t, err)
+	assert.Contains(t, string(raw), `["d01",4294967295,2,12.5]`)
+	var again Record
+	require.NoError(t, json.Unmarshal(raw, &again))
+	assert.Equal(t, r, again)
+	for _, bad := range []string{`{"v":[["a",-1,0,0]]}`, `{"v":[[1]]}`, `{"v":["a"]}`} {
+		assert.Error(t, json.Unmarshal([]byte(bad), &again), bad)
+	}
+}
--- a/members/words.go
+++ b/members/words.go
@@ -5,6 +5,8 @@
 // What it believes is a belief: shares of quotas may follow it, ceilings never.
 package members
 
+import "encoding/json"
+
 // State is what a member is held to be. Within one life a state only ever moves down this list.
 type State uint8
 
@@ -53,10 +55,18 @@
 
 // Vote is one observer's word on one life of a member.
 type Vote struct {
-	By   string  `json:"b"`
-	Seq  uint32  `json:"q"` // grows with each vote of an observer, over its lives
-	Says Says    `json:"w"`
-	Age  float64 `json:"t"` // ms since it was cast; no clock is compared with another's
+	By   string
+	Seq  uint32 // grows with each vote of an observer, over its lives
+	Says Says
+	Age  float64 // ms since it was cast; no clock is compared with another's
+}
+
+// MarshalJSON words a vote as a list: votes make up most of what is told when much happens.
+func (v Vote) MarshalJSON() ([]byte, error) { return json.Marshal([4]any{v.By, v.Seq, v.Says, v.Age}) }
+
+// UnmarshalJSON reads such a list.
+func (v *Vote) UnmarshalJSON(raw []byte) error {
+	return json.Unmarshal(raw, &[4]any{&v.By, &v.Seq, &v.Says, &v.Age})
 }
 
 // Record is what is said of one member. Of the same life the later state wins; a later life wins over all states.
