--- a/members/members.go
+++ b/members/members.go
@@ -36,6 +36,7 @@
 	showAfter   = 2000. // ms for which a single doubt must stand to be shown; two are shown at once
 	settle      = 300.0 // ms from the first doubt to a verdict at least: those who reach it must be heard too
 	fewSettle   = 3000. // more, in step with the share of its observers that are missing among those who doubt it
+	oneZone     = 2000. // and where all that doubt it are of one zone, and it has observers in others: their word may be on its way
 	partial     = 3000. // and where most that doubt it know that others reach it
 	contest     = 1500. // ms in which a member may gainsay another's verdict; two halves that meet would else drop each other
 	settled     = 3000. // ms after which one that is here under its name keeps it
@@ -541,7 +542,8 @@
 	silent, unreached, reached := m.tally(i)
 	doubts := float64(silent + unreached)
 	// A zone's own line may be down: its doubts alone don't stand against others' word that they reach the member.
-	return doubts > 0 && doubts >= most*(doubts+float64(reached)) && (reached == 0 || m.twoZones(&m.all[i]))
+	two, against := m.twoZones(&m.all[i])
+	return doubts > 0 && doubts >= most*(doubts+float64(reached)) && (two || !against)
 }
 
 // plain tells whether a verdict is borne out by as many votes as there could be in its favour, so that it needs no time.
@@ -720,14 +722,17 @@
 	if float64(silent) < most*float64(doubts) {
 		wait = partial
 	}
+	if two, _ := m.twoZones(k); !two && m.watchedFrom(i) > 1 {
+		wait += oneZone
+	}
 	if m.own-k.doubted >= wait {
 		m.advance(i, Away, fmt.Sprintf("%d of %d observers doubt it, %d reach it", doubts, int(n), reached))
 	}
 }
 
-// twoZones tells whether doubts come from two zones, or no word from another zone stands against them.
-func (m *Member) twoZones(k *known) bool {
-	zone, seen, two := "", false, false
+// twoZones tells whether doubts come from two zones, and whether a word from another zone than theirs stands against them.
+func (m *Member) twoZones(k *known) (two, against bool) {
+	zone, seen := "", false
 	for _, v := range k.votes {
 		if v.says != Reached {
 			z := m.all[v.by].Zone
@@ -735,15 +740,17 @@
 			zone, seen = z, true
 		}
 	}
-	if two {
-		return true
-	}
-	for _, v := range k.votes {
-		if v.says == Reached && m.all[v.by].Zone != zone {
-			return false
+	return two, slices.ContainsFunc(k.votes, func(v vote) bool { return v.says == Reached && m.all[v.by].Zone != zone })
+}
+
+// watchedFrom counts the zones in which a member has observers.
+func (m *Member) watchedFrom(i int) (zones int) {
+	for z := range m.zones {
+		if m.before(&m.zones[z], i, func(int) bool { return true }) {
+			zones++
 		}
 	}
-	return true
+	return zones
 }
 
 // ---- Time ----
