One who tells a door of its earlier life is told of the present one

Change: a record of its earlier life has a door answer the sender. The rig takes a door's memory and processor time where it had used under a tick at first.

--- a/lab/procs/real.go
+++ b/lab/procs/real.go
@@ -527,7 +527,7 @@
 		}
 	}
 	for i, p := range r.procs { // those that ran all through
-		if cpu, resident := p.use(); cpu >= before[i] && before[i] > 0 {
+		if cpu, resident := p.use(); cpu >= before[i] && resident > 0 {
 			r.cpu, r.resident = append(r.cpu, (cpu-before[i])/end*msPerSecond), append(r.resident, resident)
 		}
 	}
--- a/members/members.go
+++ b/members/members.go
@@ -140,6 +140,7 @@
 	mute     bool    // none of those that it looks at answers, though it hears others
 	alone    bool    // it has heard nobody for long
 	news     float64
+	outdated bool // what a message told of this door was of an earlier life: its sender is told
 	sum      uint64
 	sumOld   bool
 }
@@ -339,6 +340,7 @@
 	}
 	m.merge(&Record{Peer: in.From, Life: in.Life, State: in.State}, true)
 	from, known := m.index[in.From.Name]
+	m.outdated = false
 	for i := range in.Records {
 		// One that the others hold to be away has no verdicts to tell, but on this door.
 		if r := &in.Records[i]; r.State != Away || in.State != Joining || r.Name == m.all[m.self].Name {
@@ -348,6 +350,7 @@
 	if !known {
 		return
 	}
+	outdated := m.outdated
 	k := &m.all[from]
 	if k.heard = m.own; m.alone {
 		m.tellChange(from, "heard again")
@@ -380,7 +383,7 @@
 			m.all[i].elsewhere = m.own
 		}
 	case Tell:
-		if !k.State.standing() || k.Life != in.Life {
+		if !k.State.standing() || k.Life != in.Life || outdated { // looks are answered anyway
 			m.reply(from, &Message{Kind: Tell})
 		}
 	}
@@ -571,6 +574,7 @@
 		return
 	}
 	if r.Life < k.Life {
+		m.outdated = true
 		return
 	}
 	m.mergeVotes(m.self, r)
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -321,3 +321,14 @@
 		assert.Error(t, json.Unmarshal([]byte(bad), &again), bad)
 	}
 }
+
+func TestOneWhoTellsOfAnEarlierLifeIsToldOfThePresent(t *testing.T) {
+	m, now := of(12)
+	run(m, now, 1000, everyone)
+	claim := Received{&Message{Kind: Tell, From: peer(3), Life: 1, State: Here, Records: []Record{{Peer: peer(0), Life: 1, State: Away}}}}
+	m.Step(*now, claim)
+	out := m.Step(*now, claim)
+	require.Len(t, out, 1)
+	assert.Equal(t, peer(3).Name, out[0].(Send).To.Name)
+	assert.Equal(t, uint32(2), out[0].(Send).Message.Life)
+}
