A name that comes free is taken; comments of the module read over

Need: a door that had stood back as its name was another's stayed marked as refused once the other was gone.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -206,6 +206,10 @@
 		d.on(a)
 	case members.Refused:
 		d.taken.Store(a.Err)
+		if a.Err == nil {
+			d.log.Info("a member of the fleet again")
+			return
+		}
 		d.log.WithError(a.Err).WithField(fields.Remedy, a.Err.Remedy()).Error("no member of the fleet")
 	case members.Departed:
 		close(d.gone)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -222,3 +222,19 @@
 		c.end()
 	})
 }
+
+func TestANameThatComesFreeIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := crowded(t, 5, nil)
+		time.Sleep(8 * time.Second)
+		late := c.door(identity(3), at(30), 99)
+		time.Sleep(4 * time.Second)
+		require.NotNil(t, late.View().Taken)
+		c.all[3].Close()
+		time.Sleep(30 * time.Second)
+		assert.Nil(t, late.View().Taken)
+		assert.Equal(t, map[members.State]int{members.Here: 5}, counts(c.all[0]))
+		assert.Equal(t, map[members.State]int{members.Here: 5}, counts(late))
+		c.end()
+	})
+}
--- a/lab/procs/virtual.go
+++ b/lab/procs/virtual.go
@@ -372,7 +372,9 @@
 		case members.Changed:
 			w.note(check.Event{Door: i, About: w.index[a.Address], From: a.From.String(), To: a.To.String(), Life: a.Life, Why: a.Why})
 		case members.Refused:
-			w.refused++
+			if a.Err != nil {
+				w.refused++
+			}
 		case members.Departed:
 			m.up = false
 		}
--- a/members/members.go
+++ b/members/members.go
@@ -15,7 +15,7 @@
 	TickEvery = 50.0
 
 	tickMost    = 150.0 // ms of this door's own time that one step may bring; what is over, it was stopped itself
-	observers   = 8     // of each member; with fewer, chance alone could make up seven in ten
+	observers   = 8     // of each member; with fewer, chance alone could make up most of them
 	lookEvery   = 500.0 // ms between looks at one member that answers
 	lookAgain   = 150.0 // ms until the next look at one that did not; some ways there and back
 	askAfter    = 900.0 // ms of silence after which others are asked to look
@@ -30,8 +30,7 @@
 	speakUp     = 0.3   // chance in a tick that an observer says that it reaches one whom others doubt
 	voteFor     = 10e3  // ms for which a vote counts
 	voteAgain   = 3e3   // ms after which one that stands is cast again
-	most        = 0.6   // share of the votes, and of the observers, that make a verdict: over half, and no more than a zone
-	// of three leaves
+	most        = 0.6   // share of the votes, and of the observers, that make a verdict: over half, under two zones of three
 	keepFor     = 3000. // ms for which one that was here is shown so in a new life that its observers have not reached yet
 	showAfter   = 2000. // ms for which a single doubt must stand to be shown; two are shown at once
 	settle      = 300.0 // ms from the first doubt to a verdict at least: those who reach it must be heard too
@@ -281,7 +280,7 @@
 	if to == Here || to == Away || to == Left {
 		k.kept = false
 	}
-	if to == Away || to == Left || to == Joining {
+	if to == Away || to == Left {
 		// Its votes die with it: one that is cut off must not take others along.
 		m.drop(i)
 	}
@@ -925,9 +924,14 @@
 
 // enter makes this door one that is here, once enough have reached it.
 func (m *Member) enter() {
-	if m.reachedByMost() {
-		m.advance(m.self, Here, "its observers reach it")
+	if !m.reachedByMost() {
+		return
+	}
+	if m.taken != nil && m.observersOf(m.self) > 0 { // the name has come free
+		m.taken = nil
+		m.do(Refused{})
 	}
+	m.advance(m.self, Here, "its observers reach it")
 }
 
 // lookAway looks at one of those that are away: a fleet that was cut in two finds itself again.
--- a/members/words.go
+++ b/members/words.go
@@ -140,7 +140,7 @@
 	Why      string // in words, for logs
 }
 
-// Refused tells that this door can't take part: another one has its name.
+// Refused tells that this door can't take part, as another one has its name; with no error, that it can again.
 type Refused struct{ Err *NameTakenError }
 
 // Departed tells that Leave has been said often enough to end.
