--- /dev/null
+++ b/permits/holder.go
@@ -0,0 +1,65 @@
+package permits
+
+const (
+	lookFor = 1000.0 // ms from sending the last look to acting on its answer at most
+	early   = 0.8    // share of the hold after which a permit isn't used: the clocks of two machines drift
+)
+
+// Holder is the side of the one that goes: it holds a permit by its own monotonic clock, and says whether the step that
+// can't be taken back may be taken now.
+type Holder struct {
+	Number     uint64
+	askedMs    float64 // own clock when the ask was sent
+	holdMs     float64
+	lookedMs   float64 // own clock when the latest look was sent
+	confirmed  bool
+	seq        uint64
+	waitingFor uint64 // sequence number whose answer counts
+}
+
+// Next numbers the next command. Answers to earlier ones don't count from here on.
+func (h *Holder) Next() uint64 {
+	h.seq++
+	h.waitingFor = h.seq
+	return h.seq
+}
+
+// Asked notes that an ask is sent.
+func (h *Holder) Asked(now, holdMs float64) (seq uint64) {
+	*h = Holder{askedMs: now, holdMs: holdMs, seq: h.seq}
+	return h.Next()
+}
+
+// Looking notes that the last look is sent.
+func (h *Holder) Looking(now float64) (seq uint64) {
+	h.lookedMs, h.confirmed = now, false
+	return h.Next()
+}
+
+// Answered takes an answer in, and tells whether it was the one waited for.
+func (h *Holder) Answered(seq uint64, a Answer) bool {
+	if seq != h.waitingFor {
+		return false
+	}
+	h.waitingFor = 0
+	if a.Err != nil {
+		return true
+	}
+	if h.Number == 0 {
+		h.Number = a.Number
+	} else {
+		h.confirmed = a.Number == h.Number
+	}
+	return true
+}
+
+// MayGo tells whether the step may be taken now. One that was stopped since it looked must look again.
+func (h *Holder) MayGo(now float64) bool {
+	return h.Number != 0 && h.confirmed && now-h.lookedMs <= lookFor && now-h.askedMs <= early*h.holdMs
+}
+
+// Drop ends the holder's interest in its permit; what it says next gives it back.
+func (h *Holder) Drop() { *h = Holder{seq: h.seq} }
+
+// Waiting is the number of the command whose answer is waited for; 0 for none.
+func (h *Holder) Waiting() uint64 { return h.waitingFor }
--- /dev/null
+++ b/permits/permits.go
@@ -0,0 +1,272 @@
+package permits
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+const (
+	sightFor  = 15e3   // ms for which a sighting counts; several rounds of those who tell
+	callerFor = 3600e3 // ms after which a caller's latest answer is forgotten; no command is on its way for so long
+	auditMost = 10000  // lines of the audit that are kept in the state
+)
+
+// State is what coordinators agree on.
+type State struct {
+	NowMs   float64
+	Next    uint64 // number of the next permit; numbers only grow
+	Budgets []Budget
+	Units   map[string]*Known // by kind and name
+	Permits map[uint64]*Permit
+	Halts   []Halt
+	Callers map[string]*Latest
+	Audit   []Line
+	LastMs  map[string]float64 // when a permit was given or a unit came back, by kind and zone
+}
+
+// Known is what is known of a unit.
+type Known struct {
+	Unit
+	Standing Standing
+	AtMs     float64 // of the sighting
+}
+
+// Latest is a caller's latest command.
+type Latest struct {
+	Seq    uint64
+	AtMs   float64
+	Answer Answer
+}
+
+// Line is one line of the audit.
+type Line struct {
+	AtMs   float64
+	Number uint64
+	What   string
+	Who    string
+	Why    string
+}
+
+// New returns the state before the first command: without budgets nothing goes out.
+func New() *State {
+	return &State{Next: 1, Units: map[string]*Known{}, Permits: map[uint64]*Permit{}, Callers: map[string]*Latest{}, LastMs: map[string]float64{}}
+}
+
+func key(k Kind, name string) string { return string(k) + "/" + name }
+
+// Apply takes a command in. The same commands in the same order give the same state and answers everywhere.
+func (s *State) Apply(c Command) Answer {
+	if l := s.Callers[c.Caller]; l != nil && c.Seq <= l.Seq {
+		if c.Seq == l.Seq {
+			return l.Answer // an answer that was lost: the command has happened, once
+		}
+		return Answer{Err: &RepeatError{c.Caller, c.Seq}}
+	}
+	s.NowMs = max(s.NowMs, c.AtMs)
+	a := s.do(&c)
+	s.Callers[c.Caller] = &Latest{c.Seq, s.NowMs, a}
+	return a
+}
+
+func (s *State) do(c *Command) Answer {
+	switch d := c.Do.(type) {
+	case SetBudgets:
+		s.Budgets = slices.Clone(d.Budgets)
+		s.note(0, "budgets set", c.Caller, "")
+	case Seen:
+		for i := range d.Sightings {
+			s.see(&d.Sightings[i])
+		}
+		s.forget()
+	case Here:
+		s.see(&d.Sighting)
+		if p := s.of(d.Kind, d.Name); p != nil && p.Number != d.Holds && p.Caller == c.Caller {
+			s.free(p, "not used") // it says itself, after all it has asked, that it isn't going by it
+		}
+	case Ask:
+		return s.ask(c, d)
+	case Confirm:
+		return s.confirm(c, d)
+	case Withdraw:
+		p := s.Permits[d.Number]
+		if p == nil || p.Caller != c.Caller {
+			return Answer{Err: &UnknownError{fmt.Sprintf("permit %d of %s", d.Number, c.Caller)}}
+		}
+		s.free(p, "withdrawn")
+	case WriteOff:
+		p := s.Permits[d.Number]
+		if p == nil {
+			return Answer{Err: &UnknownError{fmt.Sprintf("permit %d", d.Number)}}
+		}
+		delete(s.Permits, p.Number)
+		s.note(p.Number, "written off: "+p.Unit.Name, d.Who, d.Why)
+	case Halt:
+		s.Halts = append(s.Halts, d)
+		s.note(0, fmt.Sprintf("halt of %s in %s", cmp.Or(string(d.Kind), "all"), cmp.Or(d.Zone, "the fleet")), d.Who, d.Why)
+	case Resume:
+		s.Halts = slices.DeleteFunc(s.Halts, func(h Halt) bool { return h.Kind == d.Kind && h.Zone == d.Zone })
+		s.note(0, "resumed", d.Who, "")
+	default:
+		return Answer{Err: &UnknownError{fmt.Sprintf("a command of type %T", c.Do)}}
+	}
+	return Answer{}
+}
+
+func (s *State) note(number uint64, what, who, why string) {
+	s.Audit = append(s.Audit, Line{s.NowMs, number, what, who, why})
+	if n := len(s.Audit); n > auditMost {
+		s.Audit = slices.Delete(s.Audit, 0, n-auditMost)
+	}
+}
+
+// see takes a sighting in. One that went by a permit is back once a later process of it is seen ready. A word that was long on
+// its way speaks of the process that is to go, or of one before it, and frees nothing.
+func (s *State) see(g *Sighting) {
+	k := key(g.Kind, g.Name)
+	u := s.Units[k]
+	if u == nil {
+		u = &Known{}
+		s.Units[k] = u
+	}
+	u.Unit, u.Standing, u.AtMs = g.Unit, g.Standing, s.NowMs
+	p := s.of(g.Kind, g.Name)
+	if p == nil || p.Stage != Out {
+		return
+	}
+	if g.Standing == Ready && g.Process != p.Process && g.Life > p.Life {
+		s.free(p, "back")
+	}
+}
+
+// free ends a permit whose place is free again.
+func (s *State) free(p *Permit, how string) {
+	delete(s.Permits, p.Number)
+	s.LastMs[key(p.Unit.Kind, p.Unit.Zone)] = s.NowMs
+	s.note(p.Number, how+": "+p.Unit.Name, p.Caller, "")
+}
+
+// of finds the permit that a unit has.
+func (s *State) of(k Kind, name string) *Permit {
+	for _, p := range s.Permits {
+		if p.Unit.Kind == k && p.Unit.Name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// forget lets callers go that have said nothing for long.
+func (s *State) forget() {
+	maps.DeleteFunc(s.Callers, func(_ string, l *Latest) bool { return s.NowMs-l.AtMs > callerFor })
+}
+
+func (s *State) ask(c *Command, d Ask) Answer {
+	u := s.Units[key(d.Kind, d.Unit)]
+	if u == nil {
+		return Answer{Err: &UnknownError{fmt.Sprintf("%s %s", d.Kind, d.Unit)}}
+	}
+	if p := s.of(d.Kind, d.Unit); p != nil {
+		return Answer{Err: &TakenError{d.Unit, p.Number, p.Who}}
+	}
+	if err := s.mayGo(&u.Unit, true); err != nil {
+		return Answer{Err: err}
+	}
+	p := &Permit{Number: s.Next, Unit: u.Unit, Caller: c.Caller, Who: d.Who, Why: d.Why, AtMs: s.NowMs, HoldMs: d.HoldMs}
+	s.Next++
+	s.Permits[p.Number] = p
+	s.LastMs[key(u.Kind, u.Zone)] = s.NowMs
+	s.note(p.Number, "granted: "+u.Name, d.Who, d.Why)
+	return Answer{Number: p.Number}
+}
+
+// confirm looks again, with what has become known since the permit was given.
+func (s *State) confirm(c *Command, d Confirm) Answer {
+	p := s.Permits[d.Number]
+	switch {
+	case p == nil || p.Caller != c.Caller:
+		return Answer{Err: &StaleError{d.Number, "it doesn't stand any more"}}
+	case s.NowMs-p.AtMs > p.HoldMs:
+		return Answer{Err: &StaleError{d.Number, fmt.Sprintf("held for %.0f ms, over %.0f", s.NowMs-p.AtMs, p.HoldMs)}}
+	}
+	// Also for one that looked before: it was stopped since, or it would have gone, and a halt may have come meanwhile.
+	if err := s.mayGo(&p.Unit, false); err != nil {
+		return Answer{Err: err}
+	}
+	p.Stage, p.Life, p.Process = Out, d.Life, d.Process
+	s.note(p.Number, "out: "+p.Unit.Name, p.Who, p.Why)
+	return Answer{Number: p.Number}
+}
+
+// out tells whether a unit counts as out: by plan, by failure, or as nobody has seen it lately.
+func (s *State) out(u *Known) bool {
+	return u.Standing != Ready || s.NowMs-u.AtMs > sightFor || s.of(u.Kind, u.Name) != nil
+}
+
+// mayGo tells what stands in the way of a unit's going out; fresh where it has no permit so far.
+func (s *State) mayGo(g *Unit, fresh bool) error {
+	for _, h := range s.Halts {
+		if (h.Kind == "" || h.Kind == g.Kind) && (h.Zone == "" || h.Zone == g.Zone) {
+			return &HaltedError{h.Who, h.Why}
+		}
+	}
+	bound := false
+	for _, b := range s.Budgets {
+		if b.Kind != g.Kind || b.Zone != "" && b.Zone != EachZone && b.Zone != g.Zone {
+			continue
+		}
+		bound = true
+		zone := ""
+		if b.Zone != "" {
+			zone = g.Zone
+		}
+		if err := s.within(&b, zone, g, fresh); err != nil {
+			return err
+		}
+	}
+	if !bound {
+		return &DeniedError{Unit: g.Name, Budget: Budget{Kind: g.Kind}, Says: "no budget is set", Blocked: []string{"none"}}
+	}
+	return nil
+}
+
+// within holds one budget against what would be out with one more.
+func (s *State) within(b *Budget, zone string, g *Unit, fresh bool) error {
+	here, size, last := 0, 0.0, -1.0
+	var out []string
+	for _, k := range slices.Sorted(maps.Keys(s.Units)) {
+		u := s.Units[k]
+		switch {
+		case u.Kind != b.Kind || zone != "" && u.Zone != zone:
+		case u.Name == g.Name || s.out(u):
+			if u.Name != g.Name {
+				out = append(out, u.Name)
+			}
+		default:
+			here, size = here+1, size+u.Size
+		}
+	}
+	for k, at := range s.LastMs {
+		if k == key(b.Kind, zone) || zone == "" && len(k) > len(b.Kind) && k[:len(b.Kind)+1] == key(b.Kind, "") {
+			last = max(last, at)
+		}
+	}
+	denied := func(format string, args ...any) error {
+		if len(out) == 0 {
+			out = []string{"none"}
+		}
+		return &DeniedError{g.Name, *b, zone, fmt.Sprintf(format, args...), out}
+	}
+	switch {
+	case len(out)+1 > b.MostOut:
+		return denied("%d of %d are out already", len(out), b.MostOut)
+	case here < b.LeastHere:
+		return denied("%d would be here, at least %d must be", here, b.LeastHere)
+	case size < b.LeastSize:
+		return denied("a size of %g would be here, at least %g must be", size, b.LeastSize)
+	case fresh && last >= 0 && s.NowMs-last < b.RestMs:
+		return denied("%.0f ms since the last, %.0f must pass", s.NowMs-last, b.RestMs)
+	}
+	return nil
+}
