--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -998,3 +998,34 @@
 	d.Decide(clock, []gate.Event{gate.Doors{Here: []bool{true, true, true}, Count: 6}})
 	assert.InEpsilon(t, float64(told)/2, float64(share()), 0.15, "the fleet has doubled")
 }
+
+func TestWordThatAllDoorsAreHereChangesNoDecision(t *testing.T) {
+	alone, told := door(6), door(6)
+	told.Decide(told.now, []gate.Event{gate.Doors{Here: []bool{true, true, true}, Count: 3}})
+	alone.Decide(alone.now, nil)
+	sent := 0
+	for n := range 400 {
+		now := 100e3 + float64(n)*13
+		events := []gate.Event{arriving(n, n%4, n%2)}
+		for i := range alone.ops { // what went out earlier is answered, some of it badly
+			for s := range alone.ops[i].sends {
+				if tr := &alone.ops[i].sends[s]; tr.out() && now-tr.at > 120 {
+					how := gate.Finished
+					if i%7 == 0 {
+						how = gate.Errored
+					}
+					events = append(events, gate.Ended{Op: i, Transmission: s, Backend: tr.backend, Result: how, Latency: now - tr.at, Over: how == gate.Finished, Use: 0.1, Queue: -1})
+				}
+			}
+		}
+		a := append([]gate.Action(nil), alone.Decide(now, events)...)
+		b := append([]gate.Action(nil), told.Decide(now, events)...)
+		require.Equal(t, a, b, "batch %d", n)
+		for _, x := range a {
+			if _, is := x.(gate.Send); is {
+				sent++
+			}
+		}
+	}
+	assert.Greater(t, sent, 50)
+}
