--- a/members/members_test.go
+++ b/members/members_test.go
@@ -310,7 +310,9 @@
 }
 
 func TestAVoteIsReadAsItWasWorded(t *testing.T) {
-	r := Record{Peer: peer(3), Life: 2, State: Here, Votes: []Vote{{By: "d01", Seq: 1<<32 - 1, Says: Silent, Age: 12.5}, {By: "d02"}}}
+	p := peer(3)
+	p.Number, p.Release = 7, "abc" // no field may hide another under its letter
+	r := Record{Peer: p, Life: 2, State: Here, Votes: []Vote{{By: "d01", Seq: 1<<32 - 1, Says: Silent, Age: 12.5}, {By: "d02"}}}
 	raw, err := json.Marshal(r)
 	require.NoError(t, err)
 	assert.Contains(t, string(raw), `["d01",4294967295,2,12.5]`)
--- a/members/words.go
+++ b/members/words.go
@@ -39,7 +39,7 @@
 	Address string `json:"a"`           // where it can be reached, as it says itself
 	Zone    string `json:"z,omitempty"` // empty where the fleet has none
 	Number  int    `json:"o"`           // of the door among the fleet's; -1 where it has none
-	Release string `json:"v,omitempty"` // of its program
+	Release string `json:"e,omitempty"` // of its program
 	Nonce   uint64 `json:"i"`           // drawn by its process, so that two processes of one name are told apart
 }
 
