--- a/config/config_test.go
+++ b/config/config_test.go
@@ -137,3 +137,14 @@
 	require.NoError(t, err)
 	assert.Equal(t, []string{`key "fleet.zones": nothing reads it`}, d.Odd)
 }
+
+func TestTheExamplesCanBeServed(t *testing.T) {
+	for _, name := range []string{"config.json", "fleet.json"} {
+		raw, err := os.ReadFile("../examples/" + name)
+		require.NoError(t, err)
+		d, err := Read(raw, unset)
+		require.NoError(t, err, name)
+		assert.Empty(t, d.Odd, name)
+		assert.Equal(t, name == "fleet.json", d.Fleet != nil)
+	}
+}
