--- a/lab/outs/fleet.go
+++ b/lab/outs/fleet.go
@@ -16,11 +16,10 @@
 
 // Fleet is one fleet to be played.
 type Fleet struct {
-	Seed     uint64
-	Doors    int
-	Ms       float64
-	Make     func() Machine
-	Heedless bool // doors don't look at MayGo: a planted fault
+	Seed  uint64
+	Doors int
+	Ms    float64
+	Make  func() Machine
 }
 
 // Result is what a play came to.
@@ -248,7 +247,7 @@
 	w.at(w.now+w.between(0, 50), func() {
 		w.awake(i, process, func() {
 			switch {
-			case w.Heedless || d.holder.MayGo(w.now):
+			case d.holder.MayGo(w.now):
 				w.out(i, true)
 			case w.now-d.changed < 1e9 && d.holder.Number != 0:
 				confirm()
--- a/lab/outs/outs_test.go
+++ b/lab/outs/outs_test.go
@@ -12,7 +12,7 @@
 func machine() Machine { return permits.New() }
 
 // play plays fleets of many sizes side by side and adds them up.
-func play(n int, make func() Machine, heedless bool) (sum Result) {
+func play(n int, make func() Machine) (sum Result) {
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	slots := slotsOf(4)
@@ -20,7 +20,7 @@
 		group.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			r := Fleet{Seed: uint64(i), Doors: []int{10, 20, 40, 100, 300}[min(4, i%20/4)], Ms: 60e3, Make: make, Heedless: heedless}.Play()
+			r := Fleet{Seed: uint64(i), Doors: []int{10, 20, 40, 100, 300}[min(4, i%20/4)], Ms: 60e3, Make: make}.Play()
 			mu.Lock()
 			defer mu.Unlock()
 			sum.Breaches = append(sum.Breaches, r.Breaches...)
@@ -38,7 +38,7 @@
 	if testing.Verbose() {
 		n = 500
 	}
-	r := play(n, machine, false)
+	r := play(n, machine)
 	assert.Empty(t, r.Breaches)
 	assert.Greater(t, r.Went, 5*n, "they do go out")
 	assert.Greater(t, r.Denied, n)
@@ -120,19 +120,18 @@
 
 func TestPlantedFaultsAreFound(t *testing.T) {
 	for name, c := range map[string]struct {
-		make     func() Machine
-		heedless bool
-		rule     string
+		make func() Machine
+		rule string
 	}{
-		"a permit freed by time":        {func() Machine { return leased{permits.New()} }, false, PlanWithin},
-		"a number that nobody looks at": {func() Machine { return unfenced{permits.New()} }, false, PlanWithin},
-		"a leader that is stale":        {func() Machine { return &stale{now: permits.New(), old: permits.New()} }, false, PlanWithin},
-		"no look at the last step":      {func() Machine { return lax{permits.New()} }, false, Halted},
-		"failures that nobody counts":   {func() Machine { return blind{permits.New()} }, false, LetOut},
+		"a permit freed by time":        {func() Machine { return leased{permits.New()} }, PlanWithin},
+		"a number that nobody looks at": {func() Machine { return unfenced{permits.New()} }, PlanWithin},
+		"a leader that is stale":        {func() Machine { return &stale{now: permits.New(), old: permits.New()} }, PlanWithin},
+		"no look at the last step":      {func() Machine { return lax{permits.New()} }, Halted},
+		"failures that nobody counts":   {func() Machine { return blind{permits.New()} }, LetOut},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			assert.Positive(t, rulesOf(play(40, c.make, c.heedless))[c.rule])
+			assert.Positive(t, rulesOf(play(40, c.make))[c.rule])
 		})
 	}
 }
