Members: doubts are counted in one place, and observers only where they are asked for

Reading over: shows() worked out a member's observers each time and threw them away; doubts() counted beside tally(); a case that names those away could never be reached, as one before it takes them. They are looked for on, and the constant says so now.

--- a/members/members.go
+++ b/members/members.go
@@ -53,7 +53,7 @@
 	voteSize    = 28    // of a vote, about
 	rideMost    = 4     // records that ride on a look or an answer
 	rideFor     = 4000. // ms for which a change rides
-	forgetAfter = 600e3 // ms after which one that is away or has left is forgotten
+	forgetAfter = 600e3 // ms after which one that has left is forgotten; one that is away is looked for on
 	mostKnown   = 4096  // members; what comes beyond is noise
 	nameRest    = 5000. // ms between tries where the name is taken
 )
@@ -232,7 +232,7 @@
 	case m.alone && m.own-k.heard > voteFor:
 		return Away // for all that this door knows; it says so to nobody
 	case k.State == Joining && k.kept && m.own-k.at < keepFor, k.State == Here:
-		if d, _ := m.doubts(i); d >= 2 || d > 0 && m.own-k.doubted > showAfter {
+		if d := m.doubts(i); d >= 2 || d > 0 && m.own-k.doubted > showAfter {
 			return Doubted
 		}
 		return Here
@@ -247,8 +247,7 @@
 	if now == k.shown {
 		return
 	}
-	d, _ := m.doubts(i)
-	m.do(Changed{Peer: k.Peer, From: k.shown, To: now, Life: k.Life, Doubts: d, Why: why})
+	m.do(Changed{Peer: k.Peer, From: k.shown, To: now, Life: k.Life, Doubts: m.doubts(i), Why: why})
 	k.shown = now
 }
 
@@ -550,8 +549,7 @@
 
 // plain tells whether a verdict is borne out by as many votes as there could be in its favour, so that it needs no time.
 func (m *Member) plain(i int) bool {
-	doubts, n := m.doubts(i)
-	return float64(doubts) >= most*float64(n) && m.borneOut(i)
+	return float64(m.doubts(i)) >= most*float64(m.observersOf(i)) && m.borneOut(i)
 }
 
 // contest gives a member time to gainsay a verdict that the votes known here don't bear out plainly.
@@ -686,14 +684,10 @@
 	}
 }
 
-// doubts counts those who doubt a member, and the observers that it has.
-func (m *Member) doubts(i int) (doubts, observers int) {
-	for _, v := range m.all[i].votes {
-		if v.says != Reached {
-			doubts++
-		}
-	}
-	return doubts, m.observersOf(i)
+// doubts counts those who doubt a member.
+func (m *Member) doubts(i int) int {
+	silent, unreached, _ := m.tally(i)
+	return silent + unreached
 }
 
 // cast votes on a member, and has the vote told.
@@ -802,7 +796,8 @@
 }
 
 // doubtItself finds whether the fault is this door's own: it hears nobody, or none of those that it looks at answers
-// though others are heard, or others hold it to be away: a zone that can't send would else drop all whom it hears. Then it neither votes nor judges; what others have judged it still takes over.
+// though others are heard, or others hold it to be away: a zone that can't send would else drop all whom it hears. Then
+// it neither votes nor judges; what others have judged it still takes over.
 func (m *Member) doubtItself() {
 	was := m.mute
 	m.mute = m.own-m.heard > deafAfter || m.all[m.self].State == Joining || len(m.subjects) > 0 &&
@@ -950,7 +945,7 @@
 			r := m.record(i)
 			m.send(k.Peer, &Message{Kind: Look, No: m.no, Records: []Record{r}})
 			return
-		case (k.State == Away || k.State == Left) && m.own-k.at > forgetAfter && i != m.self && k.shown != Unknown:
+		case m.own-k.at > forgetAfter && i != m.self: // it has left
 			m.forget(i)
 			return
 		}
@@ -1211,8 +1206,7 @@
 	rows := make([]Row, 0, len(m.all))
 	for i := range m.all {
 		k := &m.all[i]
-		d, n := m.doubts(i)
-		rows = append(rows, Row{Peer: k.Peer, State: m.shows(i), Life: k.Life, Since: m.own - k.at, Doubts: d, Looks: n, Observe: k.subject,
+		rows = append(rows, Row{Peer: k.Peer, State: m.shows(i), Life: k.Life, Since: m.own - k.at, Doubts: m.doubts(i), Looks: m.observersOf(i), Observe: k.subject,
 			Reach: i == m.self || k.subject && m.own-k.answered < 2*lookEvery+freshReach, Trip: k.trip})
 	}
 	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Name, b.Name) })
