--- a/lab/procs/schedule.go
+++ b/lab/procs/schedule.go
@@ -103,17 +103,7 @@
 var files embed.FS
 
 // Names lists the schedules that ship.
-func Names() []string {
-	entries, err := files.ReadDir("schedules")
-	if err != nil {
-		panic(err) // the folder is compiled in
-	}
-	var names []string
-	for _, e := range entries {
-		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
-	}
-	return names
-}
+func Names() []string { return scenario.Shipped(files, "schedules") }
 
 // Open reads a schedule file, or one that ships where there is no such file.
 func Open(name string) (*Schedule, error) {
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"embed"
 	"errors"
 	"fmt"
 	"math"
@@ -236,6 +237,19 @@
 	return nil
 }
 
+// Shipped lists the files of a folder that is compiled in, without their ending.
+func Shipped(files embed.FS, dir string) []string {
+	entries, err := files.ReadDir(dir)
+	if err != nil {
+		panic(err) // the folder is compiled in
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
+	}
+	return names
+}
+
 // ReadFile reads a scenario file.
 func ReadFile(path string) (Scenario, error) {
 	raw, err := os.ReadFile(path)
--- a/lab/scenarios/scenarios.go
+++ b/lab/scenarios/scenarios.go
@@ -14,17 +14,7 @@
 var files embed.FS
 
 // Names lists them.
-func Names() []string {
-	entries, err := files.ReadDir(".")
-	if err != nil {
-		panic(err) // the folder is compiled in
-	}
-	var names []string
-	for _, e := range entries {
-		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
-	}
-	return names
-}
+func Names() []string { return scenario.Shipped(files, ".") }
 
 // Open reads a scenario file, or one that ships where there is no such file.
 func Open(name string) (scenario.Scenario, error) {
