--- a/config/config.go
+++ b/config/config.go
@@ -36,7 +36,7 @@
 // Pace holds the carrier's own times, ms. The key "pace" overrides the defaults.
 type Pace struct {
 	SlowInput   float64 `json:"slow_input_ms"`   // a message that takes longer to arrive or leave is given up
-	IdleClient  float64 `json:"idle_client_ms"`  // a client connection with no operation for longer is closed
+	IdleClient  float64 `json:"idle_client_ms"`  // a client connection with no request for longer is closed
 	IdleBackend float64 `json:"idle_backend_ms"` // a backend connection idle for longer is closed
 	Silence     float64 `json:"silence_ms"`      // a watch silent for longer is dialled again
 	DeadCounter float64 `json:"dead_counter_ms"` // a counter connection that owes an answer for longer is closed
@@ -44,7 +44,7 @@
 	Linger      float64 `json:"linger_ms"`       // new connections are served for this long after the call to stop
 }
 
-// Log is how the door logs. It never logs single operations.
+// Log is how the door logs. It never logs single requests.
 type Log struct {
 	Level  string `json:"level"`  // debug, info, warn or error
 	Format string `json:"format"` // text or json
@@ -229,8 +229,8 @@
 		{"settings.extra.counter_timeout", d.Deal.CounterTimeout}, {"settings.extra.units_top", d.Deal.MostUnits}})...)
 }
 
-// watch reads the settings of another shape. They must name the same profiles and plans in the same order, as an
-// operation is one and the same under both.
+// watch reads the settings of another shape. They must name the same classes and plans in the same order, as an
+// request is one and the same under both.
 func (d *Door) watch(raw json.RawMessage) (faults []error) {
 	if len(raw) == 0 || string(raw) == "null" {
 		return nil
@@ -242,7 +242,7 @@
 	for _, n := range []struct {
 		of            string
 		present, next map[string]int
-	}{{"profiles", d.Deal.Profiles, other.Profiles}, {"tariffs", d.Deal.Plans, other.Plans}} {
+	}{{"profiles", d.Deal.Classes, other.Classes}, {"tariffs", d.Deal.Plans, other.Plans}} {
 		if !maps.Equal(n.present, n.next) {
 			faults = append(faults, keyFault("watch."+n.of, "other names than settings.%s has, or in another order", n.of))
 		}
@@ -251,21 +251,21 @@
 	return append(faults, termFaults("watch", d.Watch)...)
 }
 
-// termFaults holds what decisions need of profiles, plans and limits, whether they go by them or are compared.
+// termFaults holds what decisions need of classes, plans and limits, whether they go by them or are compared.
 func termFaults(under string, t *gate.Terms) (faults []error) {
 	fault := func(key, format string, args ...any) {
 		faults = append(faults, keyFault(under+"."+key, format, args...))
 	}
-	if len(t.Profiles) == 0 {
+	if len(t.Classes) == 0 {
 		fault("profiles", "none")
 	}
 	if len(t.Plans) == 0 {
 		fault("tariffs", "none")
 	}
-	if t.MaxTransmissions < 1 {
-		fault("limits.max_attempts", "%d", t.MaxTransmissions)
+	if t.MaxAttempts < 1 {
+		fault("limits.max_attempts", "%d", t.MaxAttempts)
 	}
-	for i, p := range t.Profiles {
+	for i, p := range t.Classes {
 		at := fmt.Sprintf("profiles[%d].", i)
 		if p.Contract <= 0 {
 			fault(at+"aim", "%g", p.Contract/msPerSecond)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -29,7 +29,7 @@
 	assert.Equal(t, "127.0.0.9:1", d.Listen, "the environment wins")
 	assert.Equal(t, uint64(0x8c1f30d27a5be964), d.Seed)
 	assert.Equal(t, "s", d.Known.Backends[0].ID)
-	assert.Equal(t, []gate.Profile{{Contract: 500, Semantics: gate.Tokened, Scope: gate.ScopeZone, Window: 5000}}, d.Deal.Terms.Profiles)
+	assert.Equal(t, []gate.Class{{Contract: 500, Semantics: gate.Keyed, Scope: gate.ScopeZone, Window: 5000}}, d.Deal.Terms.Classes)
 	assert.Equal(t, []gate.Plan{{Rate: 0.002, Depth: 8}}, d.Deal.Terms.Plans)
 	assert.Equal(t, 500.0, d.Deal.Terms.MaxRetryAfter)
 	assert.Equal(t, []float64{15e3, 250, 80, 4000, 8}, []float64{d.Deal.ConnIdle, d.Deal.ConnectTimeout,
@@ -80,7 +80,7 @@
 	require.NoError(t, err)
 	assert.Zero(t, d.Deal.Terms.Plans[0].Beyond)
 	assert.Equal(t, 0.3, d.Watch.Plans[0].Beyond)
-	assert.Equal(t, 4, d.Watch.MaxTransmissions)
+	assert.Equal(t, 4, d.Watch.MaxAttempts)
 	assert.Zero(t, d.Watch.MaxRetryAfter)
 	d, err = Read([]byte(full), unset)
 	require.NoError(t, err)
--- a/config/deal.go
+++ b/config/deal.go
@@ -11,17 +11,17 @@
 
 const msPerSecond = 1000
 
-// Deal is what the settings say: the terms of the decisions, the names of profiles and plans by their
+// Deal is what the settings say: the terms of the decisions, the names of classes and plans by their
 // indices, and what the carrier needs besides.
 type Deal struct {
-	Terms           gate.Terms
-	Profiles, Plans map[string]int
-	ConnIdle        float64  // a backend closes a connection idle for this long, ms; 0 where not told
-	ConnectTimeout  float64  // a connection that takes longer is given up, ms
-	CounterTimeout  float64  // a call of the counter that takes longer is given up, ms
-	LongestWait     float64  // no client waits longer, ms
-	MostUnits       float64  // no operation takes more; 0 where not told
-	Reports         []string // what the values of a load report are, in their order; empty where answers hold none
+	Terms          gate.Terms
+	Classes, Plans map[string]int
+	ConnIdle       float64  // a backend closes a connection idle for this long, ms; 0 where not told
+	ConnectTimeout float64  // a connection that takes longer is given up, ms
+	CounterTimeout float64  // a call of the counter that takes longer is given up, ms
+	LongestWait    float64  // no client waits longer, ms
+	MostUnits      float64  // no request takes more; 0 where not told
+	Reports        []string // what the values of a load report are, in their order; empty where answers hold none
 }
 
 // What the bench's pages call the one value of a load report that the decisions read; others are skipped.
@@ -47,7 +47,7 @@
 }
 
 var semantics = map[string]gate.Semantics{
-	"idempotent": gate.Replayable, "deduplicated": gate.Tokened, "at_most_once": gate.SingleUse,
+	"idempotent": gate.Idempotent, "deduplicated": gate.Keyed, "at_most_once": gate.NonIdempotent,
 }
 
 var scopes = map[string]gate.Scope{
@@ -59,7 +59,7 @@
 	FleetSize int    `json:"fleet_size"`
 	MyNumber  int    `json:"my_number"`
 	Registry  string `json:"registry_mode"`
-	Profiles  []struct {
+	Classes   []struct {
 		Name      string  `json:"name"`
 		Aim       float64 `json:"aim"`
 		GiveUp    float64 `json:"give_up"`
@@ -97,7 +97,7 @@
 		MaxAttempts    int     `json:"max_attempts"`
 		MaxRetryAfter  float64 `json:"max_retry_after"`
 		RetryAfter     bool    `json:"retry_after"`
-		SecondCopies   bool    `json:"second_copies"`
+		Hedging        bool    `json:"second_copies"`
 	} `json:"limits"`
 	Safety struct {
 		ColdFrom     float64 `json:"cold_from"`
@@ -119,13 +119,13 @@
 	d := Deal{
 		Terms: gate.Terms{
 			Doors: s.FleetSize, Number: s.MyNumber,
-			MaxTransmissions: s.Limits.MaxAttempts, SecondCopies: s.Limits.SecondCopies,
+			MaxAttempts: s.Limits.MaxAttempts, Hedging: s.Limits.Hedging,
 			MayCancel: s.Limits.Cancel, MeterPeriod: s.Extra.Metering * msPerSecond,
 			Counter: s.Extra.Counter, MustAsk: s.Registry == "ask",
 			ColdFrom: s.Safety.ColdFrom, ColdFor: s.Safety.Cold * msPerSecond,
 			FallMultiple: s.Safety.FallMultiple, FallWindow: s.Safety.TipAfter * msPerSecond,
 		},
-		Profiles: map[string]int{}, Plans: map[string]int{},
+		Classes: map[string]int{}, Plans: map[string]int{},
 		ConnIdle:       s.Limits.ConnIdle * msPerSecond,
 		ConnectTimeout: s.Limits.ConnectTimeout * msPerSecond,
 		CounterTimeout: s.Extra.CounterTimeout * msPerSecond,
@@ -141,7 +141,7 @@
 	if s.Limits.RetryAfter {
 		d.Terms.MaxRetryAfter = s.Limits.MaxRetryAfter * msPerSecond
 	}
-	for i, p := range s.Profiles {
+	for i, p := range s.Classes {
 		sem, ok := semantics[p.Semantics]
 		if !ok {
 			return Deal{}, keyFault(fmt.Sprintf("%s.profiles[%d].semantics", under, i), "unknown word %q", p.Semantics)
@@ -150,9 +150,9 @@
 		if !ok {
 			return Deal{}, keyFault(fmt.Sprintf("%s.profiles[%d].dedup_scope", under, i), "unknown word %q", p.Scope)
 		}
-		d.Profiles[p.Name] = i
+		d.Classes[p.Name] = i
 		d.LongestWait = max(d.LongestWait, p.GiveUp*msPerSecond)
-		d.Terms.Profiles = append(d.Terms.Profiles, gate.Profile{
+		d.Terms.Classes = append(d.Terms.Classes, gate.Class{
 			Contract: p.Aim * msPerSecond, Semantics: sem, Scope: scope,
 			Window: p.Window * msPerSecond, LateValue: p.LateValue, Gain: p.Worth,
 		})
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -1,6 +1,6 @@
 // Package coordinator is the process that agrees with its like on who goes out by plan: permits' state machine behind
 // hashicorp/raft, a store, and an API of net/http and JSON on loopback or a private address. It decides nothing itself, and
-// no operation of any door waits for it.
+// no request of any door waits for it.
 package coordinator
 
 import (
--- a/examples/toy/main.go
+++ b/examples/toy/main.go
@@ -1,5 +1,5 @@
 // Command toy stands in for what a door needs, on loopback: a fleet list with two backends, and the backends.
-// Each backend answers an operation after a while with a line of text, or its own body.
+// Each backend answers a request after a while with a line of text, or its own body.
 package main
 
 import (
--- a/frontdoor/backend.go
+++ b/frontdoor/backend.go
@@ -15,8 +15,8 @@
 	"github.com/swifthall/swifthall/internal/pool"
 )
 
-// flight is one transmission on its way.
-type flight struct {
+// attempt is one attempt on its way.
+type attempt struct {
 	op, number, backend int
 	at, until           float64 // clock of its start and of the end of its time, ms
 	link                *link
@@ -24,7 +24,7 @@
 	ended               bool
 }
 
-// Stages of a flight. Who brings it out of waiting, its writer or the owner that gives it up, has it.
+// Stages of an attempt. Who brings it out of waiting, its writer or the owner that gives it up, has it.
 const (
 	waiting int32 = iota
 	writing       // its last byte may have been written
@@ -32,8 +32,8 @@
 	dropped       // will not be written
 )
 
-// expire ends a transmission whose time has run out.
-func (f *flight) expire(c *core) {
+// expire ends an attempt whose time has run out.
+func (f *attempt) expire(c *core) {
 	if !f.ended {
 		c.abandon(f, endLateUnsent, endLate)
 	}
@@ -46,7 +46,7 @@
 	addr    string
 	since   float64            // start of the process that it leads to, ms
 	cancel  context.CancelFunc // ends the dial
-	busy    atomic.Bool        // a transmission is being written
+	busy    atomic.Bool        // an attempt is being written
 
 	mu   sync.Mutex
 	nc   net.Conn
@@ -55,15 +55,15 @@
 	owes bool // an answer is awaited
 
 	// The owner's.
-	cur       *flight
+	cur       *attempt
 	idleSince float64
 	used      bool // has brought an answer
 	closed    bool
 }
 
-// carry has the connection carry a transmission from here on, unless something has come or it has ended since the
+// carry has the connection carry an attempt from here on, unless something has come or it has ended since the
 // answer before: what is left over must not be taken for the next answer.
-func (l *link) carry(f *flight) bool {
+func (l *link) carry(f *attempt) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.dead || l.raw != nil && !untouched(l.raw) {
@@ -161,7 +161,7 @@
 	return endNoConn
 }
 
-func (l *link) run(ctx context.Context, first *flight, msg []byte) {
+func (l *link) run(ctx context.Context, first *attempt, msg []byte) {
 	defer l.c.budget.put()
 	defer l.cancel()
 	if up, how := l.dial(ctx); !up {
@@ -173,8 +173,8 @@
 	l.c.post(cut{l, l.read()})
 }
 
-// write sends a transmission, unless it was given up before or the connection is of no more use.
-func (l *link) write(f *flight, msg []byte) {
+// write sends an attempt, unless it was given up before or the connection is of no more use.
+func (l *link) write(f *attempt, msg []byte) {
 	defer pool.Put(msg)
 	l.busy.Store(true)
 	defer l.busy.Store(false)
@@ -226,7 +226,7 @@
 	}
 }
 
-// endOf tells how a whole answer ends its transmission.
+// endOf tells how a whole answer ends its attempt.
 func endOf(a *http1.Answer) end {
 	switch {
 	case a.Status == http.StatusOK:
@@ -237,20 +237,20 @@
 	return endIll
 }
 
-// send starts a transmission, on an idle connection where there is one.
+// send starts an attempt, on an idle connection where there is one.
 func (c *core) send(a gate.Send) {
 	o := &c.ops[a.Op]
-	f := &flight{op: a.Op, number: len(o.flights), backend: a.Backend, at: c.now, until: o.until}
+	f := &attempt{op: a.Op, number: len(o.attempts), backend: a.Backend, at: c.now, until: o.until}
 	if a.Cap > 0 {
 		f.until = min(f.until, c.now+a.Cap)
 	}
-	o.flights = append(o.flights, f)
+	o.attempts = append(o.attempts, f)
 	o.out++
 	c.launch(f)
 }
 
-// launch puts a transmission on an idle connection where there is one.
-func (c *core) launch(f *flight) {
+// launch puts an attempt on an idle connection where there is one.
+func (c *core) launch(f *attempt) {
 	b := &c.backends[f.backend]
 	if n := len(b.idle); n > 0 {
 		f.link, b.idle = b.idle[n-1], b.idle[:n-1]
@@ -262,7 +262,7 @@
 	}
 	l := f.link
 	l.cur = f
-	msg := http1.AppendTransmission(pool.Get(), c.ops[f.op].msg, l.addr, f.until-c.now)
+	msg := http1.AppendAttempt(pool.Get(), c.ops[f.op].msg, l.addr, f.until-c.now)
 	c.due.add(f.until, f)
 	if l.nc != nil {
 		go l.write(f, msg)
@@ -303,8 +303,8 @@
 	l.close()
 }
 
-// abandon stops waiting for a transmission, which closes its connection.
-func (c *core) abandon(f *flight, unsent, sent end) {
+// abandon stops waiting for an attempt, which closes its connection.
+func (c *core) abandon(f *attempt, unsent, sent end) {
 	if f.ended {
 		return
 	}
@@ -316,14 +316,14 @@
 	c.finish(f, how, c.now, -1, -1)
 }
 
-// finish tells the decisions how a transmission ended.
-func (c *core) finish(f *flight, how end, at, use, queue float64) {
+// finish tells the decisions how an attempt ended.
+func (c *core) finish(f *attempt, how end, at, use, queue float64) {
 	o := &c.ops[f.op]
 	f.ended = true
 	o.out--
 	c.closing = append(c.closing, f.op)
 	c.backends[f.backend].counts.transmitted(how.result(), at-f.at)
-	c.pending = append(c.pending, gate.Ended{Op: f.op, Transmission: f.number, Backend: f.backend,
+	c.pending = append(c.pending, gate.Ended{Op: f.op, Attempt: f.number, Backend: f.backend,
 		Result: how.result(), Latency: at - f.at, Over: o.over, Use: use, Queue: queue})
 }
 
@@ -350,7 +350,7 @@
 		queue = -1 // the settings say that answers hold no reports
 	}
 	c.finish(f, how, n.at, n.a.Use, queue)
-	// An answer may come before all of its transmission has left.
+	// An answer may come before all of its attempt has left.
 	if b := &c.backends[l.backend]; n.a.Last || l.busy.Load() || !b.takes(l) {
 		c.retire(l)
 	} else {
@@ -377,8 +377,8 @@
 	unsent := f.stage.CompareAndSwap(waiting, dropped)
 	if unsent && l.used && c.backends[f.backend].up { // the connection had gone stale, which is no news of the backend
 		f.ended = true
-		again := &flight{op: f.op, number: f.number, backend: f.backend, at: f.at, until: f.until}
-		c.ops[f.op].flights[f.number] = again
+		again := &attempt{op: f.op, number: f.number, backend: f.backend, at: f.at, until: f.until}
+		c.ops[f.op].attempts[f.number] = again
 		c.launch(again)
 		return
 	}
--- a/frontdoor/client.go
+++ b/frontdoor/client.go
@@ -19,14 +19,14 @@
 	c     *core
 	nc    net.Conn
 	wrote chan struct{} // an answer has left
-	shut  atomic.Bool   // no more operations are wanted on it
+	shut  atomic.Bool   // no more requests are wanted on it
 	ended atomic.Bool   // its last answer has left, or could not: nothing more is taken from it
 	began float64       // clock, ms
 
 	// The owner's.
-	op        int // open operation; -1 is none
+	op        int // open request; -1 is none
 	idleSince float64
-	known     bool // has brought an operation
+	known     bool // has brought a request
 }
 
 func newClient(c *core, nc net.Conn) *client {
@@ -36,11 +36,11 @@
 
 // reading is the state of a client connection's goroutine.
 type reading struct {
-	in      http1.Operations
+	in      http1.Requests
 	first   float64 // clock of the first byte of what is coming, ms
 	owed    bool    // an answer may not have left yet
 	limited bool    // a read deadline is set
-	brought bool    // an operation has come
+	brought bool    // a request has come
 }
 
 func (cl *client) run() {
@@ -95,7 +95,7 @@
 			return false
 		}
 	}
-	// One that dribbles its operation must not keep the connection for ever.
+	// One that dribbles its request must not keep the connection for ever.
 	if r.in.Begun() && !r.limited {
 		r.limited = true
 		cl.nc.SetReadDeadline(time.Now().Add(span(r.since(cl) + cl.c.cfg.Pace.SlowInput - at)))
@@ -103,7 +103,7 @@
 	return true
 }
 
-// since is the clock from which the time to bring an operation counts: its first byte, or the connection's
+// since is the clock from which the time to bring a request counts: its first byte, or the connection's
 // beginning for the first one, as its client may have been silent before.
 func (r *reading) since(cl *client) float64 {
 	if r.brought {
@@ -112,7 +112,7 @@
 	return cl.began
 }
 
-// await waits until the answer to the operation before has left: clients get theirs in order.
+// await waits until the answer to the request before has left: clients get theirs in order.
 func (cl *client) await(r *reading) {
 	if r.owed {
 		<-cl.wrote
@@ -120,7 +120,7 @@
 	}
 }
 
-// dispatch passes a whole operation on, or answers what is none.
+// dispatch passes a whole request on, or answers what is none.
 func (cl *client) dispatch(r *reading) bool {
 	op, err := r.in.Take()
 	if err == nil && (op.Path == http1.ReadyPath || op.Path == http1.LivePath) {
@@ -131,7 +131,7 @@
 		op.Free()
 		return cl.say(status, op.Last) && !op.Last
 	}
-	var ev gate.Operation
+	var ev gate.Request
 	if err == nil {
 		if ev, err = cl.c.word(op); err != nil {
 			op.Free()
@@ -145,7 +145,7 @@
 	return true
 }
 
-// fault answers what is no operation.
+// fault answers what is no request.
 func (cl *client) fault(err error, last bool) bool {
 	status := http.StatusBadRequest
 	var f *http1.Fault
@@ -185,7 +185,7 @@
 	}
 }
 
-// answer writes an operation's answer, and closes the connection behind the last one.
+// answer writes a request's answer, and closes the connection behind the last one.
 func (cl *client) answer(answer []byte, last bool) {
 	if !cl.write(answer) || last {
 		cl.ended.Store(true)
@@ -225,7 +225,7 @@
 	return cl.lastLook(r)
 }
 
-// lastLook reads once more before an idle connection is closed, so that no operation is crossed that has come.
+// lastLook reads once more before an idle connection is closed, so that no request is crossed that has come.
 func (cl *client) lastLook(r *reading) bool {
 	cl.nc.SetReadDeadline(time.Time{})
 	buf := pool.Get()[:pool.Size]
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -19,16 +19,16 @@
 // note is news for the owner of the decisions.
 type note interface{ take(*core) }
 
-// operation is what the carrier keeps of one operation. It is over once its client has an answer or has left.
-type operation struct {
+// request is what the carrier keeps of one request. It is over once its client has an answer or has left.
+type request struct {
 	client   *client
-	msg      *http1.Operation // nil where the slot is free
-	until    float64          // end of the client's wait, ms
-	came     float64          // clock of its first byte, ms
-	contract float64          // contract time, ms
+	msg      *http1.Request // nil where the slot is free
+	until    float64        // end of the client's wait, ms
+	came     float64        // clock of its first byte, ms
+	contract float64        // contract time, ms
 	over     bool
 	out      int
-	flights  []*flight
+	attempts []*attempt
 }
 
 // backend is what the carrier keeps of one backend.
@@ -39,7 +39,7 @@
 	since  float64     // start of its process, ms
 	size   float64
 	up     bool    // it may be sent to: not withheld either
-	counts Counts  // of transmissions that ended
+	counts Counts  // of attempts that ended
 	idle   []*link // latest used last
 
 	listed     bool // the index is in use
@@ -67,17 +67,17 @@
 	decider   gate.Decider
 	now       float64
 	pending   []gate.Event
-	ops       []operation
-	ids       map[string]struct{} // of the operations in them
+	ops       []request
+	ids       map[string]struct{} // of the requests in them
 	free      []int
-	closing   []int // operations that may be droppable at the end of the batch
+	closing   []int // requests that may be droppable at the end of the batch
 	customers index.Table[uint64]
 	names     index.Table[string] // of backends
 	zones     index.Table[string]
 	cells     index.Table[int64]
 	backends  []backend
 	clients   map[*client]struct{}
-	known     int // of them, those that have brought an operation
+	known     int // of them, those that have brought a request
 	links     map[*link]struct{}
 	watches   int // number of the present watch
 	unwatch   context.CancelFunc
@@ -103,7 +103,7 @@
 	counted = 2   // connections to the counter: an answer in its turn holds up those behind it on the same one
 	margin  = 8   // descriptors left to the runtime and to connections on their way out
 
-	silentPart = 3 // of the time in which an operation may be on its way, for a connection that never brought one
+	silentPart = 3 // of the time in which a request may be on its way, for a connection that never brought one
 	keptPart   = 4 // part of the sockets, one in so many, over which client connections end with their answer
 	looksIdle  = 8 // looks at idle connections in the time that one may be idle
 )
@@ -117,10 +117,10 @@
 	return c
 }
 
-// word puts an operation in the terms of the decisions, but for the indices that the owner hands out.
-func (c *core) word(o *http1.Operation) (ev gate.Operation, err error) {
+// word puts a request in the terms of the decisions, but for the indices that the owner hands out.
+func (c *core) word(o *http1.Request) (ev gate.Request, err error) {
 	d := &c.cfg.Deal
-	profile, known := d.Profiles[o.Profile]
+	class, known := d.Classes[o.Class]
 	if !known {
 		return ev, &http1.Fault{Status: http.StatusNotFound, Text: "profile"}
 	}
@@ -128,16 +128,16 @@
 	switch {
 	case !known:
 		return ev, &http1.Fault{Status: http.StatusBadRequest, Text: "plan"}
-	case (o.Method == http.MethodGet) != (d.Terms.Profiles[profile].Semantics == gate.Replayable):
+	case (o.Method == http.MethodGet) != (d.Terms.Classes[class].Semantics == gate.Idempotent):
 		return ev, &http1.Fault{Status: http.StatusMethodNotAllowed, Text: "method"}
 	case o.Method == http.MethodGet && len(o.Body) > 0:
 		return ev, &http1.Fault{Status: http.StatusBadRequest, Text: "body"}
-	case d.Terms.Profiles[profile].Semantics == gate.Tokened && o.Mark == "":
+	case d.Terms.Classes[class].Semantics == gate.Keyed && o.Mark == "":
 		return ev, &http1.Fault{Status: http.StatusBadRequest, Text: "no mark"}
 	case o.First >= d.Terms.Doors || o.Spread > d.Terms.Doors || d.MostUnits > 0 && o.Units > d.MostUnits:
 		return ev, &http1.Fault{Status: http.StatusBadRequest, Text: "weight"}
 	}
-	return gate.Operation{Profile: profile, Plan: plan, TTL: min(o.TTL, d.LongestWait), Units: o.Units, Repeat: o.Repeat,
+	return gate.Request{Class: class, Plan: plan, TTL: min(o.TTL, d.LongestWait), Units: o.Units, Repeat: o.Repeat,
 		First: o.First, Spread: o.Spread, Phase: index.Phase(o.Customer)}, nil
 }
 
@@ -217,8 +217,8 @@
 		if o := &c.ops[op]; o.msg != nil && o.over && o.out == 0 {
 			delete(c.ids, o.msg.ID)
 			o.msg.Free()
-			clear(o.flights)
-			*o = operation{flights: o.flights[:0]}
+			clear(o.attempts)
+			*o = request{attempts: o.attempts[:0]}
 			c.free = append(c.free, op)
 		}
 	}
@@ -232,12 +232,12 @@
 		c.tally.sent++
 		c.send(a)
 	case gate.Cancel:
-		c.abandon(c.ops[a.Op].flights[a.Transmission], endLeftUnsent, endLeft)
+		c.abandon(c.ops[a.Op].attempts[a.Attempt], endLeftUnsent, endLeft)
 	case gate.Reject:
 		c.tally.rejected[min(a.Why, gate.Causes-1)]++
 		c.answer(a.Op, http.StatusTooManyRequests, a.RetryAfter, nil)
-	case gate.Scrap:
-		c.tally.scrapped[min(a.Why, gate.Causes-1)]++
+	case gate.Fail:
+		c.tally.failed[min(a.Why, gate.Causes-1)]++
 		c.answer(a.Op, http.StatusBadGateway, 0, nil)
 	case gate.Wake:
 		c.wakeAt = a.At
@@ -257,7 +257,7 @@
 	}
 }
 
-// answer gives an operation its one answer; for an operation that is over it does nothing.
+// answer gives a request its one answer; for a request that is over it does nothing.
 func (c *core) answer(op, status int, retryAfter float64, body []byte) {
 	o := &c.ops[op]
 	if o.over {
@@ -273,11 +273,11 @@
 	go cl.answer(http1.AppendAnswer(pool.Get(), status, retryAfter, body, last), last)
 }
 
-// arrived is an operation whose last byte has come.
+// arrived is a request whose last byte has come.
 type arrived struct {
 	cl *client
-	op *http1.Operation
-	ev gate.Operation
+	op *http1.Request
+	ev gate.Request
 	at float64 // clock of its first byte, ms
 }
 
@@ -297,13 +297,13 @@
 	c.total.Arrived++
 	if len(c.free) == 0 {
 		c.free = append(c.free, len(c.ops))
-		c.ops = append(c.ops, operation{})
+		c.ops = append(c.ops, request{})
 	}
 	last := len(c.free) - 1
 	i := c.free[last]
 	c.free = c.free[:last]
 	o := &c.ops[i]
-	*o = operation{client: n.cl, msg: n.op, came: n.at, until: n.at + n.ev.TTL, contract: c.cfg.Deal.Terms.Profiles[n.ev.Profile].Contract, flights: o.flights[:0]}
+	*o = request{client: n.cl, msg: n.op, came: n.at, until: n.at + n.ev.TTL, contract: c.cfg.Deal.Terms.Classes[n.ev.Class].Contract, attempts: o.attempts[:0]}
 	n.cl.op = i
 	n.ev.Op, n.ev.Customer = i, c.customers.Add(n.op.Customer)
 	n.ev.TTL = max(0, o.until-c.clock.now())
@@ -331,7 +331,7 @@
 }
 
 // crowded says that a client waits for a socket. The client connection idle longest is closed for it, but none
-// idle so briefly that an operation may be on its way there: one that has brought none yet goes first, as those
+// idle so briefly that a request may be on its way there: one that has brought none yet goes first, as those
 // who mean to ask do so at once. Else a backend connection gives way.
 type crowded struct{}
 
@@ -379,7 +379,7 @@
 		c.deaf = true
 		c.listener.SetDeadline(time.Now())
 	}
-	for cl := range c.clients { // a new connection has the linger time to bring its first operation
+	for cl := range c.clients { // a new connection has the linger time to bring its first request
 		if cl.op < 0 && (cl.known || c.now-cl.idleSince > c.cfg.Pace.Linger) {
 			cl.close()
 		}
--- a/frontdoor/core_test.go
+++ b/frontdoor/core_test.go
@@ -25,16 +25,16 @@
 
 func (s scripted) Decide(now float64, events []gate.Event) []gate.Action { return s(now, events) }
 
-// settled is a configuration with one replayable and one tokened profile and one plan.
+// settled is a configuration with one idempotent and one keyed class and one plan.
 func settled() config.Door {
 	return config.Door{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Sockets: 100,
-		Deal: config.Deal{Terms: gate.Terms{Doors: 3, Profiles: []gate.Profile{{}, {Semantics: gate.Tokened}},
-			Plans: make([]gate.Plan, 1)}, Profiles: map[string]int{"look": 0, "book": 1}, Plans: map[string]int{"team": 0},
+		Deal: config.Deal{Terms: gate.Terms{Doors: 3, Classes: []gate.Class{{}, {Semantics: gate.Keyed}},
+			Plans: make([]gate.Plan, 1)}, Classes: map[string]int{"look": 0, "book": 1}, Plans: map[string]int{"team": 0},
 			ConnectTimeout: 250, CounterTimeout: 80, LongestWait: 2000, MostUnits: 8},
 		Pace: config.Pace{SlowInput: 2000, IdleClient: 2000, IdleBackend: 5000, Silence: 3000, DeadCounter: 800, Redial: 20, Linger: 500}}
 }
 
-// owned is a core that no goroutine runs, with one backend and one open operation from a connected client.
+// owned is a core that no goroutine runs, with one backend and one open request from a connected client.
 func owned(t *testing.T) (c *core, client net.Conn) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -45,24 +45,24 @@
 	t.Cleanup(func() { far.Close(); near.Close() })
 	cl := newClient(c, near)
 	opened{cl}.take(c)
-	arrived{cl, &http1.Operation{Method: "GET", Target: "/look?key=1", ID: "x"}, gate.Operation{TTL: 500}, c.now}.take(c)
+	arrived{cl, &http1.Request{Method: "GET", Target: "/look?key=1", ID: "x"}, gate.Request{TTL: 500}, c.now}.take(c)
 	c.pending = nil
 	return c, far
 }
 
-// linked sends the open operation over an idle connection to the backend, whose end is returned.
-func linked(t *testing.T, c *core) (*flight, net.Conn) {
+// linked sends the open request over an idle connection to the backend, whose end is returned.
+func linked(t *testing.T, c *core) (*attempt, net.Conn) {
 	far, near := net.Pipe()
 	t.Cleanup(func() { far.Close(); near.Close() })
 	l := &link{c: c, addr: "127.0.0.1:1", nc: near, cancel: func() {}}
 	c.links[l] = struct{}{}
 	c.backends[0].idle = append(c.backends[0].idle, l)
 	c.send(gate.Send{})
-	return c.ops[0].flights[0], far
+	return c.ops[0].attempts[0], far
 }
 
-// written takes all of a transmission at the backend's end.
-func written(t *testing.T, f *flight, far net.Conn) {
+// written takes all of an attempt at the backend's end.
+func written(t *testing.T, f *attempt, far net.Conn) {
 	for got := []byte{}; !bytes.HasSuffix(got, []byte("\r\n\r\n")); {
 		buf := make([]byte, 4096)
 		n, err := far.Read(buf)
@@ -134,15 +134,15 @@
 
 func TestWhatTheTermsDoNotKnowIsAFault(t *testing.T) {
 	c, _ := owned(t)
-	good := http1.Operation{Method: "POST", Profile: "book", Mark: "m", Plan: "team", Units: 2, Spread: 3, First: 2, TTL: 1e12}
+	good := http1.Request{Method: "POST", Class: "book", Mark: "m", Plan: "team", Units: 2, Spread: 3, First: 2, TTL: 1e12}
 	ev, err := c.word(&good)
 	require.NoError(t, err)
-	assert.Equal(t, gate.Operation{Profile: 1, TTL: 2000, Units: 2, Spread: 3, First: 2}, ev, "no client waits longer")
-	for name, change := range map[string]func(*http1.Operation){
-		"profile": func(o *http1.Operation) { o.Profile = "odd" }, "plan": func(o *http1.Operation) { o.Plan = "odd" },
-		"method": func(o *http1.Operation) { o.Method = "GET" },
-		"mark":   func(o *http1.Operation) { o.Mark = "" }, "first": func(o *http1.Operation) { o.First = 3 },
-		"spread": func(o *http1.Operation) { o.Spread = 4 }, "units": func(o *http1.Operation) { o.Units = 9 },
+	assert.Equal(t, gate.Request{Class: 1, TTL: 2000, Units: 2, Spread: 3, First: 2}, ev, "no client waits longer")
+	for name, change := range map[string]func(*http1.Request){
+		"profile": func(o *http1.Request) { o.Class = "odd" }, "plan": func(o *http1.Request) { o.Plan = "odd" },
+		"method": func(o *http1.Request) { o.Method = "GET" },
+		"mark":   func(o *http1.Request) { o.Mark = "" }, "first": func(o *http1.Request) { o.First = 3 },
+		"spread": func(o *http1.Request) { o.Spread = 4 }, "units": func(o *http1.Request) { o.Units = 9 },
 	} {
 		bad := good
 		change(&bad)
@@ -154,8 +154,8 @@
 func TestTimeLeftCountsFromTheFirstByte(t *testing.T) {
 	c, _ := owned(t)
 	cl := newClient(c, nil)
-	arrived{cl, &http1.Operation{}, gate.Operation{TTL: 500}, c.clock.now() - 200}.take(c)
-	ev := c.pending[0].(gate.Operation)
+	arrived{cl, &http1.Request{}, gate.Request{TTL: 500}, c.clock.now() - 200}.take(c)
+	ev := c.pending[0].(gate.Request)
 	assert.LessOrEqual(t, ev.TTL, 300.0)
 	assert.Greater(t, ev.TTL, 0.0)
 }
@@ -187,8 +187,8 @@
 func TestAWriterThatComesAfterGivingUpWritesNothing(t *testing.T) {
 	c, _ := owned(t)
 	f, far := linked(t, c)
-	other := &flight{op: 0, link: f.link}
-	c.ops[0].flights = append(c.ops[0].flights, other)
+	other := &attempt{op: 0, link: f.link}
+	c.ops[0].attempts = append(c.ops[0].attempts, other)
 	c.ops[0].out++
 	c.abandon(other, endLeftUnsent, endLeft)
 	assert.Equal(t, gate.Skipped, c.pending[0].(gate.Ended).Result)
@@ -211,7 +211,7 @@
 	assert.Len(t, c.pending, 1, "one end each")
 }
 
-func TestATransmissionCutOffNeverRan(t *testing.T) {
+func TestAnAttemptCutOffNeverRan(t *testing.T) {
 	c, _ := owned(t)
 	f, far := linked(t, c)
 	_, err := far.Read(make([]byte, 9))
@@ -224,7 +224,7 @@
 	assert.Equal(t, gate.Unreachable, c.pending[0].(gate.Ended).Result)
 }
 
-func TestAnAnswerBeforeItsTransmissionHasLeftEndsTheConnection(t *testing.T) {
+func TestAnAnswerBeforeItsAttemptHasLeftEndsTheConnection(t *testing.T) {
 	c, _ := owned(t)
 	f, far := linked(t, c)
 	_, err := far.Read(make([]byte, 1)) // the rest is stuck
@@ -298,7 +298,7 @@
 	assert.False(t, c.ops[0].client.shut.Load(), "one that is owed an answer stays")
 }
 
-// A client that sends its next operation before the answer that closes its connection gets no answer for it: run,
+// A client that sends its next request before the answer that closes its connection gets no answer for it: run,
 // it would have its effect unanswered, and a repeat of the client's would have it twice.
 func TestNothingIsTakenBehindAConnectionsLastAnswer(t *testing.T) {
 	c, _ := owned(t)
@@ -318,7 +318,7 @@
 }
 
 // Clients hold so many connections at most. Where each asks once and stays, all were taken within two seconds, and the
-// next operations had none until idle ones were closed.
+// next requests had none until idle ones were closed.
 func TestWithManyClientsAnAnswerIsItsConnectionsLast(t *testing.T) {
 	c, client := owned(t)
 	c.known = c.cfg.Sockets/keptPart + 1
@@ -341,7 +341,7 @@
 	assert.Empty(t, c.pending)
 }
 
-func TestTimeRunsOutForATransmission(t *testing.T) {
+func TestTimeRunsOutForAnAttempt(t *testing.T) {
 	c, _ := owned(t)
 	f, far := linked(t, c)
 	_, err := far.Read(make([]byte, 1))
@@ -405,7 +405,7 @@
 	assert.ErrorIs(t, err, io.EOF)
 }
 
-// A second copy behind an answer must neither be taken for the next one nor cost the next operation anything.
+// A hedge behind an answer must neither be taken for the next one nor cost the next request anything.
 func TestWhatIsBehindAnAnswerRetiresTheConnection(t *testing.T) {
 	c, _ := owned(t)
 	far, near := net.Pipe()
@@ -445,22 +445,22 @@
 		n, err := fresh.Read(req)
 		require.NoError(t, err)
 		assert.Contains(t, string(req[:n]), "X-Txn: x", name)
-		assert.Len(t, c.ops[0].flights, 1, name)
+		assert.Len(t, c.ops[0].attempts, 1, name)
 		assert.Equal(t, 1, c.ops[0].out, name)
 	}
 }
 
-// What was read before an operation was let out is no part of its answer, however late the reader looks at it.
-func TestOnlyWhatComesAfterATransmissionIsItsAnswer(t *testing.T) {
+// What was read before a request was let out is no part of its answer, however late the reader looks at it.
+func TestOnlyWhatComesAfterAnAttemptIsItsAnswer(t *testing.T) {
 	far, near := net.Pipe()
 	l := &link{nc: near}
 	go io.WriteString(far, "x")
 	_, owed, err := l.receive(make([]byte, 9))
 	require.NoError(t, err)
 	assert.False(t, owed)
-	assert.False(t, l.carry(&flight{}), "what the reader has taken is seen no more")
+	assert.False(t, l.carry(&attempt{}), "what the reader has taken is seen no more")
 	l = &link{nc: near}
-	assert.True(t, l.carry(&flight{}))
+	assert.True(t, l.carry(&attempt{}))
 	go io.WriteString(far, "x")
 	_, owed, err = l.receive(make([]byte, 9))
 	require.NoError(t, err)
@@ -469,20 +469,20 @@
 
 func TestAFreshConnectionThatBreaksUnusedIsTheBackendsFault(t *testing.T) {
 	c, _ := owned(t)
-	f := &flight{op: 0, link: &link{c: c, cancel: func() {}}}
+	f := &attempt{op: 0, link: &link{c: c, cancel: func() {}}}
 	f.link.cur = f
-	c.ops[0].flights, c.ops[0].out = append(c.ops[0].flights, f), 1
+	c.ops[0].attempts, c.ops[0].out = append(c.ops[0].attempts, f), 1
 	cut{f.link, endCut}.take(c)
 	assert.Equal(t, gate.Unreachable, c.pending[0].(gate.Ended).Result, "it never ran")
 }
 
-// The id of another's open operation: backends and decisions could not tell the two apart.
+// The id of another's open request: backends and decisions could not tell the two apart.
 func TestAnIdThatIsOpenElsewhereIsNotTaken(t *testing.T) {
 	c, _ := owned(t)
 	far, near := net.Pipe()
 	defer far.Close()
 	cl := newClient(c, near)
-	again := arrived{cl, &http1.Operation{ID: "x"}, gate.Operation{TTL: 500}, c.now}
+	again := arrived{cl, &http1.Request{ID: "x"}, gate.Request{TTL: 500}, c.now}
 	again.take(c)
 	assert.Empty(t, c.pending)
 	assert.Equal(t, http.StatusConflict, heard(t, far).Status)
@@ -508,9 +508,9 @@
 	assert.False(t, c.ops[0].client.shut.Load(), "one that is owed an answer stays")
 }
 
-// The time to bring a first operation counts from the connection's beginning: one that is silent, then half-sent,
+// The time to bring a first request counts from the connection's beginning: one that is silent, then half-sent,
 // would else hold a socket twice as long.
-func TestAFirstOperationsTimeCountsFromItsConnection(t *testing.T) {
+func TestAFirstRequestsTimeCountsFromItsConnection(t *testing.T) {
 	cl := &client{began: 100}
 	assert.Equal(t, 100.0, (&reading{first: 900}).since(cl))
 	assert.Equal(t, 900.0, (&reading{first: 900, brought: true}).since(cl))
--- a/frontdoor/end.go
+++ b/frontdoor/end.go
@@ -2,7 +2,7 @@
 
 import "github.com/swifthall/swifthall/gate"
 
-// end is how a connection's part in a transmission or in a call of the counter came to its end.
+// end is how a connection's part in an attempt or in a call of the counter came to its end.
 type end uint8
 
 const (
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -1,4 +1,4 @@
-// Package frontdoor is a front door on sockets, built around the decisions. A door takes operations from
+// Package frontdoor is a front door on sockets, built around the decisions. A door takes requests from
 // clients, has a gate.Decider decide on them, and carries its actions out; it decides nothing itself.
 //
 // One goroutine, core.run, owns the decider. Each connection has a goroutine that reads, feeds a state machine
@@ -73,7 +73,7 @@
 func (d *Door) Reload(cfg config.Door) { d.core.post(reloaded{cfg.Discovery, cfg.Counter}) }
 
 // Members tells the door which doors of its fleet are here, as far as is known. It may be called at any time, or never: no
-// operation waits for it.
+// request waits for it.
 func (d *Door) Members(e gate.Doors) { d.core.post(present(e)) }
 
 type present gate.Doors
--- a/frontdoor/plan.go
+++ b/frontdoor/plan.go
@@ -10,7 +10,7 @@
 // What goes out by plan: backends that the fleet has agreed to withhold, and the door itself.
 
 // Withhold has the door send nothing new to the backends named, in place of those named before; to the decisions they drain.
-// done is called once the decisions have been told, and must not block. No operation waits for it.
+// done is called once the decisions have been told, and must not block. No request waits for it.
 func (d *Door) Withhold(names []string, done func()) {
 	w := withheld{map[string]bool{}, done}
 	for _, n := range names {
@@ -76,7 +76,7 @@
 	Up       bool // by the list
 	Warm     bool // it has run for as long as the terms let one be cold
 	Started  float64
-	Counts   Counts // of this door's transmissions to it
+	Counts   Counts // of this door's attempts to it
 }
 
 // Told is what a door tells of itself.
--- a/frontdoor/plan_test.go
+++ b/frontdoor/plan_test.go
@@ -61,7 +61,7 @@
 	assert.Equal(t, []bool{false, true, true, false}, taken)
 }
 
-func TestADoorCountsWhatBecameOfItsOperations(t *testing.T) {
+func TestADoorCountsWhatBecameOfItsRequests(t *testing.T) {
 	c, _ := owned(t)
 	c.ops[0].came, c.ops[0].contract = c.clock.now()-40, 100
 	c.answer(0, http.StatusOK, 0, nil)
@@ -72,13 +72,13 @@
 	c.total.answered(http.StatusOK, 101, 100)
 	c.total.answered(http.StatusTooManyRequests, 1, 100)
 	c.total.answered(http.StatusBadGateway, 1, 100)
-	assert.Equal(t, []uint64{2, 1, 1, 1}, []uint64{c.total.Finished, c.total.InTime, c.total.Rejected, c.total.Scrapped})
+	assert.Equal(t, []uint64{2, 1, 1, 1}, []uint64{c.total.Finished, c.total.InTime, c.total.Rejected, c.total.Failed})
 }
 
-func TestADoorCountsTransmissionsByBackend(t *testing.T) {
+func TestADoorCountsAttemptsByBackend(t *testing.T) {
 	var n Counts
 	for _, how := range []gate.Result{gate.Finished, gate.Errored, gate.TimedOut, gate.Full, gate.Skipped, gate.Cancelled} {
 		n.transmitted(how, 30)
 	}
-	assert.Equal(t, Counts{Arrived: 4, Finished: 1, InTime: 1, Rejected: 1, Scrapped: 2, LatencyMs: 30}, n)
+	assert.Equal(t, Counts{Arrived: 4, Finished: 1, InTime: 1, Rejected: 1, Failed: 2, LatencyMs: 30}, n)
 }
--- a/frontdoor/serve_test.go
+++ b/frontdoor/serve_test.go
@@ -38,7 +38,7 @@
 	return ln.Addr().String()
 }
 
-// backendOf answers operations with their body, or "hi", once it may.
+// backendOf answers requests with their body, or "hi", once it may.
 func backendOf(may <-chan struct{}) func(net.Conn) {
 	return func(nc net.Conn) {
 		defer nc.Close()
@@ -70,16 +70,16 @@
 
 func keep(net.Conn) {}
 
-// sends has every operation sent to the first backend, once, and passes on what it hears.
+// sends has every request sent to the first backend, once, and passes on what it hears.
 func sends(heard chan<- gate.Event) scripted {
 	return func(_ float64, events []gate.Event) (out []gate.Action) {
 		for _, e := range events {
 			switch e := e.(type) {
-			case gate.Operation:
+			case gate.Request:
 				out = append(out, gate.Send{Op: e.Op})
 			case gate.Ended:
 				if !e.Over {
-					out = append(out, gate.Scrap{Op: e.Op})
+					out = append(out, gate.Fail{Op: e.Op})
 				}
 			}
 			select {
@@ -146,7 +146,7 @@
 	return may
 }
 
-func TestOperationsGoThroughOneAfterTheOther(t *testing.T) {
+func TestRequestsGoThroughOneAfterTheOther(t *testing.T) {
 	addr, _, _ := serving(t, open(), sends(nil))
 	nc := dialled(t, addr)
 	_, err := io.WriteString(nc, look+strings.Replace(look, "a1", "a2", 1)) // pipelined
@@ -187,7 +187,7 @@
 	assert.True(t, r.in.Begun())
 }
 
-func TestASlowOperationIsGivenUp(t *testing.T) {
+func TestASlowRequestIsGivenUp(t *testing.T) {
 	addr, _, _ := serving(t, open(), sends(nil))
 	status, _ := say(t, dialled(t, addr), look[:20])
 	assert.Equal(t, http.StatusRequestTimeout, status)
@@ -214,7 +214,7 @@
 	nc := dialled(t, addr)
 	_, err := io.WriteString(nc, look)
 	require.NoError(t, err)
-	for _, isOperation := (<-events).(gate.Operation); !isOperation; _, isOperation = (<-events).(gate.Operation) {
+	for _, isRequest := (<-events).(gate.Request); !isRequest; _, isRequest = (<-events).(gate.Request) {
 	}
 	nc.Close()
 	assert.Equal(t, gate.Vanished{Op: 0}, <-events)
@@ -227,7 +227,7 @@
 	say(t, idle, "GET /health/live HTTP/1.1\r\nHost: d\r\n\r\n")
 	_, err := io.WriteString(held, look)
 	require.NoError(t, err)
-	for _, isOperation := (<-events).(gate.Operation); !isOperation; _, isOperation = (<-events).(gate.Operation) {
+	for _, isRequest := (<-events).(gate.Request); !isRequest; _, isRequest = (<-events).(gate.Request) {
 	}
 	stop()
 	late := dialled(t, addr)
@@ -292,8 +292,8 @@
 func TestADoorWatchingAnotherShapeDecidesAsBeforeAndCounts(t *testing.T) {
 	cfg := settled()
 	terms := &cfg.Deal.Terms
-	terms.MaxTransmissions = 1
-	terms.Profiles = []gate.Profile{{Contract: 1000}, {Contract: 1000, Semantics: gate.Tokened}}
+	terms.MaxAttempts = 1
+	terms.Classes = []gate.Class{{Contract: 1000}, {Contract: 1000, Semantics: gate.Keyed}}
 	terms.Plans = []gate.Plan{{Rate: 1e-6, Depth: 3}} // nothing fills up while the test runs
 	other := *terms
 	other.Plans = []gate.Plan{{Rate: 1e-6, Depth: 3, Beyond: 0.3}}
--- a/frontdoor/tally.go
+++ b/frontdoor/tally.go
@@ -14,12 +14,12 @@
 const AccountEvery = 5e3
 
 // tally counts what a door did since its last account, so that the logs of a whole fleet can be added up; the log
-// still never tells single operations.
+// still never tells single requests.
 type tally struct {
-	at                 float64 // clock of the next account, ms; 0 before the first
-	arrived, sent      int
-	rejected, scrapped [gate.Causes]int
-	differs            [gate.Differences]int
+	at               float64 // clock of the next account, ms; 0 before the first
+	arrived, sent    int
+	rejected, failed [gate.Causes]int
+	differs          [gate.Differences]int
 }
 
 // fields is the account as log fields: counts that are 0 are left out.
@@ -29,8 +29,8 @@
 		if n := t.rejected[why]; n > 0 {
 			f[fields.Rejected+why.String()] = n
 		}
-		if n := t.scrapped[why]; n > 0 {
-			f[fields.Scrapped+why.String()] = n
+		if n := t.failed[why]; n > 0 {
+			f[fields.Failed+why.String()] = n
 		}
 	}
 	for kind := range gate.Differences {
@@ -56,8 +56,8 @@
 
 // Counts are what a door has done since it began; they only grow.
 type Counts struct {
-	Arrived, Finished, InTime, Rejected, Scrapped uint64
-	LatencyMs                                     float64 // of all finished, from their first byte, added up
+	Arrived, Finished, InTime, Rejected, Failed uint64
+	LatencyMs                                   float64 // of all finished, from their first byte, added up
 }
 
 // answered counts one final answer.
@@ -72,11 +72,11 @@
 	case http.StatusTooManyRequests:
 		n.Rejected++
 	default:
-		n.Scrapped++
+		n.Failed++
 	}
 }
 
-// transmitted counts one transmission to a backend. What was never sent, or was given up for another, tells nothing of it.
+// transmitted counts one attempt to a backend. What was never sent, or was given up for another, tells nothing of it.
 func (n *Counts) transmitted(how gate.Result, latency float64) {
 	switch how {
 	case gate.Skipped, gate.Cancelled:
@@ -88,7 +88,7 @@
 	case gate.Full:
 		n.Rejected++
 	default:
-		n.Scrapped++
+		n.Failed++
 	}
 	n.Arrived++
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -1,6 +1,6 @@
-// Package gate is the interface between the decision module and whatever carries its operations: the
+// Package gate is the interface between the decision module and whatever carries its requests: the
 // terms a door works under, the events it is told, and the actions it answers with. It knows no wire.
-// Times are milliseconds with fractions; operations, backends, customers, profiles, plans, zones and
+// Times are milliseconds with fractions; requests, backends, customers, classes, plans, zones and
 // cells are small dense indices that the carrier hands out.
 package gate
 
@@ -10,16 +10,16 @@
 	Decide(now float64, events []Event) []Action
 }
 
-// Semantics says how often an operation may run.
+// Semantics says how often a request may run.
 type Semantics uint8
 
 const (
-	Replayable Semantics = iota // may run again
-	Tokened                     // carries a mark by which a group of backends discards a repeat
-	SingleUse                   // must never run twice
+	Idempotent    Semantics = iota // may run again
+	Keyed                          // carries a mark by which a group of backends discards a repeat
+	NonIdempotent                  // must never run twice
 )
 
-// Scope is the group of backends that together discard repeats of a tokened operation.
+// Scope is the group of backends that together discard repeats of a keyed request.
 type Scope uint8
 
 const (
@@ -28,7 +28,7 @@
 	ScopeCell
 )
 
-// Result tells how a transmission, probe or count ended.
+// Result tells how an attempt, probe or count ended.
 type Result uint8
 
 const (
@@ -43,15 +43,15 @@
 	Spoilt                    // answered with what cannot be read; may have run
 )
 
-// NeverRan reports whether the result proves that the operation did not run.
+// NeverRan reports whether the result proves that the request did not run.
 func (r Result) NeverRan() bool { return r == Full || r == Unreachable || r == Skipped }
 
-// Profile is a kind of operation.
-type Profile struct {
+// Class is a kind of request.
+type Class struct {
 	Contract  float64 // answers within this time earn the full gain, ms
 	Semantics Semantics
 	Scope     Scope
-	Window    float64 // how long a tokened repeat is remembered, ms
+	Window    float64 // how long a keyed repeat is remembered, ms
 	LateValue float64 // fraction of the gain earned after the contract time
 	Gain      float64
 }
@@ -60,58 +60,58 @@
 type Plan struct {
 	Rate         float64 // units per ms; 0 means no such quota
 	Depth        float64 // most units the quota's store holds
-	AtOnce       int     // most transmissions out at once; 0 means no such quota
+	AtOnce       int     // most attempts out at once; 0 means no such quota
 	CeilingRate  float64 // units per ms; 0 means no ceiling
 	CeilingDepth float64 // most units the ceiling's store holds
 	Price        float64 // multiplies the gain
-	Beyond       float64 // share of its gain that an operation earns where it is sent beyond the quota
+	Beyond       float64 // share of its gain that a request earns where it is sent beyond the quota
 	OverCost     float64 // share of its gain that sending it beyond the quota costs
 }
 
 // Terms are what a door is told at its start.
 type Terms struct {
-	Doors, Number    int
-	Profiles         []Profile
-	Plans            []Plan
-	MaxTransmissions int
-	SecondCopies     bool    // two transmissions of one operation may be out together
-	MayCancel        bool    // Cancel is allowed
-	MaxRetryAfter    float64 // longest advice a client follows, ms; 0 where none may be given
-	MeterPeriod      float64 // period over which the meter totals use, ms; 0 means no meter
-	Counter          bool    // a shared counter may be called
-	MustAsk          bool    // changes of the fleet list come only after Track
-	ColdFrom         float64 // a backend starts with this share of its capacity or more
-	ColdFor          float64 // and is warm no later than this, ms
-	FallMultiple     float64 // sent more than this multiple of its present capacity
-	FallWindow       float64 // for this long, a cold backend falls over, ms
+	Doors, Number int
+	Classes       []Class
+	Plans         []Plan
+	MaxAttempts   int
+	Hedging       bool    // two attempts of one request may be out together
+	MayCancel     bool    // Cancel is allowed
+	MaxRetryAfter float64 // longest advice a client follows, ms; 0 where none may be given
+	MeterPeriod   float64 // period over which the meter totals use, ms; 0 means no meter
+	Counter       bool    // a shared counter may be called
+	MustAsk       bool    // changes of the fleet list come only after Track
+	ColdFrom      float64 // a backend starts with this share of its capacity or more
+	ColdFor       float64 // and is warm no later than this, ms
+	FallMultiple  float64 // sent more than this multiple of its present capacity
+	FallWindow    float64 // for this long, a cold backend falls over, ms
 }
 
 // Event is one of the event types below.
 type Event any
 
-// Operation arrives; it is owed exactly one final answer within TTL.
-type Operation struct {
-	Op, Profile, Plan, Customer int
-	TTL                         float64 // ms
-	Units                       float64 // drawn from the customer's quota
-	Repeat                      bool    // a client's repeat, where clients mark it
-	First, Spread               int     // doors through which the customer's operations come: Spread from First on
-	Phase                       float64 // of the customer's own, from 0 to 1, the same at every door
+// Request arrives; it is owed exactly one final answer within TTL.
+type Request struct {
+	Op, Class, Plan, Customer int
+	TTL                       float64 // ms
+	Units                     float64 // drawn from the customer's quota
+	Repeat                    bool    // a client's repeat, where clients mark it
+	First, Spread             int     // doors through which the customer's requests come: Spread from First on
+	Phase                     float64 // of the customer's own, from 0 to 1, the same at every door
 }
 
-// Ended reports how one transmission ended.
+// Ended reports how one attempt ended.
 type Ended struct {
-	Op, Transmission, Backend int
-	Result                    Result
-	Latency                   float64 // ms
-	Over                      bool    // the operation has its final answer
-	Use                       float64 // metered use as a share of the rate; negative when not told
-	Units                     float64 // true units, where the operation's were a guess; 0 when not told
-	Queue                     float64 // operations waiting, as the backend reported; negative when not told
+	Op, Attempt, Backend int
+	Result               Result
+	Latency              float64 // ms
+	Over                 bool    // the request has its final answer
+	Use                  float64 // metered use as a share of the rate; negative when not told
+	Units                float64 // true units, where the request's were a guess; 0 when not told
+	Queue                float64 // requests waiting, as the backend reported; negative when not told
 }
 
 // Streaming reports that the answer has begun and belongs to the client from here on.
-type Streaming struct{ Op, Transmission int }
+type Streaming struct{ Op, Attempt int }
 
 // Vanished reports that the client left; nothing is owed any more.
 type Vanished struct{ Op int }
@@ -168,16 +168,16 @@
 // Action is one of the action types below.
 type Action any
 
-// Send starts a transmission; they are numbered from 0 for each operation.
+// Send starts an attempt; they are numbered from 0 for each request.
 type Send struct {
 	Op, Backend int
 	Cap         float64 // time-out, ms; 0 means until the client gives up
 }
 
-// Cancel stops waiting for one transmission.
-type Cancel struct{ Op, Transmission int }
+// Cancel stops waiting for one attempt.
+type Cancel struct{ Op, Attempt int }
 
-// Cause says why an operation is given up. It is for accounts alone: carriers count it and act alike whatever it is.
+// Cause says why a request is given up. It is for accounts alone: carriers count it and act alike whatever it is.
 type Cause uint8
 
 const (
@@ -189,7 +189,7 @@
 	Nowhere         // no backend on the list may have it
 	TimeUp          // its client's wait is nearly over
 	Late            // it can no longer come in its contract time, on a pressed fleet
-	Failed          // its transmissions failed, and it may have no more
+	Failed          // its attempts failed, and it may have no more
 	Causes          // how many there are
 )
 
@@ -205,8 +205,8 @@
 	Why        Cause
 }
 
-// Scrap is a final answer that promises nothing.
-type Scrap struct {
+// Fail is a final answer that promises nothing.
+type Fail struct {
 	Op  int
 	Why Cause
 }
@@ -240,7 +240,7 @@
 	SentBeyond  Difference = iota // rejected beyond its quota; it would have been sent
 	NotCounted                    // the counter was called; it would not have been
 	OtherAdvice                   // rejected with a time to come back; it would have had another, or none
-	NoCopy                        // a second copy went out; none would have
+	NoCopy                        // a hedge went out; none would have
 	NoFurther                     // held to be sent once more; it would have been given up
 	Differences                   // how many there are
 )
--- a/internal/doorfleet/plans.go
+++ b/internal/doorfleet/plans.go
@@ -35,7 +35,7 @@
 	CameBack  = "back"
 )
 
-// plans carries out what the fleet agrees on: the driver of a permits.Keeper. No operation waits for it.
+// plans carries out what the fleet agrees on: the driver of a permits.Keeper. No request waits for it.
 type plans struct {
 	door    *frontdoor.Door
 	client  *client.Client
@@ -228,7 +228,7 @@
 }
 
 func counted(n frontdoor.Counts) release.Counts {
-	return release.Counts{Arrived: n.Arrived, InTime: n.InTime, Finished: n.Finished, Rejected: n.Rejected, Scrapped: n.Scrapped, LatencyMs: n.LatencyMs}
+	return release.Counts{Arrived: n.Arrived, InTime: n.InTime, Finished: n.Finished, Rejected: n.Rejected, Failed: n.Failed, LatencyMs: n.LatencyMs}
 }
 
 // resident is the memory that this process holds, MB; 0 where that can't be told.
--- a/internal/fields/fields.go
+++ b/internal/fields/fields.go
@@ -10,10 +10,10 @@
 
 // Fields of a door's account, written every few seconds: counts since the account before.
 const (
-	Arrived  = "arrived"   // operations that came in
-	Sent     = "sent"      // transmissions started
-	Rejected = "rejected_" // followed by the cause: operations rejected for it
-	Scrapped = "scrapped_" // followed by the cause: operations scrapped for it
+	Arrived  = "arrived"   // requests that came in
+	Sent     = "sent"      // attempts started
+	Rejected = "rejected_" // followed by the cause: requests rejected for it
+	Failed   = "scrapped_" // followed by the cause: requests failed for it
 	Differs  = "differs_"  // followed by the kind: decisions that the settings under watch would have taken otherwise
 )
 
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -40,7 +40,7 @@
 	readyFD    = 4
 
 	readyFor  = 20 * time.Second       // in which a process must be able to serve: discovery may take some seconds
-	leaveFor  = 30 * time.Second       // in which one must have left; over the longest operation
+	leaveFor  = 30 * time.Second       // in which one must have left; over the longest request
 	probation = 60 * time.Second       // after a change, in which a process that ends by itself is the change's fault
 	againRest = 200 * time.Millisecond // before a process that ended by itself is started again
 	againMost = 5 * time.Second        // rest at most: it grows while it ends again and again
--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -10,7 +10,7 @@
 
 const (
 	mostUse   = 1e6 // percent; a figure past it was not measured
-	mostQueue = 1e6 // operations; likewise
+	mostQueue = 1e6 // requests; likewise
 )
 
 // Answer is what a backend says.
@@ -18,7 +18,7 @@
 	Status     int
 	TurnedAway bool    // unseen
 	Use        float64 // the customer's metered use as a share of its rate; negative where not told
-	Queue      float64 // operations that wait at the backend, by its load report; negative where not told
+	Queue      float64 // requests that wait at the backend, by its load report; negative where not told
 	Body       []byte
 	Last       bool // the connection is of no more use
 }
@@ -87,8 +87,8 @@
 	return -1
 }
 
-// AppendTransmission appends an operation as a backend is sent it; left is how long the door waits, in ms.
-func AppendTransmission(dst []byte, o *Operation, host string, left float64) []byte {
+// AppendAttempt appends a request as a backend is sent it; left is how long the door waits, in ms.
+func AppendAttempt(dst []byte, o *Request, host string, left float64) []byte {
 	dst = append(append(append(dst, o.Method...), ' '), o.Target...)
 	dst = append(append(dst, " HTTP/1.1\r\nHost: "...), host...)
 	dst = append(append(dst, "\r\nX-Txn: "...), o.ID...)
--- a/internal/http1/fuzz_test.go
+++ b/internal/http1/fuzz_test.go
@@ -38,11 +38,11 @@
 	return is
 }
 
-func FuzzOperations(f *testing.F) {
+func FuzzRequests(f *testing.F) {
 	f.Add([]byte(asked))
 	f.Add([]byte("GET /look?key=1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nhe\r\n0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, p []byte) {
-		var whole, bytewise Operations
+		var whole, bytewise Requests
 		defer whole.Drop()
 		defer bytewise.Drop()
 		if !fedAlike(t, &whole, &bytewise, p) {
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -1,5 +1,5 @@
-// Package http1 reads and writes HTTP/1.1 as the platform's protocol has it: operations from clients,
-// transmissions to backends. Its machines are fed bytes and know no socket.
+// Package http1 reads and writes HTTP/1.1 as the platform's protocol has it: requests from clients,
+// attempts to backends. Its machines are fed bytes and know no socket.
 package http1
 
 import (
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -15,12 +15,12 @@
 	"X-Tariff: team\r\nX-Remaining: 480m\r\nIdempotency-Key: 5c0f6e1a\r\nX-Resent: 1\r\nContent-Length: 5\r\n" +
 	"X-Weight: units=2,spread=3,first=1\r\n\r\nhello"
 
-func TestAnOperationIsReadHoweverItsBytesCome(t *testing.T) {
-	want := Operation{Method: "POST", Target: "/checkout/now?key=00000000b4d65521", ID: "9b1f03aa5c7e2d41",
-		Mark: "5c0f6e1a", Path: "/checkout/now", Profile: "checkout", Plan: "team", Customer: 0xb4d65521, TTL: 480,
+func TestARequestIsReadHoweverItsBytesCome(t *testing.T) {
+	want := Request{Method: "POST", Target: "/checkout/now?key=00000000b4d65521", ID: "9b1f03aa5c7e2d41",
+		Mark: "5c0f6e1a", Path: "/checkout/now", Class: "checkout", Plan: "team", Customer: 0xb4d65521, TTL: 480,
 		Units: 2, Spread: 3, First: 1, Repeat: true, Body: []byte("hello")}
 	for _, step := range []int{1, 7, len(asked)} {
-		var r Operations
+		var r Requests
 		for p := asked; p != ""; {
 			n := min(step, len(p))
 			used, whole, err := r.Feed([]byte(p[:n]))
@@ -35,8 +35,8 @@
 	}
 }
 
-func TestWhatFollowsAnOperationIsLeft(t *testing.T) {
-	var r Operations
+func TestWhatFollowsARequestIsLeft(t *testing.T) {
+	var r Requests
 	used, whole, err := r.Feed([]byte("\r\n" + asked + asked))
 	require.NoError(t, err)
 	assert.True(t, whole)
@@ -44,7 +44,7 @@
 }
 
 func TestChunkedBodiesAreJoined(t *testing.T) {
-	var r Operations
+	var r Requests
 	head := strings.Replace(asked[:strings.Index(asked, "hello")], "Content-Length: 5", "Transfer-Encoding: chunked", 1)
 	for i, c := range []byte(head + "2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nA: b\r\n\r\n") {
 		_, whole, err := r.Feed([]byte{c})
@@ -59,7 +59,7 @@
 	assert.Fail(t, "never whole")
 }
 
-func TestWhatIsNoOperationHasItsStatus(t *testing.T) {
+func TestWhatIsNoRequestHasItsStatus(t *testing.T) {
 	swap := func(from, to string) string { return strings.Replace(asked, from, to, 1) }
 	for name, c := range map[string]struct {
 		input string
@@ -96,7 +96,7 @@
 		"other target":  {swap("/checkout", "http://x/checkout"), 400},
 		"units":         {swap("units=2", "units=-2"), 400},
 	} {
-		var r Operations
+		var r Requests
 		_, whole, err := r.Feed([]byte(c.input))
 		if err == nil {
 			require.True(t, whole, name)
@@ -114,13 +114,13 @@
 	assert.Equal(t, 1.5, ms)
 }
 
-func TestATransmissionPassesWhatTheClientSent(t *testing.T) {
-	o := Operation{Method: "POST", Target: "/checkout?key=1", ID: "abc", Mark: "m", Body: []byte("hello")}
+func TestAnAttemptPassesWhatTheClientSent(t *testing.T) {
+	o := Request{Method: "POST", Target: "/checkout?key=1", ID: "abc", Mark: "m", Body: []byte("hello")}
 	assert.Equal(t, "POST /checkout?key=1 HTTP/1.1\r\nHost: b:1\r\nX-Txn: abc\r\nIdempotency-Key: m\r\nX-Remaining: 120m\r\n"+
-		"Content-Length: 5\r\n\r\nhello", string(AppendTransmission(nil, &o, "b:1", 120.9)))
-	o = Operation{Method: "GET", Target: "/look?key=1", ID: "abc"}
+		"Content-Length: 5\r\n\r\nhello", string(AppendAttempt(nil, &o, "b:1", 120.9)))
+	o = Request{Method: "GET", Target: "/look?key=1", ID: "abc"}
 	assert.Equal(t, "GET /look?key=1 HTTP/1.1\r\nHost: b:1\r\nX-Txn: abc\r\nX-Remaining: 0m\r\n\r\n",
-		string(AppendTransmission(nil, &o, "b:1", -3)))
+		string(AppendAttempt(nil, &o, "b:1", -3)))
 }
 
 func TestAnswersOfAllFramingsAreRead(t *testing.T) {
@@ -150,7 +150,7 @@
 	}
 }
 
-// Two readers must never take one head apart in different ways: a client would hide an operation behind another,
+// Two readers must never take one head apart in different ways: a client would hide a request behind another,
 // a backend's surplus would become the next client's answer.
 func TestHeadsThatCanBeReadInTwoWaysAreNotRead(t *testing.T) {
 	for name, extra := range map[string]string{
@@ -166,7 +166,7 @@
 		"two hosts":      "Host: other\r\nContent-Length: 5\r\n",
 	} {
 		head := strings.Replace(asked, "Content-Length: 5\r\n", extra, 1)
-		_, whole, err := new(Operations).Feed([]byte(head + asked))
+		_, whole, err := new(Requests).Feed([]byte(head + asked))
 		var f *Fault
 		require.True(t, errors.As(err, &f), name)
 		assert.False(t, whole, name)
@@ -175,7 +175,7 @@
 		assert.Error(t, err, name)
 	}
 	old := strings.Replace(strings.Replace(asked, "Content-Length: 5", "Transfer-Encoding: chunked", 1), "HTTP/1.1", "HTTP/1.0", 1)
-	_, _, err := new(Operations).Feed([]byte(old))
+	_, _, err := new(Requests).Feed([]byte(old))
 	assert.Error(t, err, "net/http passes over a coding of HTTP/1.0")
 }
 
@@ -192,7 +192,7 @@
 
 // A length alone takes no room: hundreds of clients that announce a body and bring none would fill a small door.
 func TestRoomGrowsWithWhatComes(t *testing.T) {
-	var r Operations
+	var r Requests
 	head, _, _ := strings.Cut(strings.Replace(asked, "Length: 5", "Length: 65536", 1), "hello")
 	_, _, err := r.Feed([]byte(head + "x"))
 	require.NoError(t, err)
--- a/internal/http1/operation.go
+++ b/internal/http1/request.go
@@ -19,12 +19,12 @@
 	LivePath  = "/health/live"
 )
 
-// Operation is what a client asks, as it came.
-type Operation struct {
+// Request is what a client asks, as it came.
+type Request struct {
 	Method, Target string
 	ID, Mark       string // the client's id, and the mark by which repeats are discarded
 	Path           string // without the query
-	Profile        string // first part of the path
+	Class          string // first part of the path
 	Plan           string
 	Customer       uint64
 	TTL            float64 // ms from the client's sending
@@ -36,12 +36,12 @@
 }
 
 // Free gives the body's buffer back.
-func (o *Operation) Free() {
+func (o *Request) Free() {
 	pool.Put(o.Body)
 	o.Body = nil
 }
 
-// Fault is input that cannot be taken as an operation; Status is the answer.
+// Fault is input that cannot be taken as a request; Status is the answer.
 type Fault struct {
 	Status int
 	Text   string
@@ -57,14 +57,14 @@
 
 func fault(status int, text string) *Fault { return &Fault{status, text} }
 
-// Operations reads what one client connection brings. After a Fault from Feed the connection is of no more use.
-type Operations struct {
+// Requests reads what one client connection brings. After a Fault from Feed the connection is of no more use.
+type Requests struct {
 	msg message
 	req *http.Request
 }
 
-// Feed takes bytes up to the end of one operation, and tells whether Take has it.
-func (r *Operations) Feed(p []byte) (used int, whole bool, err error) {
+// Feed takes bytes up to the end of one request, and tells whether Take has it.
+func (r *Requests) Feed(p []byte) (used int, whole bool, err error) {
 	used, whole, err = r.msg.feed(p, r.begin)
 	var known *Fault
 	switch {
@@ -79,7 +79,7 @@
 	return used, whole, err
 }
 
-func (r *Operations) begin(raw []byte) (length int64, isChunked bool, err error) {
+func (r *Requests) begin(raw []byte) (length int64, isChunked bool, err error) {
 	if r.req, err = readRequest(raw); err != nil {
 		return 0, false, err
 	}
@@ -94,17 +94,17 @@
 	return r.req.ContentLength, len(r.req.TransferEncoding) > 0, nil
 }
 
-// Begun tells whether part of an operation has come.
-func (r *Operations) Begun() bool { return r.msg.begun() }
+// Begun tells whether part of a request has come.
+func (r *Requests) Begun() bool { return r.msg.begun() }
 
-// Drop gives back what an unfinished operation holds.
-func (r *Operations) Drop() { r.msg.drop() }
+// Drop gives back what an unfinished request holds.
+func (r *Requests) Drop() { r.msg.drop() }
 
-// Take returns the operation that Feed found whole. One that the protocol does not word so comes with a Fault,
+// Take returns the request that Feed found whole. One that the protocol does not word so comes with a Fault,
 // after which the connection may go on.
-func (r *Operations) Take() (*Operation, error) {
+func (r *Requests) Take() (*Request, error) {
 	req := r.req
-	o := &Operation{Method: req.Method, Target: req.RequestURI, Path: req.URL.Path, Last: req.Close,
+	o := &Request{Method: req.Method, Target: req.RequestURI, Path: req.URL.Path, Last: req.Close,
 		Body: r.msg.take()}
 	if o.Path == ReadyPath || o.Path == LivePath {
 		return o, nil
@@ -119,7 +119,7 @@
 // once are the headers that are read: told twice, a backend could go by the other.
 var once = []string{"X-Txn", "Idempotency-Key", "X-Tariff", "X-Resent", "X-Remaining", "X-Weight"}
 
-func (o *Operation) read(req *http.Request) error {
+func (o *Request) read(req *http.Request) error {
 	h := req.Header
 	for _, name := range once {
 		if len(h[name]) > 1 {
@@ -128,8 +128,8 @@
 	}
 	o.ID, o.Mark, o.Plan = h.Get("X-Txn"), h.Get("Idempotency-Key"), h.Get("X-Tariff")
 	o.Repeat = h.Get("X-Resent") == "1"
-	o.Profile, _, _ = strings.Cut(strings.TrimPrefix(o.Path, "/"), "/")
-	if !plain(o.Target) || !strings.HasPrefix(o.Target, "/"+o.Profile) {
+	o.Class, _, _ = strings.Cut(strings.TrimPrefix(o.Path, "/"), "/")
+	if !plain(o.Target) || !strings.HasPrefix(o.Target, "/"+o.Class) {
 		return fault(http.StatusBadRequest, "target")
 	}
 	if !plain(o.ID) || o.ID == "" {
@@ -184,7 +184,7 @@
 	return 0, errForm
 }
 
-func (o *Operation) readWeight(s string) (err error) {
+func (o *Request) readWeight(s string) (err error) {
 	seen := 0
 	for s != "" {
 		var part string
--- a/internal/wire/door.go
+++ b/internal/wire/door.go
@@ -15,10 +15,10 @@
 	pending                                []gate.Event
 	deal                                   config.Deal
 	ops, backends, customers, zones, cells index.Table[string]
-	out                                    []int  // transmissions outstanding, by operation
-	over                                   []bool // final answer known, by operation
+	out                                    []int  // attempts outstanding, by request
+	over                                   []bool // final answer known, by request
 	counts                                 map[uint64]*counting
-	closing                                []int // operations that may be droppable at the end of the batch
+	closing                                []int // requests that may be droppable at the end of the batch
 }
 
 func newDoor(deal config.Deal) *door {
@@ -27,7 +27,7 @@
 		counts: map[uint64]*counting{}}
 }
 
-// endBatch frees the indices of operations that are over with nothing outstanding.
+// endBatch frees the indices of requests that are over with nothing outstanding.
 func (d *door) endBatch() {
 	d.pending = d.pending[:0]
 	for _, op := range d.closing {
@@ -76,7 +76,7 @@
 	return i
 }
 
-// op finds an operation; known is false for one already dropped.
+// op finds a request; known is false for one already dropped.
 func (d *door) op(f *fields) (i int, known bool) {
 	i, known = d.ops.Find(need[string](f, "op_id"))
 	return i, known
@@ -114,9 +114,9 @@
 
 func (d *door) submit(f *fields) gate.Event {
 	id := need[string](f, "op_id")
-	ev := gate.Operation{TTL: need[float64](f, "ttl") * msPerSecond, Units: need[float64](f, "cost_units"),
+	ev := gate.Request{TTL: need[float64](f, "ttl") * msPerSecond, Units: need[float64](f, "cost_units"),
 		Repeat: maybe[int](f, "marks")&markRepeat != 0, First: maybe[int](f, "first_door"), Spread: need[int](f, "spread"),
-		Profile: choice(f, "kind", d.deal.Profiles), Plan: choice(f, "tier", d.deal.Plans)}
+		Class: choice(f, "kind", d.deal.Classes), Plan: choice(f, "tier", d.deal.Plans)}
 	customer := need[string](f, "customer")
 	if f.fault != nil {
 		return nil
@@ -132,7 +132,7 @@
 
 func (d *door) done(f *fields) gate.Event {
 	op, known := d.op(f)
-	ev := gate.Ended{Op: op, Transmission: need[int](f, "send_no"), Backend: d.backend(f),
+	ev := gate.Ended{Op: op, Attempt: need[int](f, "send_no"), Backend: d.backend(f),
 		Result: choice(f, "outcome", results), Latency: need[float64](f, "latency") * msPerSecond,
 		Over: maybe[bool](f, "over"), Use: (maybe[float64](f, "fleet_use") - 1) / 100,
 		Units: maybe[float64](f, "final_units")}
@@ -197,7 +197,7 @@
 
 func (d *door) streaming(f *fields) gate.Event {
 	op, known := d.op(f)
-	ev := gate.Streaming{Op: op, Transmission: need[int](f, "send_no")}
+	ev := gate.Streaming{Op: op, Attempt: need[int](f, "send_no")}
 	if !known {
 		return nil
 	}
@@ -224,7 +224,7 @@
 		}
 		return map[string]any{"SUBMIT_TO": body}
 	case gate.Cancel:
-		return map[string]any{"ABANDON": map[string]any{"op_id": d.ops.ID(a.Op), "send_no": a.Transmission}}
+		return map[string]any{"ABANDON": map[string]any{"op_id": d.ops.ID(a.Op), "send_no": a.Attempt}}
 	case gate.Reject:
 		d.end(a.Op)
 		body := map[string]any{"op_id": d.ops.ID(a.Op)}
@@ -232,7 +232,7 @@
 			body["not_before_for"] = a.RetryAfter / msPerSecond
 		}
 		return map[string]any{"REFUSE": body}
-	case gate.Scrap:
+	case gate.Fail:
 		d.end(a.Op)
 		return map[string]any{"LOSE": map[string]any{"op_id": d.ops.ID(a.Op)}}
 	case gate.Wake:
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -48,10 +48,10 @@
 	}, batch(born, listed, submit))
 	require.NoError(t, err)
 	require.Len(t, got, 2)
-	op := got[1].(gate.Operation)
+	op := got[1].(gate.Request)
 	assert.True(t, op.Phase > 0 && op.Phase < 1, "of the customer's own")
 	op.Phase = 0
-	assert.Equal(t, gate.Operation{TTL: 240, Units: 2, Spread: 2}, op)
+	assert.Equal(t, gate.Request{TTL: 240, Units: 2, Spread: 2}, op)
 	assert.JSONEq(t, `{"parts":[{"door_id":3,"out":[{"SUBMIT_TO":{"op_id":"x","backend":"10.0.0.1:80",`+
 		`"cap":0.08}},{"SCHEDULE":{"when":9,"cookie":0}},{"REFUSE":{"op_id":"x","not_before_for":0.25}}]}]}`, out)
 }
@@ -73,8 +73,8 @@
 	vanished := `{"VANISHED":{"op_id":"x"}}`
 	_, _, err := serve(func(_ float64, events []gate.Event) []gate.Action {
 		got = append([]gate.Event(nil), events...)
-		if _, arrived := got[len(got)-1].(gate.Operation); arrived {
-			return []gate.Action{gate.Send{}, gate.Scrap{}}
+		if _, arrived := got[len(got)-1].(gate.Request); arrived {
+			return []gate.Action{gate.Send{}, gate.Fail{}}
 		}
 		return nil
 	}, batch(born, listed, submit)+batch(done)+batch(vanished, `{"BELL":{"cookie":0}}`))
--- a/lab/account/account.go
+++ b/lab/account/account.go
@@ -35,7 +35,8 @@
 	// Rejected with room, of all tries, window by window: the quota as it truly stood was half unused.
 	WithRoom []float64 `json:"rejected_with_room_by_10_s"`
 	// For each first try: what doors did more than serve.
-	Connections, Calls, Probes, Transmissions float64
+	Connections, Calls, Probes float64
+	Attempts                   float64 `json:"Transmissions"` // results written before keep their key
 }
 
 const (
@@ -63,7 +64,7 @@
 type want struct {
 	at, gain float64
 	inside   bool
-	profile  int
+	class    int
 	last     string // part that its latest try ended in
 	door     int
 }
@@ -193,7 +194,7 @@
 func (b *Book) ask(e *trace.Event) {
 	b.sums.first++
 	p := &b.deal.Plans[e.Plan]
-	w := &want{at: e.At, gain: b.deal.Profiles[e.Profile].Gain * p.Price * e.Units, profile: e.Profile, door: -1}
+	w := &want{at: e.At, gain: b.deal.Classes[e.Class].Gain * p.Price * e.Units, class: e.Class, door: -1}
 	b.wants[e.Want] = w
 	s := b.ideal[e.Customer]
 	if s == nil {
@@ -258,7 +259,7 @@
 	if w == nil || e.Answer != trace.Finished {
 		return
 	}
-	if p := &b.deal.Profiles[w.profile]; w.inside && e.At-w.at > p.Contract {
+	if p := &b.deal.Classes[w.class]; w.inside && e.At-w.at > p.Contract {
 		b.lose("late", w.gain*(1-p.LateValue), w.at, e.At, w.door)
 	}
 	delete(b.wants, e.Want)
@@ -272,7 +273,7 @@
 	}
 	each := 1 / max(1, float64(b.sums.first))
 	a.Connections, a.Calls = float64(b.sums.conns)*each, float64(b.sums.calls)*each
-	a.Probes, a.Transmissions = float64(b.sums.probes)*each, float64(b.sums.sent)*each
+	a.Probes, a.Attempts = float64(b.sums.probes)*each, float64(b.sums.sent)*each
 	for name, t := range b.parts {
 		n := float64(t.count)
 		p := Part{Name: name, Gain: t.gain, Share: t.gain / max(1e-9, a.Offered), Count: t.count, Doors: len(t.doors), Age: t.age / n / 1000,
@@ -327,5 +328,5 @@
 	}
 	fmt.Fprintf(t, "rejected with room, of all tries, by 10 s:%s\n", by)
 	fmt.Fprintf(t, "for each first try: connections %.3f, counter calls %.3f, probes %.3f, transmissions %.3f\n", a.Connections, a.Calls, a.Probes,
-		a.Transmissions)
+		a.Attempts)
 }
--- a/lab/account/account_test.go
+++ b/lab/account/account_test.go
@@ -13,7 +13,7 @@
 )
 
 func TestEachLossIsBookedOnceUnderItsCause(t *testing.T) {
-	b := NewBook(&judge.Deal{Profiles: []gate.Profile{{Contract: 500, Gain: 2, LateValue: 0.25}}, Plans: []gate.Plan{{Rate: 0.001, Depth: 4, Price: 1}},
+	b := NewBook(&judge.Deal{Classes: []gate.Class{{Contract: 500, Gain: 2, LateValue: 0.25}}, Plans: []gate.Plan{{Rate: 0.001, Depth: 4, Price: 1}},
 		OverCost: []float64{1.5}})
 	take := func(e trace.Event) { b.Take(&e) }
 	take(trace.Event{Kind: trace.Started, Door: 0})
@@ -57,7 +57,7 @@
 }
 
 func TestADoorThatDiesLosesWhatItHolds(t *testing.T) {
-	b := NewBook(&judge.Deal{Profiles: []gate.Profile{{Contract: 500, Gain: 1}}, Plans: []gate.Plan{{Rate: 1, Depth: 4, Price: 1}}, OverCost: []float64{1}})
+	b := NewBook(&judge.Deal{Classes: []gate.Class{{Contract: 500, Gain: 1}}, Plans: []gate.Plan{{Rate: 1, Depth: 4, Price: 1}}, OverCost: []float64{1}})
 	for _, e := range []trace.Event{{Kind: trace.Started, Door: 3}, {Kind: trace.Asked, Want: 1, Units: 1}, {Kind: trace.Taken, Want: 1, Try: 1, Door: 3, Units: 1},
 		{Kind: trace.Died, At: 10, Door: 3}, {Kind: trace.GaveUp, At: 20, Want: 1}} {
 		b.Take(&e)
--- a/lab/command/command.go
+++ b/lab/command/command.go
@@ -139,8 +139,8 @@
 			r.Score.Textbook, r.Score.Oracle)
 	}
 	fmt.Fprintf(t, "G\t%.3f\t(whole %.3f, worst 10 s %.3f from %d s, worst profile %.3f, worst plan %.3f, prices %.3f)\n", r.Parts.G,
-		r.Parts.Whole, r.Parts.WorstWindow, r.Parts.WorstAt, r.Parts.WorstProfile, r.Parts.WorstPlan, r.Parts.Prices)
-	for _, p := range r.Profiles {
+		r.Parts.Whole, r.Parts.WorstWindow, r.Parts.WorstAt, r.Parts.WorstClass, r.Parts.WorstPlan, r.Parts.Prices)
+	for _, p := range r.Classes {
 		fmt.Fprintf(t, "%s\t%d asked\t%d in time, p50 %.0f ms, p99 %.0f ms\n", p.Name, p.Asked, p.InTime, p.Latency.P50, p.Latency.P99)
 	}
 	if r.Kept() {
--- a/lab/judge/rules.go
+++ b/lab/judge/rules.go
@@ -14,7 +14,7 @@
 type Rule string
 
 const (
-	NoneLost    Rule = "none-lost"    // each operation taken gets one final answer in time, and nothing is sent after it
+	NoneLost    Rule = "none-lost"    // each request taken gets one final answer in time, and nothing is sent after it
 	NoneTwice   Rule = "none-twice"   // no effect is risked twice
 	DrainsKept  Rule = "drains-kept"  // nothing new goes to a backend known to drain or to be gone
 	ColdSpared  Rule = "cold-spared"  // a cold backend is not pushed over
@@ -34,21 +34,21 @@
 
 // Deal is what the checkers and the service need to know of a day.
 type Deal struct {
-	Profiles         []gate.Profile
-	Plans            []gate.Plan
-	OverCost         []float64 // by plan
-	CeilingSlack     []float64 // by plan, units
-	MaxTransmissions int
-	SecondCopies     bool
-	AnswerSlack      float64 // ms
-	DrainGrace       float64 // ms
-	FallMultiple     float64
-	FallWindow       float64 // ms
-	Slack            float64 // ms by which every limit of time is longer, as on sockets
-	CeilingSlackMs   float64 // of the ceiling's rate, by which its slack is wider, as on sockets
-	Seconds          float64
-	Goal             Goal
-	Prices           Prices
+	Classes        []gate.Class
+	Plans          []gate.Plan
+	OverCost       []float64 // by plan
+	CeilingSlack   []float64 // by plan, units
+	MaxAttempts    int
+	Hedging        bool
+	AnswerSlack    float64 // ms
+	DrainGrace     float64 // ms
+	FallMultiple   float64
+	FallWindow     float64 // ms
+	Slack          float64 // ms by which every limit of time is longer, as on sockets
+	CeilingSlackMs float64 // of the ceiling's rate, by which its slack is wider, as on sockets
+	Seconds        float64
+	Goal           Goal
+	Prices         Prices
 }
 
 const mostBreaches = 20 // of a rule that are kept; the rest is counted
@@ -77,9 +77,9 @@
 
 // try is an open try: what was sent for it.
 type try struct {
-	door, customer, plan, profile int
-	units, until                  float64
-	sends                         []sending
+	door, customer, plan, class int
+	units, until                float64
+	sends                       []sending
 }
 
 type sending struct {
@@ -126,7 +126,7 @@
 	switch e.Kind {
 	case trace.Taken:
 		t := r.fresh()
-		t.door, t.customer, t.plan, t.profile, t.units, t.until = e.Door, e.Customer, e.Plan, e.Profile, e.Units, e.Until
+		t.door, t.customer, t.plan, t.class, t.units, t.until = e.Door, e.Customer, e.Plan, e.Class, e.Units, e.Until
 		if r.tries[e.Try] != nil {
 			r.breach(NoneLost, e, "try %d taken twice", e.Try)
 		}
@@ -221,7 +221,7 @@
 	}
 }
 
-// mayHaveRun tells whether any transmission is not known never to have run.
+// mayHaveRun tells whether any attempt is not known never to have run.
 func (t *try) mayHaveRun() bool {
 	for i := range t.sends {
 		if !t.sends[i].never {
@@ -240,8 +240,8 @@
 		r.breach(NoneLost, e, "try %d sent after its end", e.Try)
 		return
 	}
-	if len(t.sends) == r.deal.MaxTransmissions {
-		r.breach(NoneTwice, e, "try %d sent more than %d times", e.Try, r.deal.MaxTransmissions)
+	if len(t.sends) == r.deal.MaxAttempts {
+		r.breach(NoneTwice, e, "try %d sent more than %d times", e.Try, r.deal.MaxAttempts)
 		return
 	}
 	r.repeats(e, t)
@@ -251,17 +251,17 @@
 	t.sends = append(t.sends, sending{at: e.At, zone: e.Zone, cell: e.Cell})
 }
 
-// repeats checks a transmission against those before it.
+// repeats checks an attempt against those before it.
 func (r *Rules) repeats(e *trace.Event, t *try) {
-	p := &r.deal.Profiles[t.profile]
+	p := &r.deal.Classes[t.class]
 	for i := range t.sends {
 		s := &t.sends[i]
 		switch {
-		case !s.closed && !r.deal.SecondCopies:
+		case !s.closed && !r.deal.Hedging:
 			r.breach(NoneTwice, e, "try %d has two transmissions out", e.Try)
-		case s.never || p.Semantics == gate.Replayable:
+		case s.never || p.Semantics == gate.Idempotent:
 			continue
-		case p.Semantics == gate.SingleUse:
+		case p.Semantics == gate.NonIdempotent:
 			r.breach(NoneTwice, e, "single-use try %d sent again, though transmission %d may have run", e.Try, i)
 		case p.Scope == gate.ScopeZone && s.zone != e.Zone, p.Scope == gate.ScopeCell && s.cell != e.Cell:
 			r.breach(NoneTwice, e, "tokened try %d sent outside the group of transmission %d", e.Try, i)
@@ -274,7 +274,7 @@
 	}
 }
 
-// draw takes a first transmission's units from the customer's ceiling.
+// draw takes a first attempt's units from the customer's ceiling.
 func (r *Rules) draw(e *trace.Event, t *try) {
 	p := &r.deal.Plans[t.plan]
 	if p.CeilingRate == 0 {
@@ -301,9 +301,9 @@
 	if e.At > t.until+r.deal.AnswerSlack+r.deal.Slack {
 		r.breach(NoneLost, e, "try %d answered %.1f ms late", e.Try, e.At-t.until)
 	}
-	p := &r.deal.Profiles[t.profile]
-	if e.Answer == trace.Rejected && p.Semantics != gate.Replayable && t.mayHaveRun() &&
-		(p.Semantics == gate.SingleUse || p.Scope != gate.ScopeAll) {
+	p := &r.deal.Classes[t.class]
+	if e.Answer == trace.Rejected && p.Semantics != gate.Idempotent && t.mayHaveRun() &&
+		(p.Semantics == gate.NonIdempotent || p.Scope != gate.ScopeAll) {
 		r.breach(NoneTwice, e, "try %d rejected, though a transmission may have run", e.Try)
 	}
 	r.drop(e.Try)
--- a/lab/judge/rules_test.go
+++ b/lab/judge/rules_test.go
@@ -54,7 +54,7 @@
 	since   []float64
 	choose  func(c *careless, op int) int
 	ended   func(c *careless, e gate.Ended) []gate.Action
-	arrived func(c *careless, e gate.Operation) []gate.Action
+	arrived func(c *careless, e gate.Request) []gate.Action
 }
 
 func (c *careless) Decide(_ float64, events []gate.Event) (out []gate.Action) {
@@ -79,7 +79,7 @@
 					c.up, c.all = append(c.up, n.Backend), append(c.all, n.Backend)
 				}
 			}
-		case gate.Operation:
+		case gate.Request:
 			if c.arrived != nil {
 				out = append(out, c.arrived(c, e)...)
 			} else {
@@ -90,7 +90,7 @@
 				if c.ended != nil {
 					out = append(out, c.ended(c, e)...)
 				} else {
-					out = append(out, gate.Scrap{Op: e.Op})
+					out = append(out, gate.Fail{Op: e.Op})
 				}
 			}
 		}
@@ -113,7 +113,7 @@
 const ample = "\n[[fault]]\nkind = \"resets\"\nat_s = 1.0\nfor_s = 4.0\nmuch = 0.5\n"
 
 // moderate keeps the ceilings by sending little.
-func moderate(c *careless, e gate.Operation) []gate.Action {
+func moderate(c *careless, e gate.Request) []gate.Action {
 	if e.Op%7 > 0 || len(c.up) == 0 {
 		return []gate.Action{gate.Reject{Op: e.Op, RetryAfter: 400}}
 	}
@@ -128,8 +128,8 @@
 
 func TestEachRuleIsFoundBroken(t *testing.T) {
 	again := func(c *careless, e gate.Ended) []gate.Action {
-		if e.Transmission > 0 {
-			return []gate.Action{gate.Scrap{Op: e.Op}}
+		if e.Attempt > 0 {
+			return []gate.Action{gate.Fail{Op: e.Op}}
 		}
 		return []gate.Action{gate.Send{Op: e.Op, Backend: c.all[(e.Backend+1)%len(c.all)], Cap: 500}}
 	}
@@ -139,8 +139,8 @@
 		says string
 		by   careless
 	}{
-		"never answers": {"", judge.NoneLost, "not answered", careless{arrived: func(*careless, gate.Operation) []gate.Action { return nil }}},
-		"sends what it rejected": {"", judge.NoneLost, "after its end", careless{arrived: func(c *careless, e gate.Operation) []gate.Action {
+		"never answers": {"", judge.NoneLost, "not answered", careless{arrived: func(*careless, gate.Request) []gate.Action { return nil }}},
+		"sends what it rejected": {"", judge.NoneLost, "after its end", careless{arrived: func(c *careless, e gate.Request) []gate.Action {
 			return []gate.Action{gate.Reject{Op: e.Op}, gate.Send{Op: e.Op, Backend: inTurn(c, e.Op)}}
 		}}},
 		"sends again elsewhere": {ample, judge.NoneTwice, "sent again", careless{arrived: moderate, ended: again}},
@@ -148,7 +148,7 @@
 		"rejects what may have run": {ample, judge.NoneTwice, "rejected, though", careless{arrived: moderate,
 			ended: func(_ *careless, e gate.Ended) []gate.Action { return []gate.Action{gate.Reject{Op: e.Op}} }}},
 		"sends two at once": {"\n[allow]\nsecond_copies = false", judge.NoneTwice, "two transmissions", careless{
-			arrived: func(c *careless, e gate.Operation) []gate.Action {
+			arrived: func(c *careless, e gate.Request) []gate.Action {
 				s := gate.Send{Op: e.Op, Backend: inTurn(c, e.Op), Cap: 700}
 				return []gate.Action{s, s}
 			}}},
--- a/lab/judge/service.go
+++ b/lab/judge/service.go
@@ -9,11 +9,11 @@
 )
 
 // Goal weighs the parts of G; Prices are taken off.
-type Goal struct{ Whole, WorstWindow, WorstProfile, WorstPlan float64 }
+type Goal struct{ Whole, WorstWindow, WorstClass, WorstPlan float64 }
 
 type Prices struct{ Counter, Probe, Cross, Waste, Handshake, HeldBack float64 }
 
-// Tally counts what became of clients' operations.
+// Tally counts what became of clients' requests.
 type Tally struct {
 	Asked    int     `json:"asked"`
 	InTime   int     `json:"in_time"`
@@ -31,35 +31,35 @@
 	return max(0, min(1, t.Earned/t.Offered))
 }
 
-// Second is one second of the day, by the time at which operations were asked for; Rejected, Scrapped and the latencies
+// Second is one second of the day, by the time at which requests were asked for; Rejected, Failed and the latencies
 // by the time at which the answer came.
 type Second struct {
 	Tally
 	Rejected int     `json:"rejected"`
-	Scrapped int     `json:"scrapped"`
+	Failed   int     `json:"scrapped"`
 	P50      float64 `json:"p50_ms"`
 	P99      float64 `json:"p99_ms"`
 }
 
 // Costs counts what the service took.
 type Costs struct {
-	FirstTries    int     `json:"first_tries"`
-	Tries         int     `json:"tries"`
-	Transmissions int     `json:"transmissions"`
-	Crossing      int     `json:"crossing"`
-	CounterCalls  int     `json:"counter_calls"`
-	Probes        int     `json:"probes"`
-	Connections   int     `json:"connections"`
-	WorkMs        float64 `json:"work_ms"`
-	WastedMs      float64 `json:"wasted_ms"`
-	EffectsTwice  int     `json:"effects_twice"` // counted, whoever is at fault
-	BeyondUnits   float64 `json:"beyond_units"`
-	SentUnits     float64 `json:"sent_units"`
-	WithRoom      int     `json:"rejected_with_room"` // rejections while half of the customer's quota was unused
-	Rejected      int     `json:"rejected"`
-	Scrapped      int     `json:"scrapped"`
-	HeldBack      int     `json:"held_back"`
-	Fallen        int     `json:"fallen"` // cold backends that fell over, whoever is at fault
+	FirstTries   int     `json:"first_tries"`
+	Tries        int     `json:"tries"`
+	Attempts     int     `json:"transmissions"`
+	Crossing     int     `json:"crossing"`
+	CounterCalls int     `json:"counter_calls"`
+	Probes       int     `json:"probes"`
+	Connections  int     `json:"connections"`
+	WorkMs       float64 `json:"work_ms"`
+	WastedMs     float64 `json:"wasted_ms"`
+	EffectsTwice int     `json:"effects_twice"` // counted, whoever is at fault
+	BeyondUnits  float64 `json:"beyond_units"`
+	SentUnits    float64 `json:"sent_units"`
+	WithRoom     int     `json:"rejected_with_room"` // rejections while half of the customer's quota was unused
+	Rejected     int     `json:"rejected"`
+	Failed       int     `json:"scrapped"`
+	HeldBack     int     `json:"held_back"`
+	Fallen       int     `json:"fallen"` // cold backends that fell over, whoever is at fault
 }
 
 // Service measures G.
@@ -70,7 +70,7 @@
 	Profs   []Tally
 	Whole   Tally
 	Costs   Costs
-	Latency []*hdrhistogram.Histogram // by profile, of operations answered well, in µs
+	Latency []*hdrhistogram.Histogram // by class, of requests answered well, in µs
 
 	wants   map[int]*want
 	spareW  []*want
@@ -83,9 +83,9 @@
 }
 
 type want struct {
-	at                      float64
-	customer, plan, profile int
-	worth                   float64
+	at                    float64
+	customer, plan, class int
+	worth                 float64
 }
 
 type sold struct {
@@ -108,10 +108,10 @@
 )
 
 func NewService(d *Deal) *Service {
-	s := &Service{deal: d, Plans: make([]Tally, len(d.Plans)), Profs: make([]Tally, len(d.Profiles)),
+	s := &Service{deal: d, Plans: make([]Tally, len(d.Plans)), Profs: make([]Tally, len(d.Classes)),
 		wants: map[int]*want{}, tries: map[int]*sold{}, ideal: map[int]*Store{}, quota: map[int]*quota{},
 		recent: hdrhistogram.New(1, histMost, 2)}
-	for range d.Profiles {
+	for range d.Classes {
 		s.Latency = append(s.Latency, hdrhistogram.New(1, histMost, histDigits))
 	}
 	return s
@@ -125,9 +125,9 @@
 	return &s.Seconds[i]
 }
 
-// tallies are those that an operation counts in.
+// tallies are those that a request counts in.
 func (s *Service) tallies(w *want) [4]*Tally {
-	return [4]*Tally{&s.Whole, &s.Plans[w.plan], &s.Profs[w.profile], &s.second(w.at).Tally}
+	return [4]*Tally{&s.Whole, &s.Plans[w.plan], &s.Profs[w.class], &s.second(w.at).Tally}
 }
 
 func fresh[T any](spare *[]*T) *T {
@@ -216,8 +216,8 @@
 	s.Costs.FirstTries++
 	p := &s.deal.Plans[e.Plan]
 	w := fresh(&s.spareW)
-	w.at, w.customer, w.plan, w.profile = e.At, e.Customer, e.Plan, e.Profile
-	w.worth = s.deal.Profiles[e.Profile].Gain * p.Price * e.Units
+	w.at, w.customer, w.plan, w.class = e.At, e.Customer, e.Plan, e.Class
+	w.worth = s.deal.Classes[e.Class].Gain * p.Price * e.Units
 	s.wants[e.Want] = w
 	b := s.ideal[e.Customer]
 	if b == nil {
@@ -246,7 +246,7 @@
 }
 
 func (s *Service) sent(e *trace.Event) {
-	s.Costs.Transmissions++
+	s.Costs.Attempts++
 	if e.Crosses {
 		s.Costs.Crossing++
 	}
@@ -274,7 +274,7 @@
 	q.out++
 }
 
-// charge takes a share of an operation's gain off.
+// charge takes a share of a request's gain off.
 func (s *Service) charge(id int, share float64, over bool) {
 	w := s.wants[id]
 	if w == nil {
@@ -329,8 +329,8 @@
 			s.Costs.WithRoom++
 		}
 	} else {
-		s.Costs.Scrapped++
-		sec.Scrapped++
+		s.Costs.Failed++
+		sec.Failed++
 	}
 	if !t.came && e.At-t.taken > heldShare*(t.until-t.taken) {
 		s.Costs.HeldBack++
@@ -347,10 +347,10 @@
 	s.roll(int(e.At / 1000))
 	took := e.At - w.at
 	us := max(1, min(histMost, int64(math.Round(took*1000))))
-	s.Latency[w.profile].RecordValue(us)
+	s.Latency[w.class].RecordValue(us)
 	s.recent.RecordValue(us)
-	inTime := took <= s.deal.Profiles[w.profile].Contract
-	value := s.deal.Profiles[w.profile].LateValue
+	inTime := took <= s.deal.Classes[w.class].Contract
+	value := s.deal.Classes[w.class].LateValue
 	if inTime {
 		value = 1
 	}
@@ -391,18 +391,18 @@
 
 // Parts is what G is made of.
 type Parts struct {
-	Whole        float64 `json:"whole"`
-	WorstWindow  float64 `json:"worst_window"`
-	WorstAt      int     `json:"worst_window_at_s"`
-	WorstProfile float64 `json:"worst_profile"`
-	WorstPlan    float64 `json:"worst_plan"`
-	Prices       float64 `json:"prices"`
-	G            float64 `json:"g"`
+	Whole       float64 `json:"whole"`
+	WorstWindow float64 `json:"worst_window"`
+	WorstAt     int     `json:"worst_window_at_s"`
+	WorstClass  float64 `json:"worst_profile"`
+	WorstPlan   float64 `json:"worst_plan"`
+	Prices      float64 `json:"prices"`
+	G           float64 `json:"g"`
 }
 
-// Parts weighs the day. Operations asked for after the day's end are not counted in its windows.
+// Parts weighs the day. Requests asked for after the day's end are not counted in its windows.
 func (s *Service) Parts() Parts {
-	p := Parts{Whole: s.Whole.share(), WorstWindow: 1, WorstProfile: 1, WorstPlan: 1}
+	p := Parts{Whole: s.Whole.share(), WorstWindow: 1, WorstClass: 1, WorstPlan: 1}
 	last := min(len(s.Seconds), int(math.Ceil(s.deal.Seconds)))
 	mean := s.Whole.Offered / max(1, s.deal.Seconds)
 	span := min(windowSecs, last)
@@ -417,7 +417,7 @@
 		}
 	}
 	for i := range s.Profs {
-		p.WorstProfile = min(p.WorstProfile, s.Profs[i].share())
+		p.WorstClass = min(p.WorstClass, s.Profs[i].share())
 	}
 	for i := range s.Plans {
 		p.WorstPlan = min(p.WorstPlan, s.Plans[i].share())
@@ -426,8 +426,8 @@
 	each := 1 / max(1, float64(c.FirstTries))
 	p.Prices = pr.Counter*min(1, float64(c.CounterCalls)*each) + pr.Probe*float64(c.Probes)*each + pr.Cross*float64(c.Crossing)*each +
 		pr.Handshake*float64(c.Connections)*each + pr.Waste*c.WastedMs/max(1, c.WorkMs+c.WastedMs)
-	sum := g.Whole + g.WorstWindow + g.WorstProfile + g.WorstPlan
-	p.G = (g.Whole*p.Whole+g.WorstWindow*p.WorstWindow+g.WorstProfile*p.WorstProfile+g.WorstPlan*p.WorstPlan)/sum - p.Prices
+	sum := g.Whole + g.WorstWindow + g.WorstClass + g.WorstPlan
+	p.G = (g.Whole*p.Whole+g.WorstWindow*p.WorstWindow+g.WorstClass*p.WorstClass+g.WorstPlan*p.WorstPlan)/sum - p.Prices
 	return p
 }
 
--- a/lab/load/errors.go
+++ b/lab/load/errors.go
@@ -34,7 +34,7 @@
 	return "Run it again and let it end; the figures so far are of a part."
 }
 
-// CrossedError is a connection that had been closed before the operation came: it is sent once more.
+// CrossedError is a connection that had been closed before the request came: it is sent once more.
 type CrossedError struct{}
 
 func (*CrossedError) Error() string     { return "the connection had been closed" }
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -1,4 +1,4 @@
-// Package load is an open-loop load tool: operations start when they are due, whatever became of those before, and each
+// Package load is an open-loop load tool: requests start when they are due, whatever became of those before, and each
 // latency counts from the intended start, so that a target that stalls is not spared (coordinated omission).
 package load
 
@@ -22,14 +22,14 @@
 // Run is one stretch at a fixed rate.
 type Run struct {
 	Target   string             // host:port
-	Rate     float64            // operations a second
+	Rate     float64            // requests a second
 	For      time.Duration      // of sending
 	Conns    int                // connections at most; what finds none free waits, and its latency grows
 	Poisson  bool               // random gaps in place of even ones
 	Seed     uint64             // of the gaps
-	Word     func(i int) string // the bytes of operation i
-	Patience time.Duration      // after which an operation counts as failed
-	Enough   <-chan struct{}    // closed to have no more operations begin before the time is over; nil for none
+	Word     func(i int) string // the bytes of request i
+	Patience time.Duration      // after which a request counts as failed
+	Enough   <-chan struct{}    // closed to have no more requests begin before the time is over; nil for none
 }
 
 // Outcome is what came of a run. Latencies are µs from the intended start, of all that was answered 200.
@@ -37,7 +37,7 @@
 	Asked, Finished, Rejected, Failed int
 	Took                              time.Duration
 	Latency                           *hdrhistogram.Histogram
-	Behind                            time.Duration // how late the tool itself was at the worst in handing out an operation
+	Behind                            time.Duration // how late the tool itself was at the worst in handing out a request
 }
 
 // Rate is what was finished a second.
@@ -53,7 +53,7 @@
 	histDigits = 3
 	mostConns  = 10000
 	mostRate   = 1e6
-	mostAsked  = 20e6 // operations of a run; what is due is kept in memory
+	mostAsked  = 20e6 // requests of a run; what is due is kept in memory
 )
 
 func (r *Run) check() error {
@@ -75,7 +75,7 @@
 	return nil
 }
 
-// due is one operation and when it is meant to start.
+// due is one request and when it is meant to start.
 type due struct {
 	number int
 	at     time.Time
@@ -151,7 +151,7 @@
 	}
 }
 
-// carry takes operations over one connection, one at a time.
+// carry takes requests over one connection, one at a time.
 func (r *Run) carry(ctx context.Context, dues <-chan due, t *tally, busy *atomic.Int64) {
 	var nc net.Conn
 	var in *bufio.Reader
@@ -231,7 +231,7 @@
 type Knee struct {
 	Run                 // of one step; its rate is where the search begins
 	P99   time.Duration // latency that a rate must keep
-	Least float64       // share of the operations that must be finished
+	Least float64       // share of the requests that must be finished
 	Steps int           // of the bisection
 }
 
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -22,7 +22,7 @@
 	return srv.Listener.Addr().String()
 }
 
-func TestEveryOperationIsAccountedFor(t *testing.T) {
+func TestEveryRequestIsAccountedFor(t *testing.T) {
 	var n atomic.Int64
 	to := target(t, func(w http.ResponseWriter, _ *http.Request) {
 		switch n.Add(1) % 4 {
--- a/lab/load/word.go
+++ b/lab/load/word.go
@@ -5,27 +5,27 @@
 	"math/rand/v2"
 )
 
-// Door words operations as the platform's clients do.
+// Door words requests as the platform's clients do.
 type Door struct {
 	Host      string
-	Profile   string
+	Class     string
 	Plan      string
-	Tokened   bool
-	Customers int    // that the operations are dealt out to, at random
+	Keyed     bool
+	Customers int    // that the requests are dealt out to, at random
 	Wait      int    // ms that the client will wait
 	Seed      uint64 // of the customers and of the ids
 }
 
-// Word returns the bytes of operation i, and keeps to itself no state that calls share.
+// Word returns the bytes of request i, and keeps to itself no state that calls share.
 func (d Door) Word(i int) string {
 	dice := rand.New(rand.NewPCG(d.Seed, uint64(i)))
 	customer, id := dice.IntN(max(1, d.Customers)), dice.Uint64()
 	method, rest, body := "GET", "", ""
-	if d.Tokened {
+	if d.Keyed {
 		method, rest, body = "POST", fmt.Sprintf("Idempotency-Key: %016x%016x\r\nContent-Length: 2\r\n", d.Seed, id), "go"
 	}
 	return fmt.Sprintf("%s /%s?key=%016x HTTP/1.1\r\nHost: %s\r\nX-Txn: %016x\r\nX-Tariff: %s\r\nX-Remaining: %dm\r\n"+
-		"X-Weight: units=1,spread=1,first=0\r\n%s\r\n%s", method, d.Profile, customer, d.Host, id, d.Plan, d.Wait, rest, body)
+		"X-Weight: units=1,spread=1,first=0\r\n%s\r\n%s", method, d.Class, customer, d.Host, id, d.Plan, d.Wait, rest, body)
 }
 
 // Get words plain requests of one path.
--- a/lab/model/backend.go
+++ b/lab/model/backend.go
@@ -10,7 +10,7 @@
 	"github.com/swifthall/swifthall/lab/trace"
 )
 
-// Job is one transmission, from its sending until nobody waits for it and it does not run.
+// Job is one attempt, from its sending until nobody waits for it and it does not run.
 type Job struct {
 	Try     *Try
 	Number  int
@@ -28,7 +28,7 @@
 	opened  bool // it came over a connection of its own
 }
 
-// Caller is told how a transmission ended.
+// Caller is told how an attempt ended.
 type Caller interface {
 	Ended(w *World, j *Job, r gate.Result)
 }
@@ -42,7 +42,7 @@
 	stuck // taken and never answered
 )
 
-// working is the heap of the operations in work, by the virtual clock at which they are done.
+// working is the heap of the requests in work, by the virtual clock at which they are done.
 type working []*Job
 
 func (h working) Len() int           { return len(h) }
@@ -57,12 +57,12 @@
 	return j
 }
 
-// backend shares its cores evenly among the operations in work. Its virtual clock runs as fast as one of them is served.
+// backend shares its cores evenly among the requests in work. Its virtual clock runs as fast as one of them is served.
 type backend struct {
 	id, zone, cell     int
 	cores              int
 	speed              float64 // of a core
-	slots, room, conns int     // operations in work, waiting, and connections that it may hold
+	slots, room, conns int     // requests in work, waiting, and connections that it may hold
 	machine            *scenario.Machine
 
 	up      bool // its process runs
@@ -79,7 +79,7 @@
 	rate    float64 // of the virtual clock
 	stamp   int
 	open    int     // connections
-	owed    int     // transmissions whose doors wait for them
+	owed    int     // attempts whose doors wait for them
 	hurts   []*hurt // faults that strike it now
 	paused  bool
 	dice    *rand.Rand
@@ -88,24 +88,24 @@
 // capacity is what it does when warm, ms of work a ms.
 func (b *backend) capacity() float64 { return float64(b.cores) * b.speed }
 
-// hurting returns how much a kind of fault strikes the backend for a profile.
-func (b *backend) hurting(kind string, profile int) (much float64, is bool) {
+// hurting returns how much a kind of fault strikes the backend for a class.
+func (b *backend) hurting(kind string, class int) (much float64, is bool) {
 	for _, h := range b.hurts {
-		if h.fault.Kind == kind && (h.profile < 0 || h.profile == profile) {
+		if h.fault.Kind == kind && (h.class < 0 || h.class == class) {
 			return h.fault.Much, true
 		}
 	}
 	return 0, false
 }
 
-func (b *backend) chance(kind string, profile int) bool {
-	much, is := b.hurting(kind, profile)
+func (b *backend) chance(kind string, class int) bool {
+	much, is := b.hurting(kind, class)
 	return is && b.dice.Float64() < much
 }
 
 func (b *backend) silent() bool { _, is := b.hurting("silence", -1); return is }
 
-// pace is the speed at which one operation is served now.
+// pace is the speed at which one request is served now.
 func (b *backend) pace(now float64) float64 {
 	n := len(b.work)
 	if n == 0 || b.paused || !b.up || b.fallen || b.silent() {
@@ -132,7 +132,7 @@
 	b.at = now
 }
 
-// plan works the speed out and says when the next operation is done.
+// plan works the speed out and says when the next request is done.
 func (b *backend) plan(w *World) {
 	b.stamp++
 	b.rate = b.pace(w.now)
@@ -141,7 +141,7 @@
 	}
 }
 
-// come is a transmission that has come whole.
+// come is an attempt that has come whole.
 func (b *backend) come(w *World, j *Job) {
 	t := j.Try
 	if !b.up || j.life != b.life { // its connection was reset with the process
@@ -151,7 +151,7 @@
 	if b.silent() {
 		return
 	}
-	p := &w.s.Profiles[t.Profile]
+	p := &w.s.Classes[t.Class]
 	j.work = t.want.work * noise(b.dice, p.Noise)
 	if j.opened {
 		j.work += b.machine.HandshakeMs
@@ -168,16 +168,16 @@
 	switch {
 	case b.fallen:
 		return
-	case b.chance("full", t.Profile) || len(b.work) >= b.slots && len(b.queue) >= b.room:
+	case b.chance("full", t.Class) || len(b.work) >= b.slots && len(b.queue) >= b.room:
 		w.back(b, j, gate.Full)
 		return
 	}
-	if _, is := b.hurting("hang", t.Profile); is {
+	if _, is := b.hurting("hang", t.Class); is {
 		j.state = stuck
 		return
 	}
 	j.effect = !w.remembers(b, t)
-	j.failing = b.chance("errors", t.Profile) || b.dice.Float64() < b.machine.ErrorRate
+	j.failing = b.chance("errors", t.Class) || b.dice.Float64() < b.machine.ErrorRate
 	if j.failing {
 		j.work *= errorWork
 	} else if !j.effect {
@@ -194,7 +194,7 @@
 }
 
 const (
-	errorWork  = 0.1  // share of its work that an operation takes which ends in an error
+	errorWork  = 0.1  // share of its work that a request takes which ends in an error
 	repeatWork = 0.05 // and one whose repeat is known
 )
 
@@ -213,7 +213,7 @@
 	}
 }
 
-const aMoment = 1e-6 // ms of virtual time within which operations are done together
+const aMoment = 1e-6 // ms of virtual time within which requests are done together
 
 // finish ends what is done.
 func (b *backend) finish(w *World) {
@@ -242,17 +242,17 @@
 		w.ran(b, t)
 	}
 	switch {
-	case b.chance("lost_answers", t.Profile):
-	case b.chance("resets", t.Profile):
+	case b.chance("lost_answers", t.Class):
+	case b.chance("resets", t.Class):
 		w.back(b, j, gate.Reset)
-	case b.chance("spoilt", t.Profile):
+	case b.chance("spoilt", t.Class):
 		w.back(b, j, gate.Spoilt)
 	default:
 		w.back(b, j, gate.Finished)
 	}
 }
 
-// drop takes out an operation that nobody waits for.
+// drop takes out a request that nobody waits for.
 func (b *backend) drop(w *World, j *Job) {
 	if b.machine.GoesOn || j.life != b.life {
 		return
@@ -312,7 +312,7 @@
 
 const refreshEvery = 100 // ms between looks at the speed of a cold backend, which rises evenly
 
-// noise draws a factor of mean 1 around which a transmission's work varies.
+// noise draws a factor of mean 1 around which an attempt's work varies.
 func noise(d *rand.Rand, cv float64) float64 {
 	if cv <= 0 {
 		return 1
--- a/lab/model/clients.go
+++ b/lab/model/clients.go
@@ -10,21 +10,21 @@
 	"github.com/swifthall/swifthall/lab/trace"
 )
 
-// want is what a client wants: one operation over all of its tries.
+// want is what a client wants: one request over all of its tries.
 type want struct {
-	id, customer, profile int
-	units, work           float64
-	at                    float64
-	until                 float64 // the client wants nothing after that, ms
-	tries                 int
-	door                  int // of the latest try
-	effects               []effect
+	id, customer, class int
+	units, work         float64
+	at                  float64
+	until               float64 // the client wants nothing after that, ms
+	tries               int
+	door                int // of the latest try
+	effects             []effect
 }
 
 // Try is one of a client's tries, at one door.
 type Try struct {
 	ID, Door   int
-	Profile    int
+	Class      int
 	want       *want
 	at, until  float64 // made, and given up by the client, ms
 	retry      bool
@@ -39,7 +39,7 @@
 // customer comes through some doors, unevenly, at a rate that sessions move.
 type customer struct {
 	plan, first, spread int
-	rate                float64 // operations a ms
+	rate                float64 // requests a ms
 	times               float64 // by which a session raises that; 0 where there are none
 	high                bool
 	stamp               int
@@ -54,15 +54,15 @@
 	customers []customer
 	extras    []extra
 	nextWant  int
-	total     float64 // operations a ms of all customers together
-	units     float64 // mean of an operation
-	profiles  []float64
+	total     float64 // requests a ms of all customers together
+	units     float64 // mean of a request
+	classes   []float64
 	plans     []float64
 	burstHigh bool
 	burstTill float64
 }
 
-// extra makes operations on top: of customers drawn at random, of a few, or of strangers.
+// extra makes requests on top: of customers drawn at random, of a few, or of strangers.
 type extra struct {
 	hurt *hurt
 	rate float64
@@ -92,10 +92,10 @@
 	c.s, c.dice, c.mood = w.s, chance(w.seed, chanceClients), chance(w.seed, chanceMoods)
 	var shares []float64
 	meanWork := 0.0
-	for _, p := range c.s.Profiles {
+	for _, p := range c.s.Classes {
 		shares = append(shares, p.Share)
 	}
-	c.profiles = running(shares)
+	c.classes = running(shares)
 	shares = shares[:0]
 	for _, p := range c.s.Plans {
 		shares = append(shares, p.Share)
@@ -104,7 +104,7 @@
 	const samples = 4000
 	sample := chance(w.seed, chanceClients<<8)
 	for range samples {
-		p := &c.s.Profiles[draw(sample, c.profiles)]
+		p := &c.s.Classes[draw(sample, c.classes)]
 		units, work := c.size(sample, p)
 		c.units += units / samples
 		meanWork += work / samples
@@ -122,7 +122,7 @@
 	}
 }
 
-// people makes the customers, and returns what they ask in the mean, operations a ms.
+// people makes the customers, and returns what they ask in the mean, requests a ms.
 func (c *clients) people(w *World) (asked float64) {
 	l := &c.s.Load
 	c.customers = c.customers[:0]
@@ -157,7 +157,7 @@
 	return asked
 }
 
-// weigh draws how a customer's operations come over its doors.
+// weigh draws how a customer's requests come over its doors.
 func (c *clients) weigh(k *customer) {
 	var shares []float64
 	for range k.spread {
@@ -166,8 +166,8 @@
 	k.weights = running(shares)
 }
 
-// size draws an operation's units, and its work, which grows with them.
-func (c *clients) size(d *rand.Rand, p *scenario.Profile) (units, work float64) {
+// size draws a request's units, and its work, which grows with them.
+func (c *clients) size(d *rand.Rand, p *scenario.Class) (units, work float64) {
 	x := d.ExpFloat64()
 	if p.Cv > 0 {
 		x = lognormal(d, p.Cv)
@@ -268,7 +268,7 @@
 	}
 }
 
-// extra makes one operation on top, and plans the next.
+// extra makes one request on top, and plans the next.
 func (c *clients) extra(w *World, n int, at float64) {
 	x := &c.extras[n]
 	if !x.on || w.closing {
@@ -324,16 +324,16 @@
 	}
 }
 
-// ask is a new operation of a customer, meant to be made at a clock.
+// ask is a new request of a customer, meant to be made at a clock.
 func (c *clients) ask(w *World, customer int, at float64) {
-	profile := draw(c.dice, c.profiles)
-	units, work := c.size(c.dice, &c.s.Profiles[profile])
+	class := draw(c.dice, c.classes)
+	units, work := c.size(c.dice, &c.s.Classes[class])
 	k := &c.customers[customer]
-	n := &want{id: c.nextWant, customer: customer, profile: profile, units: units, work: work, at: at,
-		until: at + c.s.Profiles[profile].OuterMs}
+	n := &want{id: c.nextWant, customer: customer, class: class, units: units, work: work, at: at,
+		until: at + c.s.Classes[class].OuterMs}
 	c.nextWant++
 	w.waiting++
-	w.sink.Take(&trace.Event{Kind: trace.Asked, At: at, Want: n.id, Customer: customer, Plan: k.plan, Profile: profile, Units: units})
+	w.sink.Take(&trace.Event{Kind: trace.Asked, At: at, Want: n.id, Customer: customer, Plan: k.plan, Class: class, Units: units})
 	c.try(w, n, false)
 }
 
@@ -377,11 +377,11 @@
 	}
 	n.tries++
 	k := &c.customers[n.customer]
-	p := &c.s.Profiles[n.profile]
+	p := &c.s.Classes[n.class]
 	if !retry || c.mood.Float64() < c.s.Clients.Elsewhere || !w.doors[n.door].seen(w.now, c.s.Clients.NoticeMs) {
 		n.door = c.door(w, k)
 	}
-	t := &Try{ID: w.tries, Door: n.door, Profile: n.profile, want: n, at: w.now, retry: retry,
+	t := &Try{ID: w.tries, Door: n.door, Class: n.class, want: n, at: w.now, retry: retry,
 		until: min(n.until, w.now+p.OuterMs*c.s.Clients.TryShare)}
 	w.tries++
 	patience := t.until + c.s.Rules.AnswerSlackMs
@@ -435,7 +435,7 @@
 
 // again decides whether the client tries once more, and when.
 func (c *clients) again(w *World, t *Try, a trace.Answer) {
-	n, p, cl := t.want, &c.s.Profiles[t.Profile], &c.s.Clients
+	n, p, cl := t.want, &c.s.Classes[t.Class], &c.s.Clients
 	most, wait := cl.Retries, cl.Wait
 	if much, storm := w.hurting("storm"); storm {
 		most, wait = max(most, int(much)), "none"
@@ -469,8 +469,8 @@
 }
 
 // word puts a try in the terms of the decisions.
-func (t *Try) word(w *World, op, customer int) gate.Operation {
+func (t *Try) word(w *World, op, customer int) gate.Request {
 	k := &w.clients.customers[t.want.customer]
-	return gate.Operation{Op: op, Profile: t.Profile, Plan: k.plan, Customer: customer, TTL: max(0, t.until-w.now), Units: t.want.units,
+	return gate.Request{Op: op, Class: t.Class, Plan: k.plan, Customer: customer, TTL: max(0, t.until-w.now), Units: t.want.units,
 		Repeat: t.retry && w.s.Clients.Marks, First: k.first, Spread: k.spread, Phase: phase(t.want.customer)}
 }
--- a/lab/model/deal.go
+++ b/lab/model/deal.go
@@ -8,21 +8,21 @@
 	"github.com/swifthall/swifthall/lab/scenario"
 )
 
-var semantics = map[string]gate.Semantics{"replayable": gate.Replayable, "tokened": gate.Tokened, "single-use": gate.SingleUse}
+var semantics = map[string]gate.Semantics{"replayable": gate.Idempotent, "tokened": gate.Keyed, "single-use": gate.NonIdempotent}
 
 var scopes = map[string]gate.Scope{"all": gate.ScopeAll, "zone": gate.ScopeZone, "cell": gate.ScopeCell}
 
 // Terms are what a door of the scenario is told.
 func Terms(s *scenario.Scenario, number int) gate.Terms {
-	t := gate.Terms{Doors: s.Fleet.Doors, Number: number, MaxTransmissions: s.Allow.MaxTransmissions, SecondCopies: s.Allow.SecondCopies,
+	t := gate.Terms{Doors: s.Fleet.Doors, Number: number, MaxAttempts: s.Allow.MaxAttempts, Hedging: s.Allow.Hedging,
 		MayCancel: s.Allow.Cancel, MeterPeriod: s.Meter.PeriodMs, Counter: s.Counter.On,
 		MustAsk: s.Discovery.Ask, ColdFrom: s.Rules.ColdFrom, ColdFor: s.Rules.ColdS * 1000, FallMultiple: s.Rules.FallMultiple,
 		FallWindow: s.Rules.FallMs}
 	if s.Allow.RetryAfter {
 		t.MaxRetryAfter = s.Clients.MaxRetryAfterMs
 	}
-	for _, p := range s.Profiles {
-		t.Profiles = append(t.Profiles, gate.Profile{Contract: p.ContractMs, Semantics: semantics[p.Semantics], Scope: scopes[p.Scope],
+	for _, p := range s.Classes {
+		t.Classes = append(t.Classes, gate.Class{Contract: p.ContractMs, Semantics: semantics[p.Semantics], Scope: scopes[p.Scope],
 			Window: p.WindowMs, LateValue: p.LateValue, Gain: p.Gain})
 	}
 	for _, p := range s.Plans {
@@ -35,7 +35,7 @@
 // Deal is what the judge is told of the scenario.
 func Deal(s *scenario.Scenario) *judge.Deal {
 	t := Terms(s, 0)
-	d := &judge.Deal{Profiles: t.Profiles, Plans: t.Plans, MaxTransmissions: t.MaxTransmissions, SecondCopies: t.SecondCopies,
+	d := &judge.Deal{Classes: t.Classes, Plans: t.Plans, MaxAttempts: t.MaxAttempts, Hedging: t.Hedging,
 		AnswerSlack: s.Rules.AnswerSlackMs, DrainGrace: s.Rules.DrainGraceMs, FallMultiple: s.Rules.FallMultiple,
 		FallWindow: s.Rules.FallMs, Seconds: s.Day.Seconds, Goal: judge.Goal(s.Goal), Prices: judge.Prices(s.Prices)}
 	for _, p := range s.Plans {
@@ -51,16 +51,16 @@
 }
 
 // Wait works out what a backend would take, from its queue as it stands.
-func (s sight) Wait(backend, profile int) float64 {
+func (s sight) Wait(backend, class int) float64 {
 	w := s.w
 	b := w.backends[s.d.names.ID(backend)]
-	_, hangs := b.hurting("hang", profile)
+	_, hangs := b.hurting("hang", class)
 	_, refuses := b.hurting("refuse", -1)
 	if !b.up || b.fallen || b.status != gate.Up || hangs || refuses || b.silent() || b.paused || w.cut(s.d.zone, b.zone) ||
 		len(b.work) >= b.slots && len(b.queue) >= b.room {
 		return math.Inf(1)
 	}
-	mean := w.s.Profiles[profile].WorkMs
+	mean := w.s.Classes[class].WorkMs
 	now := b.capacity()
 	if b.budget != nil {
 		now = b.budget.Now(w.now)
@@ -78,8 +78,8 @@
 	return max(alone, (held+1)*mean/now)
 }
 
-// Work is a profile's mean work.
-func (s sight) Work(profile int) float64 { return s.w.s.Profiles[profile].WorkMs }
+// Work is a class's mean work.
+func (s sight) Work(class int) float64 { return s.w.s.Classes[class].WorkMs }
 
 const coldWorks = 2 // works that a cold backend must have room for before it is sent anything
 
--- a/lab/model/door.go
+++ b/lab/model/door.go
@@ -37,7 +37,7 @@
 	outer          Outer // carries a door outside of the world; nil where the world carries a decider
 }
 
-// op is an operation that the door holds.
+// op is a request that the door holds.
 type op struct {
 	try  *Try
 	jobs []*Job
@@ -45,7 +45,7 @@
 	over bool
 }
 
-// ending is a transmission's end that waits for the door to look.
+// ending is an attempt's end that waits for the door to look.
 type ending struct {
 	job    *Job
 	result gate.Result
@@ -202,7 +202,7 @@
 func (w *World) taken(d *door, t *Try) {
 	k := &w.clients.customers[t.want.customer]
 	t.taken = true
-	w.tell(trace.Event{Kind: trace.Taken, Try: t.ID, Want: t.want.id, Door: d.id, Customer: t.want.customer, Plan: k.plan, Profile: t.Profile,
+	w.tell(trace.Event{Kind: trace.Taken, Try: t.ID, Want: t.want.id, Door: d.id, Customer: t.want.customer, Plan: k.plan, Class: t.Class,
 		Units: t.want.units, Until: t.until})
 }
 
@@ -235,7 +235,7 @@
 	d.wake(w, w.now)
 }
 
-// Ended is a transmission's end, as it reaches the door.
+// Ended is an attempt's end, as it reaches the door.
 func (d *door) Ended(w *World, j *Job, r gate.Result) {
 	if j.handed || !d.up || j.Try.life != d.life {
 		return
@@ -256,13 +256,13 @@
 	d.wake(w, w.now)
 }
 
-// hand marks a transmission as one that its door no longer waits for.
+// hand marks an attempt as one that its door no longer waits for.
 func (d *door) hand(w *World, j *Job) {
 	j.handed = true
 	w.backends[j.Backend].owed--
 }
 
-// hangUp ends a transmission's connection.
+// hangUp ends an attempt's connection.
 func (d *door) hangUp(w *World, j *Job) {
 	b := w.backends[j.Backend]
 	if j.life == b.life && b.open > 0 {
@@ -313,7 +313,7 @@
 		}
 		w.tell(trace.Event{Kind: trace.Closed, Try: t.ID, Door: d.id, Number: e.job.Number, Backend: e.job.Backend, Result: e.result})
 		b, _ := d.names.Find(e.job.Backend)
-		d.events = append(d.events, gate.Ended{Op: t.slot, Transmission: e.job.Number, Backend: b, Result: e.result, Latency: e.took,
+		d.events = append(d.events, gate.Ended{Op: t.slot, Attempt: e.job.Number, Backend: b, Result: e.result, Latency: e.took,
 			Over: o.over, Use: e.use, Queue: -1})
 	}
 	clear(d.back)
@@ -347,13 +347,13 @@
 		case gate.Send:
 			d.send(w, a)
 		case gate.Cancel:
-			if j := d.ops[a.Op].jobs[a.Transmission]; !j.handed {
+			if j := d.ops[a.Op].jobs[a.Attempt]; !j.handed {
 				d.Ended(w, j, gate.Cancelled)
 			}
 		case gate.Reject:
 			d.answer(w, a.Op, trace.Rejected, a.RetryAfter, a.Why)
-		case gate.Scrap:
-			d.answer(w, a.Op, trace.Scrapped, 0, a.Why)
+		case gate.Fail:
+			d.answer(w, a.Op, trace.Failed, 0, a.Why)
 		case gate.Wake:
 			d.wakeAt = max(a.At-epoch, w.now+w.s.Day.TickMs) // a tick is the shortest rest
 			d.wake(w, d.wakeAt)
@@ -387,7 +387,7 @@
 	}
 }
 
-// answer gives an operation its one answer.
+// answer gives a request its one answer.
 func (d *door) answer(w *World, slot int, a trace.Answer, retryAfter float64, why gate.Cause) {
 	o := &d.ops[slot]
 	if o.try == nil || o.over { // it is over: what a decider says of it no longer matters
@@ -401,7 +401,7 @@
 	w.at(w.now+w.clientWay(), due{kind: dueGot, t: t})
 }
 
-// send starts a transmission, over a free connection where there is one.
+// send starts an attempt, over a free connection where there is one.
 func (d *door) send(w *World, a gate.Send) {
 	o := &d.ops[a.Op]
 	if o.try == nil {
--- a/lab/model/faults.go
+++ b/lab/model/faults.go
@@ -10,11 +10,11 @@
 
 // hurt is a fault that strikes now.
 type hurt struct {
-	fault   *scenario.Fault
-	index   int
-	profile int           // that it strikes alone; -1 for all
-	whom    []int         // backends or doors that it struck
-	out     []func() bool // of those that went one by one: whether one is out still
+	fault *scenario.Fault
+	index int
+	class int           // that it strikes alone; -1 for all
+	whom  []int         // backends or doors that it struck
+	out   []func() bool // of those that went one by one: whether one is out still
 }
 
 // pick draws the share of those from 0 to n-1 that may be struck, at least one where the share is above 0.
@@ -38,7 +38,7 @@
 func (w *World) fault(n int, begins bool) {
 	f := &w.s.Faults[n]
 	if begins {
-		h := &hurt{fault: f, index: n, profile: slices.IndexFunc(w.s.Profiles, func(p scenario.Profile) bool { return p.Name == f.Profile })}
+		h := &hurt{fault: f, index: n, class: slices.IndexFunc(w.s.Classes, func(p scenario.Class) bool { return p.Name == f.Class })}
 		if f.ForS > 0 {
 			w.hurts = append(w.hurts, h)
 			w.at(f.End()*1000, due{kind: dueFault, n: n})
--- a/lab/model/model_test.go
+++ b/lab/model/model_test.go
@@ -117,14 +117,14 @@
 
 func (rejecter) Decide(_ float64, events []gate.Event) (out []gate.Action) {
 	for _, e := range events {
-		if o, is := e.(gate.Operation); is {
+		if o, is := e.(gate.Request); is {
 			out = append(out, gate.Reject{Op: o.Op})
 		}
 	}
 	return out
 }
 
-// timed sends each operation once with a cap, and counts its ends.
+// timed sends each request once with a cap, and counts its ends.
 type timed struct {
 	limit float64
 	ends  map[gate.Result]int
@@ -133,19 +133,19 @@
 func (d *timed) Decide(_ float64, events []gate.Event) (out []gate.Action) {
 	for _, e := range events {
 		switch e := e.(type) {
-		case gate.Operation:
+		case gate.Request:
 			out = append(out, gate.Send{Op: e.Op, Backend: 0, Cap: d.limit})
 		case gate.Ended:
 			d.ends[e.Result]++
 			if !e.Over {
-				out = append(out, gate.Scrap{Op: e.Op})
+				out = append(out, gate.Fail{Op: e.Op})
 			}
 		}
 	}
 	return out
 }
 
-// An operation whose answer and time-out fall on the same instant ends once.
+// A request whose answer and time-out fall on the same instant ends once.
 func TestAnAnswerAndATimeOutAtTheSameInstantAreOneEnd(t *testing.T) {
 	s := read(t, "")
 	d := &timed{ends: map[gate.Result]int{}}
@@ -185,7 +185,7 @@
 func (d *sleeper) Decide(now float64, events []gate.Event) (out []gate.Action) {
 	for _, e := range events {
 		switch e := e.(type) {
-		case gate.Operation:
+		case gate.Request:
 			out = append(out, gate.Reject{Op: e.Op})
 		case gate.Woken:
 			*d.woken = now - epoch
@@ -198,7 +198,7 @@
 	return out
 }
 
-// A hunt found an operation answered 50 ms after its client's wait: its door's wake was lost where it decided on
+// A hunt found a request answered 50 ms after its client's wait: its door's wake was lost where it decided on
 // something else before.
 func TestAWakeOutlivesADecisionBeforeIt(t *testing.T) {
 	s := read(t, "")
@@ -223,13 +223,13 @@
 	assert.Equal(t, 20.0, woken)
 }
 
-// caller makes one call of the counter for each operation.
+// caller makes one call of the counter for each request.
 type caller struct{ heard *int }
 
 func (d caller) Decide(_ float64, events []gate.Event) (out []gate.Action) {
 	for _, e := range events {
 		switch e := e.(type) {
-		case gate.Operation:
+		case gate.Request:
 			out = append(out, gate.Count{Customer: e.Customer, Epoch: 1, Add: 1, Keep: 1e4}, gate.Reject{Op: e.Op})
 		case gate.Counted:
 			*d.heard++
@@ -264,17 +264,17 @@
 	assert.Zero(t, heard)
 }
 
-// A group that forgets a mark a millisecond before its repeat comes lets the operation run twice.
-func TestAForgottenMarkLetsAnOperationRunTwice(t *testing.T) {
+// A group that forgets a mark a millisecond before its repeat comes lets the request run twice.
+func TestAForgottenMarkLetsARequestRunTwice(t *testing.T) {
 	s := read(t, "\n[[fault]]\nkind = \"forget_tokens\"\nat_s = 0.0\nfor_s = 5.0\nmuch = 1.0")
 	k := &kept{}
 	w := New(s, 1, ours, k)
-	b, try := w.backends[0], &Try{Profile: 1, want: &want{units: 1}}
+	b, try := w.backends[0], &Try{Class: 1, want: &want{units: 1}}
 	w.now = 100
 	w.ran(b, try)
 	w.now = 100 + 400
 	assert.True(t, w.remembers(b, try), "within its window")
-	b.hurts = []*hurt{{fault: &s.Faults[0], profile: -1}}
+	b.hurts = []*hurt{{fault: &s.Faults[0], class: -1}}
 	assert.False(t, w.remembers(b, try), "forgotten a millisecond early")
 	w.ran(b, try)
 	ran := k.of(trace.Ran)
--- a/lab/model/outer.go
+++ b/lab/model/outer.go
@@ -18,7 +18,7 @@
 	Start(known []Line)             // a life begins; the list is what the door last had
 	Kill()                          // it ends at once
 	Stop()                          // it is asked to leave
-	Submit(t *Try)                  // a client sends an operation
+	Submit(t *Try)                  // a client sends a request
 	Leave(t *Try)                   // its client has closed the connection
 	List(whole bool, change []Line) // discovery tells
 	Process(backend int, up bool)   // a backend's process has ended, or begun
@@ -52,8 +52,8 @@
 // Wording is a try as clients word it on the wire.
 type Wording struct {
 	ID, Want      int
-	Profile, Plan string
-	Replayable    bool
+	Class, Plan   string
+	Idempotent    bool
 	Customer      int
 	Units         float64
 	First, Spread int
@@ -64,7 +64,7 @@
 
 // Word gives a try's wording.
 func (w *World) Word(t *Try) Wording {
-	k, p := &w.clients.customers[t.want.customer], &w.s.Profiles[t.Profile]
+	k, p := &w.clients.customers[t.want.customer], &w.s.Classes[t.Class]
 	return Wording{t.ID, t.want.id, p.Name, w.s.Plans[k.plan].Name, p.Semantics == "replayable", t.want.customer, t.want.units, k.first,
 		k.spread, t.until - t.at, t.at, t.retry && w.s.Clients.Marks}
 }
@@ -196,7 +196,7 @@
 	w.clients.broken(w, t)
 }
 
-// outCaller answers a transmission that came from outside.
+// outCaller answers an attempt that came from outside.
 type outCaller struct {
 	door  int
 	reply func(r gate.Result, use float64)
@@ -213,7 +213,7 @@
 	o.reply(r, w.meter.use(w, j.Try.want.customer, w.s.Plans[plan].PerS/1000))
 }
 
-// Arrive is a transmission that has come whole to a backend. reply is called once, unless the backend stays silent.
+// Arrive is an attempt that has come whole to a backend. reply is called once, unless the backend stays silent.
 func (w *World) Arrive(door, backend int, t *Try, number int, connected bool, reply func(r gate.Result, use float64)) *Job {
 	b := w.backends[backend]
 	if !t.taken { // the news of its being taken comes another way, and may be behind
@@ -230,7 +230,7 @@
 	return j
 }
 
-// Abandon is a transmission whose door has ended the connection before its answer.
+// Abandon is an attempt whose door has ended the connection before its answer.
 func (w *World) Abandon(j *Job) {
 	if j.handed {
 		return
--- a/lab/model/queue.go
+++ b/lab/model/queue.go
@@ -7,7 +7,7 @@
 	dueArrival kind = iota // customer n asks, if its stamp is m
 	dueSpike               // customer n's session begins or ends
 	dueShift               // customer n's doors are weighed anew
-	dueExtra               // generator n makes an operation
+	dueExtra               // generator n makes a request
 	dueSubmit              // t reaches its door
 	dueLeave               // the client of t gives it up
 	dueGone                // the door of t learns of that
@@ -15,7 +15,7 @@
 	dueAgain               // the client of want w tries again
 	dueDial                // j's connection reaches its backend
 	dueCome                // j reaches its backend
-	dueFinish              // backend n's next operation in work is done, if its stamp is m
+	dueFinish              // backend n's next request in work is done, if its stamp is m
 	dueRefresh             // backend n's speed is worked out anew
 	dueBack                // j's result reaches its door
 	dueCancel              // j's backend learns that nobody waits
--- a/lab/model/world.go
+++ b/lab/model/world.go
@@ -28,10 +28,10 @@
 
 // Sight is the true state, for deciders that no real door could be. Indices are the door's own.
 type Sight interface {
-	// Wait is the time in ms until an operation of the profile sent now would be answered; infinite where it would not.
-	Wait(backend, profile int) float64
-	// Work is the mean work of a profile, ms.
-	Work(profile int) float64
+	// Wait is the time in ms until a request of the class sent now would be answered; infinite where it would not.
+	Wait(backend, class int) float64
+	// Work is the mean work of a class, ms.
+	Work(class int) float64
 	// Take takes units from the customer's true quota, if it holds them.
 	Take(customer, plan int, units float64) bool
 }
@@ -68,8 +68,8 @@
 	ready    []*door // that decide now
 	maker    Maker
 	tries    int
-	closing  bool // no more operations arrive
-	waiting  int  // clients' operations that are not over
+	closing  bool // no more requests arrive
+	waiting  int  // clients' requests that are not over
 	steps    int
 	posted   chan func() // from outside, in real time
 	outJobs  int
@@ -320,7 +320,7 @@
 	return much, is
 }
 
-// back sends a transmission's result on its way.
+// back sends an attempt's result on its way.
 func (w *World) back(b *backend, j *Job, r gate.Result) {
 	if j.handed || b.silent() {
 		return
@@ -333,7 +333,7 @@
 	w.at(w.now+w.way(b.zone, z), due{kind: dueBack, j: j, p: r})
 }
 
-// dial opens a connection for a transmission.
+// dial opens a connection for an attempt.
 func (w *World) dial(j *Job) {
 	b := w.backends[j.Backend]
 	z := w.doors[j.Try.Door].zone
@@ -378,13 +378,13 @@
 
 // ---- Effects ----
 
-// effect is where and when an operation ran.
+// effect is where and when a request ran.
 type effect struct {
 	group int
 	at    float64
 }
 
-func (w *World) group(b *backend, p *scenario.Profile) int {
+func (w *World) group(b *backend, p *scenario.Class) int {
 	switch p.Scope {
 	case "zone":
 		return b.zone
@@ -394,13 +394,13 @@
 	return 0
 }
 
-// remembers tells whether the backend's group knows that the operation ran, and will not let it run again.
+// remembers tells whether the backend's group knows that the request ran, and will not let it run again.
 func (w *World) remembers(b *backend, t *Try) bool {
-	p := &w.s.Profiles[t.Profile]
+	p := &w.s.Classes[t.Class]
 	if p.Semantics != "tokened" {
 		return false
 	}
-	early, _ := b.hurting("forget_tokens", t.Profile)
+	early, _ := b.hurting("forget_tokens", t.Class)
 	for _, e := range t.want.effects {
 		if e.group == w.group(b, p) && w.now <= e.at+p.WindowMs-early {
 			return true
@@ -410,7 +410,7 @@
 }
 
 func (w *World) ran(b *backend, t *Try) {
-	p := &w.s.Profiles[t.Profile]
+	p := &w.s.Classes[t.Class]
 	if p.Semantics == "replayable" {
 		return
 	}
--- a/lab/outs/history/history.go
+++ b/lab/outs/history/history.go
@@ -64,7 +64,7 @@
 	return slices.DeleteFunc(slices.Clone(of), func(u string) bool { return u == unit })
 }
 
-// step lists the states that an operation may lead to; none where it can't have happened so. most is the budget.
+// step lists the states that a request may lead to; none where it can't have happened so. most is the budget.
 func step(most int, s state, op Op) (next []state) {
 	out, back := split(s.out), split(s.back)
 	apply := func() (state, bool) {
--- a/lab/outs/verdicts.go
+++ b/lab/outs/verdicts.go
@@ -33,7 +33,7 @@
 	Look(now float64) release.Verdict
 }
 
-// Threshold is the plain rule: too many operations of the changed doors not in time, or scrapped, over the last while.
+// Threshold is the plain rule: too many requests of the changed doors not in time, or failed, over the last while.
 type Threshold struct {
 	WatchMs float64
 	Late    float64 // share not finished in time, over which it halts
@@ -47,9 +47,9 @@
 // Figures of the plain rule, as such rules are often set.
 const (
 	mostLate   = 0.10 // share not finished in time over the last half minute
-	mostScraps = 0.02
+	mostFails  = 0.02
 	plainSpan  = 30
-	plainLeast = 100 // operations
+	plainLeast = 100 // requests
 )
 
 // NewThreshold returns the plain rule for a wave.
@@ -65,7 +65,7 @@
 	if was, known := t.last[door]; known && was.Process == n.Process {
 		t.sum.Arrived += n.Arrived - was.Arrived
 		t.sum.InTime += n.InTime - was.InTime
-		t.sum.Scrapped += n.Scrapped - was.Scrapped
+		t.sum.Failed += n.Failed - was.Failed
 	}
 	t.last[door] = n
 }
@@ -82,13 +82,13 @@
 	}
 	var n release.Counts
 	for _, r := range t.recent {
-		n.Arrived, n.InTime, n.Scrapped = n.Arrived+r.Arrived, n.InTime+r.InTime, n.Scrapped+r.Scrapped
+		n.Arrived, n.InTime, n.Failed = n.Arrived+r.Arrived, n.InTime+r.InTime, n.Failed+r.Failed
 	}
-	switch late, scraps := 1-float64(n.InTime)/math.Max(1, float64(n.Arrived)), float64(n.Scrapped)/math.Max(1, float64(n.Arrived)); {
+	switch late, fails := 1-float64(n.InTime)/math.Max(1, float64(n.Arrived)), float64(n.Failed)/math.Max(1, float64(n.Arrived)); {
 	case t.failed != "":
 		return release.Verdict{Says: release.GoBck, Why: t.failed}
-	case n.Arrived >= plainLeast && (late > t.Late || scraps > mostScraps):
-		return release.Verdict{Says: release.GoBck, Why: fmt.Sprintf("%.3f late, %.3f scrapped", late, scraps)}
+	case n.Arrived >= plainLeast && (late > t.Late || fails > mostFails):
+		return release.Verdict{Says: release.GoBck, Why: fmt.Sprintf("%.3f late, %.3f scrapped", late, fails)}
 	case now-t.began >= t.WatchMs:
 		return release.Verdict{Says: release.GoOn}
 	}
@@ -97,7 +97,7 @@
 
 // made is one door of a made-up fleet.
 type made struct {
-	rate    float64 // operations a second
+	rate    float64 // requests a second
 	late    float64 // share not in time, on a quiet day
 	latency float64 // ms
 	memory  float64
@@ -136,13 +136,13 @@
 			}
 			for i := range doors {
 				d := &doors[i]
-				late, latency, scrapped, memory := d.late*math.Exp(2*load)+storm, d.latency*math.Exp(load), 0.002, d.memory
+				late, latency, failed, memory := d.late*math.Exp(2*load)+storm, d.latency*math.Exp(load), 0.002, d.memory
 				on := d.changed >= 0
 				if on {
 					for _, h := range []struct {
 						is bool
 						do func()
-					}{{v.Harm == "share" || v.Harm == "little", func() { late += much }}, {v.Harm == "latency", func() { latency *= much }}, {v.Harm == "scraps", func() { scrapped += much; late += much }},
+					}{{v.Harm == "share" || v.Harm == "little", func() { late += much }}, {v.Harm == "latency", func() { latency *= much }}, {v.Harm == "scraps", func() { failed += much; late += much }},
 						{v.Harm == "memory", func() { memory *= 1 + much*(now-d.changed) }}, {v.Harm == "loaded" && load > 0.15, func() { late += much }},
 						{v.Harm == "late" && now > 600, func() { late += much }}} {
 						if h.is {
@@ -157,8 +157,8 @@
 				for range came {
 					d.n.Arrived++
 					switch x := dice.Float64(); {
-					case x < scrapped:
-						d.n.Scrapped++
+					case x < failed:
+						d.n.Failed++
 					case x < late:
 						d.n.Rejected++
 					default:
--- a/lab/procs/drill.go
+++ b/lab/procs/drill.go
@@ -40,7 +40,7 @@
 	Coordinators int
 	Binary       string // swifthall, with its other programs beside it
 	Logs         string
-	Rate         float64 // operations a second that clients ask of each door that nothing befalls
+	Rate         float64 // requests a second that clients ask of each door that nothing befalls
 	Strike       string  // strikes drawn where empty; none, one, leader or all: coordinators lost, for measurements
 }
 
@@ -135,7 +135,7 @@
 	cuts    map[[2]string]float64 // until when a way is cut
 	fails   []string
 	strikes []string
-	came    map[string][]float64 // operations at backends
+	came    map[string][]float64 // requests at backends
 	claims  []claim
 	stops   []outs.Stop
 	history []history.Op
@@ -887,7 +887,7 @@
 	return all, back
 }
 
-// silent finds operations that came to a backend while it was said to be drained.
+// silent finds requests that came to a backend while it was said to be drained.
 func silent(claims []claim, came map[string][]float64) (breaches []outs.Breach) {
 	for _, c := range claims {
 		for _, at := range came[c.unit] {
--- a/lab/procs/drill_test.go
+++ b/lab/procs/drill_test.go
@@ -54,7 +54,7 @@
 	assert.False(t, all[0].ByPlan, "it was told to end")
 }
 
-func TestAnOperationAtADrainedBackendIsFound(t *testing.T) {
+func TestARequestAtADrainedBackendIsFound(t *testing.T) {
 	claims := []claim{{"b-1", 1000, 3000}}
 	assert.Empty(t, silent(claims, map[string][]float64{"b-1": {900, 1000 + claimSlack, 3000}, "b-2": {2000}}))
 	assert.Equal(t, Silent, silent(claims, map[string][]float64{"b-1": {2000}})[0].Rule)
--- a/lab/procs/real.go
+++ b/lab/procs/real.go
@@ -33,7 +33,7 @@
 	Plan   *Plan
 	Binary string  // swifthall, with swifthall-fleet beside it
 	Logs   string  // folder for the processes' logs; empty for none
-	Rate   float64 // operations a second that clients ask of each door; 0 for none
+	Rate   float64 // requests a second that clients ask of each door; 0 for none
 	Plain  bool    // doors without a fleet, to see what membership costs
 }
 
@@ -445,7 +445,7 @@
 	return finish()
 }
 
-// clients ask of each door that nothing befalls for as long as the day lasts: no operation waits for membership.
+// clients ask of each door that nothing befalls for as long as the day lasts: no request waits for membership.
 func (r *rig) clients(end float64) (finish func() ([]*load.Outcome, error)) {
 	var runs []load.Run
 	for i, p := range r.procs {
@@ -492,7 +492,7 @@
 	RunsOn    = "no process ends by itself"
 )
 
-const leastServed = 0.995 // share of operations at doors that nothing befell
+const leastServed = 0.995 // share of requests at doors that nothing befell
 
 func (r *rig) result(served []*load.Outcome) *Result {
 	r.mu.Lock()
--- a/lab/procs/rollout.go
+++ b/lab/procs/rollout.go
@@ -26,7 +26,7 @@
 	Coordinators int
 	Binary       string
 	Logs         string
-	Rate         float64 // operations a second at each door
+	Rate         float64 // requests a second at each door
 }
 
 // Rollouts tells what each kind of release is.
@@ -54,7 +54,7 @@
 	DecidedS                          float64 // from the first door's change to the word that sends all back
 	BackS                             float64 // from that word until all is as before
 	MostOut                           int     // doors that couldn't serve at once
-	Touched                           float64 // share of operations that came to doors while they ran what was bad
+	Touched                           float64 // share of requests that came to doors while they ran what was bad
 	Asked, Finished, Rejected, Failed int
 }
 
@@ -272,7 +272,7 @@
 				r.BackS = (now - decidedAt) / msPerSecond
 				if firstAt > 0 {
 					r.DecidedS = (decidedAt - firstAt) / msPerSecond
-					r.Touched = (now - firstAt) / msPerSecond / float64(len(d.doors)) // of a second's operations at all doors, for one door
+					r.Touched = (now - firstAt) / msPerSecond / float64(len(d.doors)) // of a second's requests at all doors, for one door
 				}
 			}
 			return nil
--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -105,7 +105,7 @@
 			{"never served", red, func(s *judge.Second) float64 { return float64(s.Unserved) }}}},
 		{"Answers that gave a try up", "tries a second", false, []line{
 			{"rejected", blue, func(s *judge.Second) float64 { return float64(s.Rejected) }},
-			{"scrapped", red, func(s *judge.Second) float64 { return float64(s.Scrapped) }}}},
+			{"scrapped", red, func(s *judge.Second) float64 { return float64(s.Failed) }}}},
 		{"Time from the first try to the answer", "ms", true, []line{
 			{"p50", blue, func(s *judge.Second) float64 { return s.P50 }},
 			{"p99", orange, func(s *judge.Second) float64 { return s.P99 }}}},
--- a/lab/rival/rival.go
+++ b/lab/rival/rival.go
@@ -36,13 +36,13 @@
 	}},
 }
 
-// operation is what a rival keeps of one.
-type operation struct {
-	open          bool
-	profile, plan int
-	units         float64
-	until         float64
-	sends         []sending
+// request is what a rival keeps of one.
+type request struct {
+	open        bool
+	class, plan int
+	units       float64
+	until       float64
+	sends       []sending
 }
 
 type sending struct {
@@ -52,15 +52,15 @@
 	never   bool
 }
 
-// base keeps the list and the operations, and the book of what may be sent again.
+// base keeps the list and the requests, and the book of what may be sent again.
 type base struct {
 	terms   gate.Terms
 	dice    *rand.Rand
-	ops     []operation
+	ops     []request
 	up      []bool
 	zone    []int
 	cell    []int
-	out     []int // own transmissions, by backend
+	out     []int // own attempts, by backend
 	listed  []int // those that are up
 	actions []gate.Action
 	asked   bool
@@ -109,11 +109,11 @@
 	}
 }
 
-func (b *base) arrive(now float64, e gate.Operation) *operation {
+func (b *base) arrive(now float64, e gate.Request) *request {
 	for len(b.ops) <= e.Op {
-		b.ops = append(b.ops, operation{})
+		b.ops = append(b.ops, request{})
 	}
-	b.ops[e.Op] = operation{open: true, profile: e.Profile, plan: e.Plan, units: e.Units, until: now + e.TTL, sends: b.ops[e.Op].sends[:0]}
+	b.ops[e.Op] = request{open: true, class: e.Class, plan: e.Plan, units: e.Units, until: now + e.TTL, sends: b.ops[e.Op].sends[:0]}
 	return &b.ops[e.Op]
 }
 
@@ -123,10 +123,10 @@
 	b.actions = append(b.actions, gate.Send{Op: op, Backend: backend, Cap: limit})
 }
 
-// ended books a transmission's end, and tells whether the operation still waits for something.
+// ended books an attempt's end, and tells whether the request still waits for something.
 func (b *base) ended(e gate.Ended) (open bool) {
 	o := &b.ops[e.Op]
-	s := &o.sends[e.Transmission]
+	s := &o.sends[e.Attempt]
 	s.out, s.never = false, e.Result.NeverRan()
 	b.out[s.backend]--
 	if e.Over {
@@ -135,15 +135,15 @@
 	return o.open
 }
 
-// end gives an operation up: a rejection where the rules let it, else a scrapping.
+// end gives a request up: a rejection where the rules let it, else a failure.
 func (b *base) end(op int, retryAfter float64) {
 	o := &b.ops[op]
 	o.open = false
-	p := &b.terms.Profiles[o.profile]
-	if p.Semantics != gate.Replayable && !(p.Semantics == gate.Tokened && p.Scope == gate.ScopeAll) {
+	p := &b.terms.Classes[o.class]
+	if p.Semantics != gate.Idempotent && !(p.Semantics == gate.Keyed && p.Scope == gate.ScopeAll) {
 		for i := range o.sends {
 			if !o.sends[i].never {
-				b.actions = append(b.actions, gate.Scrap{Op: op})
+				b.actions = append(b.actions, gate.Fail{Op: op})
 				return
 			}
 		}
@@ -151,19 +151,19 @@
 	b.actions = append(b.actions, gate.Reject{Op: op, RetryAfter: min(retryAfter, b.terms.MaxRetryAfter)})
 }
 
-// may tells whether an operation may be sent to a backend now.
-func (b *base) may(now float64, o *operation, backend int) bool {
-	p := &b.terms.Profiles[o.profile]
-	if len(o.sends) >= b.terms.MaxTransmissions {
+// may tells whether a request may be sent to a backend now.
+func (b *base) may(now float64, o *request, backend int) bool {
+	p := &b.terms.Classes[o.class]
+	if len(o.sends) >= b.terms.MaxAttempts {
 		return false
 	}
 	for i := range o.sends {
 		s := &o.sends[i]
 		switch {
-		case s.out && !b.terms.SecondCopies:
+		case s.out && !b.terms.Hedging:
 			return false
-		case s.never || p.Semantics == gate.Replayable:
-		case p.Semantics == gate.SingleUse,
+		case s.never || p.Semantics == gate.Idempotent:
+		case p.Semantics == gate.NonIdempotent,
 			p.Scope == gate.ScopeZone && b.zone[s.backend] != b.zone[backend],
 			p.Scope == gate.ScopeCell && b.cell[s.backend] != b.cell[backend],
 			now > s.at+p.Window:
@@ -181,7 +181,7 @@
 	for _, e := range events {
 		f.hear(e)
 		switch e := e.(type) {
-		case gate.Operation:
+		case gate.Request:
 			f.arrive(now, e)
 			if len(f.listed) == 0 {
 				f.end(e.Op, 0)
@@ -212,7 +212,7 @@
 }
 
 const (
-	budgetShare = 0.1 // retries for each operation
+	budgetShare = 0.1 // retries for each request
 	budgetMost  = 10  // retries that the budget holds at most
 )
 
@@ -221,7 +221,7 @@
 	for _, e := range events {
 		t.hear(e)
 		switch e := e.(type) {
-		case gate.Operation:
+		case gate.Request:
 			t.arrive(now, e)
 			t.retries = min(budgetMost, t.retries+budgetShare)
 			if rest := t.take(now, e); rest > 0 {
@@ -239,7 +239,7 @@
 }
 
 // take draws on the customer's slice; it returns the time until there may be room, 0 where there was.
-func (t *textbook) take(now float64, e gate.Operation) float64 {
+func (t *textbook) take(now float64, e gate.Request) float64 {
 	for len(t.buckets) <= e.Customer {
 		t.buckets = append(t.buckets, bucket{})
 	}
@@ -260,8 +260,8 @@
 	return (e.Units - k.level) / (p.Rate * part)
 }
 
-// pick is the better of two random choices among those that may have the operation; -1 where there is none.
-func (t *textbook) pick(now float64, o *operation) int {
+// pick is the better of two random choices among those that may have the request; -1 where there is none.
+func (t *textbook) pick(now float64, o *request) int {
 	best := -1
 	for range 2 {
 		if len(t.listed) == 0 {
@@ -284,8 +284,8 @@
 	t.end(op, t.terms.MaxRetryAfter)
 }
 
-func (t *textbook) limit(now float64, o *operation) float64 {
-	return max(1, min(o.until-now, t.terms.Profiles[o.profile].Contract))
+func (t *textbook) limit(now float64, o *request) float64 {
+	return max(1, min(o.until-now, t.terms.Classes[o.class].Contract))
 }
 
 func (t *textbook) again(now float64, op int) bool {
@@ -302,26 +302,26 @@
 	return true
 }
 
-// oracle sees the true state of all backends and quotas, and sends each operation to where it is answered soonest. The
-// more pressed the fleet, the more gain an operation must bring for its work.
+// oracle sees the true state of all backends and quotas, and sends each request to where it is answered soonest. The
+// more pressed the fleet, the more gain a request must bring for its work.
 type oracle struct {
 	base
 	sight model.Sight
-	ranks [][]float64 // by profile and plan, of the gain for the work: 1 for the best
+	ranks [][]float64 // by class and plan, of the gain for the work: 1 for the best
 }
 
 const (
-	poorWait = 0.15 // share of the contract time that the poorest operation may be expected to take,
+	poorWait = 0.15 // share of the contract time that the poorest request may be expected to take,
 	richWait = 0.5  // and the richest: works vary, so that a mean nearer to the contract time comes late too often
 )
 
 func newOracle(t gate.Terms, seed uint64, s model.Sight) *oracle {
 	o := &oracle{base: newBase(t, seed), sight: s}
 	var all []float64
-	for p := range t.Profiles {
+	for p := range t.Classes {
 		var row []float64
 		for q := range t.Plans {
-			row = append(row, t.Profiles[p].Gain*t.Plans[q].Price/s.Work(p))
+			row = append(row, t.Classes[p].Gain*t.Plans[q].Price/s.Work(p))
 		}
 		o.ranks, all = append(o.ranks, row), append(all, row...)
 	}
@@ -339,10 +339,10 @@
 	for _, e := range events {
 		o.hear(e)
 		switch e := e.(type) {
-		case gate.Operation:
+		case gate.Request:
 			op := o.arrive(now, e)
-			contract, alone := o.terms.Profiles[op.profile].Contract, o.sight.Work(op.profile)
-			most := max(alone, contract*(poorWait+(richWait-poorWait)*o.ranks[op.profile][op.plan]))
+			contract, alone := o.terms.Classes[op.class].Contract, o.sight.Work(op.class)
+			most := max(alone, contract*(poorWait+(richWait-poorWait)*o.ranks[op.class][op.plan]))
 			if b, wait := o.best(now, op); b < 0 || now+wait > op.until || wait > most {
 				o.end(e.Op, o.terms.MaxRetryAfter)
 			} else if !o.sight.Take(e.Customer, e.Plan, e.Units) {
@@ -366,7 +366,7 @@
 }
 
 // best is the backend that would answer soonest, and when.
-func (o *oracle) best(now float64, op *operation) (backend int, wait float64) {
+func (o *oracle) best(now float64, op *request) (backend int, wait float64) {
 	backend, wait = -1, math.Inf(1)
 	from := 0
 	if len(o.listed) > 0 {
@@ -374,7 +374,7 @@
 	}
 	for i := range o.listed {
 		b := o.listed[(from+i)%len(o.listed)]
-		if w := o.sight.Wait(b, op.profile); w < wait && o.may(now, op, b) {
+		if w := o.sight.Wait(b, op.class); w < wait && o.may(now, op, b) {
 			backend, wait = b, w
 		}
 	}
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -42,7 +42,7 @@
 	Breaches []judge.Breach     `json:"breaches"`
 	Whole    judge.Tally        `json:"whole"`
 	Plans    []Named            `json:"plans"`
-	Profiles []Named            `json:"profiles"`
+	Classes  []Named            `json:"profiles"`
 	Costs    judge.Costs        `json:"costs"`
 	Seconds  []judge.Second     `json:"by_second"`
 	Faults   []scenario.Fault   `json:"faults"`
@@ -51,7 +51,7 @@
 	Notes    []string           `json:"notes,omitempty"`
 }
 
-// Named is the tally of a plan or a profile.
+// Named is the tally of a plan or a class.
 type Named struct {
 	Name string `json:"name"`
 	judge.Tally
@@ -143,8 +143,8 @@
 	for i, p := range s.Plans {
 		r.Plans = append(r.Plans, Named{Name: p.Name, Tally: j.Service.Plans[i]})
 	}
-	for i, p := range s.Profiles {
-		r.Profiles = append(r.Profiles, Named{Name: p.Name, Tally: j.Service.Profs[i], Latency: Quantiles(j.Service.Latency[i])})
+	for i, p := range s.Classes {
+		r.Classes = append(r.Classes, Named{Name: p.Name, Tally: j.Service.Profs[i], Latency: Quantiles(j.Service.Latency[i])})
 	}
 	return r
 }
--- a/lab/run/sweep.go
+++ b/lab/run/sweep.go
@@ -167,7 +167,7 @@
 		{"G", func(r *Result) float64 { return r.Parts.G }},
 		{"whole", func(r *Result) float64 { return r.Parts.Whole }},
 		{"worst window", func(r *Result) float64 { return r.Parts.WorstWindow }},
-		{"worst profile", func(r *Result) float64 { return r.Parts.WorstProfile }},
+		{"worst profile", func(r *Result) float64 { return r.Parts.WorstClass }},
 		{"worst plan", func(r *Result) float64 { return r.Parts.WorstPlan }},
 		{"prices", func(r *Result) float64 { return r.Parts.Prices }},
 		{"in time", func(r *Result) float64 { return share(float64(r.Whole.InTime), float64(r.Whole.Asked)) }},
--- a/lab/scenario/faults.go
+++ b/lab/scenario/faults.go
@@ -14,7 +14,7 @@
 	ForS    float64 `toml:"for_s"`
 	Share   float64 `toml:"share"`   // of those it may strike
 	Zone    *int    `toml:"zone"`    // strikes this zone only
-	Profile string  `toml:"profile"` // strikes this profile only
+	Class   string  `toml:"profile"` // strikes this class only
 	Much    float64 `toml:"much"`    // how much, in the kind's unit
 	EveryMs float64 `toml:"every_ms"`
 	Batches int     `toml:"batches"`  // steps of a kind that goes in steps
@@ -131,8 +131,8 @@
 			return fault(under+"kind", "%s, though counter.on is false", f.Kind)
 		case k.Whom == Meters && s.Meter.PeriodMs == 0:
 			return fault(under+"kind", "%s, though meter.period_ms is 0", f.Kind)
-		case f.Profile != "" && !slices.ContainsFunc(s.Profiles, func(p Profile) bool { return p.Name == f.Profile }):
-			return fault(under+"profile", "%q is no profile", f.Profile)
+		case f.Class != "" && !slices.ContainsFunc(s.Classes, func(p Class) bool { return p.Name == f.Class }):
+			return fault(under+"profile", "%q is no profile", f.Class)
 		}
 		for j := range i {
 			g := &s.Faults[j]
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -33,7 +33,7 @@
 	Machines  []Machine `toml:"machine"`
 	Net       Net       `toml:"net"`
 	Load      Load      `toml:"load"`
-	Profiles  []Profile `toml:"profile"`
+	Classes   []Class   `toml:"profile"`
 	Plans     []Plan    `toml:"plan"`
 	Clients   Clients   `toml:"clients"`
 	Discovery Discovery `toml:"discovery"`
@@ -46,7 +46,7 @@
 	Faults    []Fault   `toml:"fault"`
 }
 
-// Day is how long operations arrive, and how often a door looks at what has come.
+// Day is how long requests arrive, and how often a door looks at what has come.
 type Day struct {
 	Seconds float64 `toml:"seconds"`
 	TickMs  float64 `toml:"tick_ms"`
@@ -68,8 +68,8 @@
 	Share        float64 `toml:"share"`
 	Cores        int     `toml:"cores"`
 	Speed        Span    `toml:"speed"`          // work done in a ms of a core, ms
-	SlotsPerCore float64 `toml:"slots_per_core"` // operations in work at once
-	QueuePerCore float64 `toml:"queue_per_core"` // operations that wait; more are turned away
+	SlotsPerCore float64 `toml:"slots_per_core"` // requests in work at once
+	QueuePerCore float64 `toml:"queue_per_core"` // requests that wait; more are turned away
 	Thrash       float64 `toml:"thrash"`         // share of the speed lost when full
 	ColdFrom     float64 `toml:"cold_from"`      // share of its capacity at its start
 	ColdS        float64 `toml:"cold_s"`         // until it is warm
@@ -93,7 +93,7 @@
 // Load is what is asked. PerSecond wins over Share.
 type Load struct {
 	Share       float64 `toml:"share"`        // asked inside the quotas, as a share of what the backends can do
-	PerSecond   float64 `toml:"per_s"`        // operations a second, all that is first asked
+	PerSecond   float64 `toml:"per_s"`        // requests a second, all that is first asked
 	Shape       string  `toml:"shape"`        // steady, wave, ramp or bursts
 	Swing       float64 `toml:"swing"`        // how far the shape moves the load, as a share
 	PerCustomer float64 `toml:"per_customer"` // mean use of a customer as a share of its rate
@@ -104,23 +104,23 @@
 	SpikeTimes  float64 `toml:"spike_times"`  // of that many times the rate,
 	SpikeS      Span    `toml:"spike_s"`      // that long,
 	SpikeEveryS Span    `toml:"spike_every_s"`
-	Skew        float64 `toml:"skew"`    // how unevenly a customer's operations come over its doors, 0 for evenly
+	Skew        float64 `toml:"skew"`    // how unevenly a customer's requests come over its doors, 0 for evenly
 	ShiftS      Span    `toml:"shift_s"` // how often that changes
 	MostUnits   int     `toml:"most_units"`
 }
 
-// Profile is a kind of operation.
-type Profile struct {
+// Class is a kind of request.
+type Class struct {
 	Name       string  `toml:"name"`
 	Share      float64 `toml:"share"`
 	WorkMs     float64 `toml:"work_ms"`
 	Cv         float64 `toml:"cv"`    // of the work; 0 draws it from an exponential distribution
-	Noise      float64 `toml:"noise"` // of each transmission's work around the operation's own
+	Noise      float64 `toml:"noise"` // of each attempt's work around the request's own
 	ContractMs float64 `toml:"contract_ms"`
 	OuterMs    float64 `toml:"outer_ms"`
 	Gain       float64 `toml:"gain"`
 	LateValue  float64 `toml:"late_value"`
-	Semantics  string  `toml:"semantics"` // replayable, tokened, single-use
+	Semantics  string  `toml:"semantics"` // idempotent, keyed, non-idempotent
 	Scope      string  `toml:"scope"`     // all, zone, cell
 	WindowMs   float64 `toml:"window_ms"`
 }
@@ -143,7 +143,7 @@
 // Clients is how clients behave when they are not served.
 type Clients struct {
 	Retries         int     `toml:"retries"`
-	TryShare        float64 `toml:"try_share"` // of the outer limit, after which a try is given up
+	TryShare        float64 `toml:"try_share"` // of the deadline, after which a try is given up
 	Wait            string  `toml:"wait"`      // none, fixed or doubling
 	WaitMs          float64 `toml:"wait_ms"`
 	Honour          float64 `toml:"honour"` // share of them that follow the advice
@@ -180,12 +180,12 @@
 
 // Allow is what a door may do.
 type Allow struct {
-	Probes           bool    `toml:"probes"`
-	ProbeMs          float64 `toml:"probe_ms"` // work of a probe
-	Cancel           bool    `toml:"cancel"`
-	SecondCopies     bool    `toml:"second_copies"`
-	MaxTransmissions int     `toml:"max_transmissions"`
-	RetryAfter       bool    `toml:"retry_after"`
+	Probes      bool    `toml:"probes"`
+	ProbeMs     float64 `toml:"probe_ms"` // work of a probe
+	Cancel      bool    `toml:"cancel"`
+	Hedging     bool    `toml:"second_copies"`
+	MaxAttempts int     `toml:"max_transmissions"`
+	RetryAfter  bool    `toml:"retry_after"`
 }
 
 // Rules holds the figures of the five rules.
@@ -200,20 +200,20 @@
 
 // Goal weighs the parts of G.
 type Goal struct {
-	Whole        float64 `toml:"whole"`
-	WorstWindow  float64 `toml:"worst_window"`
-	WorstProfile float64 `toml:"worst_profile"`
-	WorstPlan    float64 `toml:"worst_plan"`
+	Whole       float64 `toml:"whole"`
+	WorstWindow float64 `toml:"worst_window"`
+	WorstClass  float64 `toml:"worst_profile"`
+	WorstPlan   float64 `toml:"worst_plan"`
 }
 
-// Prices are taken off G, each times its share of the operations or of the work.
+// Prices are taken off G, each times its share of the requests or of the work.
 type Prices struct {
 	Counter   float64 `toml:"counter"`
 	Probe     float64 `toml:"probe"`
 	Cross     float64 `toml:"cross"`
 	Waste     float64 `toml:"waste"`
 	Handshake float64 `toml:"handshake"`
-	HeldBack  float64 `toml:"held_back"` // of its gain, for an operation given up after half of its time and never sent
+	HeldBack  float64 `toml:"held_back"` // of its gain, for a request given up after half of its time and never sent
 }
 
 // Read decodes and checks a scenario.
@@ -309,9 +309,9 @@
 			Elsewhere: 0.4, NoticeMs: 2000},
 		Discovery: Discovery{DelayMs: Span{300, 1200}, NoticeMs: Span{700, 3000}, SilentMs: Span{5000, 10000}},
 		Counter:   Counter{PerS: 450, Parts: 1, ServeMs: 1.2, QueueMs: 80, TimeoutMs: 80},
-		Allow:     Allow{ProbeMs: 0.4, Cancel: true, SecondCopies: true, MaxTransmissions: 6, RetryAfter: true},
+		Allow:     Allow{ProbeMs: 0.4, Cancel: true, Hedging: true, MaxAttempts: 6, RetryAfter: true},
 		Rules:     Rules{AnswerSlackMs: 50, DrainGraceMs: 500, FallMultiple: 4, FallMs: 1500},
-		Goal:      Goal{Whole: 0.4, WorstWindow: 0.35, WorstProfile: 0.1, WorstPlan: 0.15},
+		Goal:      Goal{Whole: 0.4, WorstWindow: 0.35, WorstClass: 0.1, WorstPlan: 0.15},
 		Prices:    Prices{Counter: 0.02, Probe: 0.01, Cross: 0.01, Waste: 0.05, Handshake: 0.02, HeldBack: 0.3},
 	}
 }
@@ -335,8 +335,8 @@
 		s.Machines = []Machine{{Name: "plain", Share: 1, Cores: 2, Speed: Span{0.9, 1.4}, SlotsPerCore: 4, QueuePerCore: 20,
 			Thrash: 0.1, ColdFrom: 0.3, ColdS: 8, ConnsPerCore: 500, HandshakeMs: 0.5}}
 	}
-	for i := range s.Profiles {
-		p := &s.Profiles[i]
+	for i := range s.Classes {
+		p := &s.Classes[i]
 		p.Share, p.Gain = or(p.Share, 1), or(p.Gain, 1)
 		if p.Semantics == "" {
 			p.Semantics = "replayable"
@@ -399,12 +399,12 @@
 		return fault("day.seconds", "%g, up to %d can be played", s.Day.Seconds, mostSeconds)
 	case !(s.Day.TickMs > 0 && s.Day.TickMs <= 1000):
 		return fault("day.tick_ms", "%g", s.Day.TickMs)
-	case len(s.Profiles) == 0:
+	case len(s.Classes) == 0:
 		return fault("profile", "none")
 	case len(s.Plans) == 0:
 		return fault("plan", "none")
-	case s.Allow.MaxTransmissions < 1:
-		return fault("allow.max_transmissions", "%d", s.Allow.MaxTransmissions)
+	case s.Allow.MaxAttempts < 1:
+		return fault("allow.max_transmissions", "%d", s.Allow.MaxAttempts)
 	case s.Counter.On && !(s.Counter.PerS > 0 && s.Counter.Parts > 0 && s.Counter.TimeoutMs > 0):
 		return fault("counter", "per_s, parts and timeout_ms must be above 0")
 	case s.Load.MostUnits < 1:
@@ -438,7 +438,7 @@
 			return err
 		}
 	}
-	for i, p := range s.Profiles {
+	for i, p := range s.Classes {
 		under := fmt.Sprintf("profile[%d].", i)
 		if p.Name == "" {
 			return fault(under+"name", "missing")
@@ -510,10 +510,10 @@
 		{"rules.fall_multiple", s.Rules.FallMultiple, 1, inf}, {"rules.fall_ms", s.Rules.FallMs, 1, inf},
 		{"rules.cold_from", s.Rules.ColdFrom, 0.001, 1}, {"rules.cold_s", s.Rules.ColdS, 0, inf},
 		{"goal.whole", s.Goal.Whole, 0, inf}, {"goal.worst_window", s.Goal.WorstWindow, 0, inf},
-		{"goal.worst_profile", s.Goal.WorstProfile, 0, inf}, {"goal.worst_plan", s.Goal.WorstPlan, 0, inf},
+		{"goal.worst_profile", s.Goal.WorstClass, 0, inf}, {"goal.worst_plan", s.Goal.WorstPlan, 0, inf},
 		{"prices.counter", s.Prices.Counter, 0, inf}, {"prices.probe", s.Prices.Probe, 0, inf}, {"prices.cross", s.Prices.Cross, 0, inf},
 		{"prices.waste", s.Prices.Waste, 0, inf}, {"prices.handshake", s.Prices.Handshake, 0, inf}, {"prices.held_back", s.Prices.HeldBack, 0, inf},
-		{"goal", s.Goal.Whole + s.Goal.WorstWindow + s.Goal.WorstProfile + s.Goal.WorstPlan, 1e-9, inf},
+		{"goal", s.Goal.Whole + s.Goal.WorstWindow + s.Goal.WorstClass + s.Goal.WorstPlan, 1e-9, inf},
 	}
 	for i, m := range s.Machines {
 		under := fmt.Sprintf("machine[%d].", i)
@@ -523,7 +523,7 @@
 			{under + "conns_per_core", m.ConnsPerCore, 0.1, inf}, {under + "handshake_ms", m.HandshakeMs, 0, inf},
 			{under + "error_rate", m.ErrorRate, 0, 1}}...)
 	}
-	for i, p := range s.Profiles {
+	for i, p := range s.Classes {
 		under := fmt.Sprintf("profile[%d].", i)
 		fs = append(fs, []figure{{under + "share", p.Share, 0, inf}, {under + "cv", p.Cv, 0, 20}, {under + "noise", p.Noise, 0, 5},
 			{under + "gain", p.Gain, 0, inf}, {under + "late_value", p.LateValue, 0, 1}, {under + "outer_ms", p.OuterMs, 0, 600e3}}...)
--- a/lab/stand/backend.go
+++ b/lab/stand/backend.go
@@ -95,13 +95,13 @@
 	nc.Close()
 }
 
-// answer is what a backend's stand-in sends, or does, for one transmission.
+// answer is what a backend's stand-in sends, or does, for one attempt.
 type answer struct {
 	result gate.Result
 	use    float64
 }
 
-const mostBody = 64 << 10 // bytes of an operation
+const mostBody = 64 << 10 // bytes of a request
 
 // talk serves one connection. One that the backend does not take is reset.
 func (a *address) talk(nc net.Conn) {
@@ -123,7 +123,7 @@
 		return
 	}
 	defer a.f.post(func() { a.f.w.Disconnected(a.backend, life) })
-	ops, gone := make(chan operation), make(chan struct{})
+	ops, gone := make(chan request), make(chan struct{})
 	a.f.later(func() { a.read(nc, ops, gone) })
 	for fresh := true; ; fresh = false {
 		select {
@@ -139,14 +139,14 @@
 	}
 }
 
-// operation is one that has come whole.
-type operation struct {
+// request is one that has come whole.
+type request struct {
 	id   string
 	body []byte
 }
 
-// read takes operations off a connection, one by one, and notices when the door ends it.
-func (a *address) read(nc net.Conn, ops chan<- operation, gone chan<- struct{}) {
+// read takes requests off a connection, one by one, and notices when the door ends it.
+func (a *address) read(nc net.Conn, ops chan<- request, gone chan<- struct{}) {
 	defer close(gone)
 	for r := bufio.NewReader(nc); ; {
 		req, err := http.ReadRequest(r)
@@ -158,15 +158,15 @@
 			return
 		}
 		select {
-		case ops <- operation{req.Header.Get("X-Txn"), body}:
+		case ops <- request{req.Header.Get("X-Txn"), body}:
 		case <-a.f.ctx.Done():
 			return
 		}
 	}
 }
 
-// one serves one operation, and tells whether the connection goes on.
-func (a *address) one(nc net.Conn, op operation, gone <-chan struct{}, fresh bool) bool {
+// one serves one request, and tells whether the connection goes on.
+func (a *address) one(nc net.Conn, op request, gone <-chan struct{}, fresh bool) bool {
 	t := a.f.find(op.id)
 	if t == nil {
 		fmt.Fprintf(nc, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
@@ -184,7 +184,7 @@
 	select {
 	case <-a.f.ctx.Done():
 		return false
-	case <-gone: // the door ends its connection when it gives the transmission up
+	case <-gone: // the door ends its connection when it gives the attempt up
 		a.f.post(func() { a.f.w.Abandon(job) })
 		return false
 	case got := <-come:
--- a/lab/stand/beside.go
+++ b/lab/stand/beside.go
@@ -42,7 +42,7 @@
 	Served  float64 // finished a second
 	Lost    int     // rejected or failed
 	Latency *hdrhistogram.Histogram
-	CPU     time.Duration // used, a thousand operations
+	CPU     time.Duration // used, a thousand requests
 }
 
 const (
@@ -53,15 +53,15 @@
 
 // instant is a world in which a door has nothing to decide: ample quotas, short work.
 var instant = scenario.Scenario{
-	Name:     "beside",
-	Fleet:    scenario.Fleet{Doors: 1, Backends: besideBackends, Zones: 1, CellSize: 1},
-	Load:     scenario.Load{MostUnits: 1},
-	Net:      scenario.Net{ConnectTimeoutMs: 250, IdleMs: 15e3},
-	Allow:    scenario.Allow{MaxTransmissions: 3, Cancel: true, SecondCopies: true, RetryAfter: true},
-	Clients:  scenario.Clients{MaxRetryAfterMs: 500},
-	Rules:    scenario.Rules{ColdFrom: 0.3, ColdS: 5, FallMultiple: 4, FallMs: 1500},
-	Profiles: []scenario.Profile{{Name: "look", ContractMs: 500, OuterMs: besideWait, Gain: 1, Semantics: "replayable", Scope: "all"}},
-	Plans:    []scenario.Plan{{Name: "ample", PerS: 1e6, Depth: 1e6, Price: 1}},
+	Name:    "beside",
+	Fleet:   scenario.Fleet{Doors: 1, Backends: besideBackends, Zones: 1, CellSize: 1},
+	Load:    scenario.Load{MostUnits: 1},
+	Net:     scenario.Net{ConnectTimeoutMs: 250, IdleMs: 15e3},
+	Allow:   scenario.Allow{MaxAttempts: 3, Cancel: true, Hedging: true, RetryAfter: true},
+	Clients: scenario.Clients{MaxRetryAfterMs: 500},
+	Rules:   scenario.Rules{ColdFrom: 0.3, ColdS: 5, FallMultiple: 4, FallMs: 1500},
+	Classes: []scenario.Class{{Name: "look", ContractMs: 500, OuterMs: besideWait, Gain: 1, Semantics: "replayable", Scope: "all"}},
+	Plans:   []scenario.Plan{{Name: "ample", PerS: 1e6, Depth: 1e6, Price: 1}},
 }
 
 // Run plays the rounds, and searches each one's knee. tell hears each turn as it ends.
@@ -113,7 +113,7 @@
 		}
 	}
 	word := func(at string, seed uint64) func(int) string {
-		return load.Door{Host: at, Profile: "look", Plan: "ample", Customers: besideCustomers, Wait: besideWait, Seed: seed}.Word
+		return load.Door{Host: at, Class: "look", Plan: "ample", Customers: besideCustomers, Wait: besideWait, Seed: seed}.Word
 	}
 	const patience = 5 * time.Second
 	for _, rate := range b.Rates {
--- a/lab/stand/client.go
+++ b/lab/stand/client.go
@@ -15,7 +15,7 @@
 	"github.com/swifthall/swifthall/lab/trace"
 )
 
-// clients keeps connections to one door, as the front does: one operation at a time on each, more when all are busy.
+// clients keeps connections to one door, as the front does: one request at a time on each, more when all are busy.
 type clients struct {
 	f    *fleet
 	to   string
@@ -87,7 +87,7 @@
 
 // ask carries one try. One that crosses the door's closing of an idle connection is sent once more.
 func (c *clients) ask(ctx context.Context, t *model.Try, word model.Wording) {
-	text := request(c.to, t, word)
+	text := wording(c.to, t, word)
 	for {
 		k := c.take()
 		if k == nil {
@@ -139,7 +139,7 @@
 		}
 		return false
 	}
-	a, wait := trace.Scrapped, 0.0
+	a, wait := trace.Failed, 0.0
 	switch resp.StatusCode {
 	case http.StatusOK:
 		a = trace.Finished
@@ -158,18 +158,18 @@
 	return false
 }
 
-// request words a try.
-func request(to string, t *model.Try, w model.Wording) string {
+// wording words a try.
+func wording(to string, t *model.Try, w model.Wording) string {
 	method, rest := http.MethodPost, fmt.Sprintf("Idempotency-Key: %032x\r\nContent-Length: 4\r\n", w.Want+1)
 	body := "ride"
-	if w.Replayable {
+	if w.Idempotent {
 		method, rest, body = http.MethodGet, "", ""
 	}
 	if w.Repeat {
 		rest += "X-Resent: 1\r\n"
 	}
 	return fmt.Sprintf("%s /%s?key=%016x HTTP/1.1\r\nHost: %s\r\nX-Txn: %s\r\nX-Tariff: %s\r\nX-Remaining: %dm\r\n"+
-		"X-Weight: units=%g,spread=%d,first=%d\r\n%s\r\n%s", method, w.Profile, w.Customer, to, txn(t.ID), w.Plan, int(w.TTL),
+		"X-Weight: units=%g,spread=%d,first=%d\r\n%s\r\n%s", method, w.Class, w.Customer, to, txn(t.ID), w.Plan, int(w.TTL),
 		w.Units, w.Spread, w.First, rest, body)
 }
 
--- a/lab/stand/door.go
+++ b/lab/stand/door.go
@@ -243,21 +243,21 @@
 // settings words a scenario under the names of the wire.
 func settings(s *scenario.Scenario, number int) map[string]any {
 	const sec = 1000
-	var profiles, plans []map[string]any
-	for _, p := range s.Profiles {
-		profiles = append(profiles, map[string]any{"name": p.Name, "aim": p.ContractMs / sec, "give_up": p.OuterMs / sec,
+	var classes, plans []map[string]any
+	for _, p := range s.Classes {
+		classes = append(classes, map[string]any{"name": p.Name, "aim": p.ContractMs / sec, "give_up": p.OuterMs / sec,
 			"semantics": wireSemantics[p.Semantics], "dedup_scope": p.Scope, "window": p.WindowMs / sec, "late_value": p.LateValue, "worth": p.Gain})
 	}
 	for _, p := range s.Plans {
 		plans = append(plans, map[string]any{"name": p.Name, "rate": p.PerS, "depth": p.Depth, "at_once": p.AtOnce,
 			"never_over_rate": p.CeilingPerS, "ceiling_burst": p.CeilingDepth, "pays": p.Price})
 	}
-	return map[string]any{"fleet_size": s.Fleet.Doors, "my_number": number, "registry_mode": "push", "profiles": profiles, "tariffs": plans,
+	return map[string]any{"fleet_size": s.Fleet.Doors, "my_number": number, "registry_mode": "push", "profiles": classes, "tariffs": plans,
 		"extra": map[string]any{"metering": s.Meter.PeriodMs / sec, "counter": s.Counter.On, "counter_timeout": s.Counter.TimeoutMs / sec,
 			"units_top": s.Load.MostUnits},
 		"limits": map[string]any{"cancel": s.Allow.Cancel, "conn_idle": s.Net.IdleMs / sec, "connect_timeout": s.Net.ConnectTimeoutMs / sec,
-			"max_attempts": s.Allow.MaxTransmissions, "max_retry_after": s.Clients.MaxRetryAfterMs / sec, "retry_after": s.Allow.RetryAfter,
-			"second_copies": s.Allow.SecondCopies},
+			"max_attempts": s.Allow.MaxAttempts, "max_retry_after": s.Clients.MaxRetryAfterMs / sec, "retry_after": s.Allow.RetryAfter,
+			"second_copies": s.Allow.Hedging},
 		"safety": map[string]any{"cold_from": s.Rules.ColdFrom, "cold": s.Rules.ColdS, "fall_multiple": s.Rules.FallMultiple,
 			"tip_after": s.Rules.FallMs / sec}}
 }
--- a/lab/stand/site.go
+++ b/lab/stand/site.go
@@ -24,7 +24,7 @@
 	group   sync.WaitGroup
 }
 
-// NewSite starts one. came hears of each operation that comes to a backend, named as its list has it; it may be nil.
+// NewSite starts one. came hears of each request that comes to a backend, named as its list has it; it may be nil.
 func NewSite(came func(backend string)) (*Site, error) {
 	s := &Site{}
 	agent := newDiscovery()
@@ -83,7 +83,7 @@
 // Client is load on one door of the site.
 func (s *Site) Client(target string, seed uint64) load.Run {
 	return load.Run{Target: target, Conns: 8, Poisson: true, Seed: seed,
-		Word: load.Door{Host: target, Profile: "look", Plan: "ample", Customers: 50, Wait: besideWait, Seed: seed}.Word}
+		Word: load.Door{Host: target, Class: "look", Plan: "ample", Customers: 50, Wait: besideWait, Seed: seed}.Word}
 }
 
 // Close ends all of it.
--- a/lab/stand/stand.go
+++ b/lab/stand/stand.go
@@ -41,7 +41,7 @@
 
 	mu     sync.Mutex
 	tries  map[string]*model.Try // by the id on the wire
-	sends  map[int]int           // transmissions that have come, by try
+	sends  map[int]int           // attempts that have come, by try
 	closer []func()
 	group  sync.WaitGroup
 	over   atomic.Bool
--- a/lab/tally/tally.go
+++ b/lab/tally/tally.go
@@ -1,8 +1,8 @@
 // Package tally adds up, over a fleet, the accounts that doors write in their logs every few seconds: the
 // frontdoor's "account" lines, in logfmt as logrus writes them. Each door's life begins at its "serving" line;
 // a life's n-th account is window n, so that the doors' windows line up by their own clocks whatever the wall
-// clock of the log says. Counts are of operations (arrived, rejected_<cause>, scrapped_<cause>), of
-// transmissions (sent) and of decisions (differs_<kind>).
+// clock of the log says. Counts are of requests (arrived, rejected_<cause>, failed_<cause>), of
+// attempts (sent) and of decisions (differs_<kind>).
 package tally
 
 import (
@@ -89,7 +89,7 @@
 
 func counted(k string) bool {
 	return k == fields.Arrived || k == fields.Sent || strings.HasPrefix(k, fields.Rejected) ||
-		strings.HasPrefix(k, fields.Scrapped) || strings.HasPrefix(k, fields.Differs)
+		strings.HasPrefix(k, fields.Failed) || strings.HasPrefix(k, fields.Differs)
 }
 
 func (f *Fleet) add(lives [][]Counts) {
@@ -124,7 +124,7 @@
 	return append([]string{fields.Arrived, fields.Sent}, rest...)
 }
 
-// Print writes the fleet as a table: a row for each field, its whole count, its share of the operations that
+// Print writes the fleet as a table: a row for each field, its whole count, its share of the requests that
 // arrived, and its count in each window.
 func (f *Fleet) Print(w io.Writer, every float64) {
 	t := tabwriter.NewWriter(w, 2, 8, 2, ' ', tabwriter.AlignRight)
--- a/lab/trace/trace.go
+++ b/lab/trace/trace.go
@@ -8,9 +8,9 @@
 type Kind uint8
 
 const (
-	Asked     Kind = iota // a client's first try is made: Want, Customer, Plan, Profile, Units
-	Taken                 // a running door has taken a try: Try, Want, Door, Customer, Plan, Profile, Units, Until
-	Sent                  // a door sends a transmission: Try, Door, Number, Backend, Zone, Cell
+	Asked     Kind = iota // a client's first try is made: Want, Customer, Plan, Class, Units
+	Taken                 // a running door has taken a try: Try, Want, Door, Customer, Plan, Class, Units, Until
+	Sent                  // a door sends an attempt: Try, Door, Number, Backend, Zone, Cell
 	Came                  // it has come whole to a backend: Try, Door, Number, Backend, Work, Told
 	Closed                // a door learns how it ended, or gives it up: Try, Door, Number, Backend, Result, Result2 (Cancelled)
 	Answered              // the final answer leaves the door: Try, Door, Answer, Why
@@ -22,7 +22,7 @@
 	Started               // a door runs: Door
 	Told                  // a door learns of a backend: Door, Backend, Status
 	Began                 // a backend starts: Backend, Work (its capacity, ms of work a ms), Cold (share at once), Span (until warm, ms)
-	Ran                   // an operation has taken effect at a backend: Want, Try, Backend, Twice
+	Ran                   // a request has taken effect at a backend: Want, Try, Backend, Twice
 	Counted               // a call of the counter: Door
 	Probed                // a probe: Door, Backend
 	Connected             // a new connection to a backend: Door, Backend
@@ -32,14 +32,14 @@
 	Over                  // the day is over
 )
 
-// Answer is how an operation ended for its client.
+// Answer is how a request ended for its client.
 type Answer uint8
 
 const (
 	None Answer = iota
 	Finished
 	Rejected
-	Scrapped
+	Failed
 )
 
 func (a Answer) String() string { return [...]string{"none", "finished", "rejected", "scrapped"}[a] }
@@ -48,14 +48,14 @@
 type Event struct {
 	Kind     Kind
 	At       float64
-	Want     int // the client's operation, over all of its tries
+	Want     int // the client's request, over all of its tries
 	Try      int
 	Door     int
 	Backend  int
-	Number   int // of the transmission, from 0 for each try
+	Number   int // of the attempt, from 0 for each try
 	Customer int
 	Plan     int
-	Profile  int
+	Class    int
 	Zone     int
 	Cell     int
 	Units    float64
--- a/permits/keeper.go
+++ b/permits/keeper.go
@@ -63,7 +63,7 @@
 		Away     []string
 		Backends []Sighting
 		Counts   *release.Counts
-		// ByBackend counts the door's transmissions.
+		// ByBackend counts the door's attempts.
 		ByBackend map[string]release.Counts
 	}
 	// Did says that the decisions know a Withhold.
--- a/permits/watch.go
+++ b/permits/watch.go
@@ -18,7 +18,7 @@
 	Undone   []uint64                  `json:"undone,omitempty"`   // orders that were ended by hand at the door itself
 	Backends []Sighting                `json:"backends,omitempty"` // its list, where it was asked for it
 	Counts   *release.Counts           `json:"counts,omitempty"`   // what its process has done
-	Sent     map[string]release.Counts `json:"sent,omitempty"`     // its transmissions by backend, where it was asked for its list
+	Sent     map[string]release.Counts `json:"sent,omitempty"`     // its attempts by backend, where it was asked for its list
 }
 
 // Reply answers a word.
--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -2,12 +2,12 @@
 
 import "github.com/swifthall/swifthall/gate"
 
-// Profiles and plans of the test door, by index.
+// Classes and plans of the test door, by index.
 const (
-	replayable = iota
-	tokenedInZone
-	tokenedAnywhere
-	singleUse
+	idempotent = iota
+	keyedInZone
+	keyedAnywhere
+	nonIdempotent
 )
 
 const (
@@ -18,17 +18,17 @@
 func terms() gate.Terms {
 	return gate.Terms{
 		Doors: 3,
-		Profiles: []gate.Profile{
+		Classes: []gate.Class{
 			{Contract: 1000},
-			{Contract: 1000, Semantics: gate.Tokened, Scope: gate.ScopeZone, Window: 4000},
-			{Contract: 1000, Semantics: gate.Tokened, Window: 4000},
-			{Contract: 1000, Semantics: gate.SingleUse},
+			{Contract: 1000, Semantics: gate.Keyed, Scope: gate.ScopeZone, Window: 4000},
+			{Contract: 1000, Semantics: gate.Keyed, Window: 4000},
+			{Contract: 1000, Semantics: gate.NonIdempotent},
 		},
 		Plans: []gate.Plan{
 			{Rate: 0.002, Depth: 12},
 			{Rate: 0.002, Depth: 12, AtOnce: 3, CeilingRate: 0.003, CeilingDepth: 30},
 		},
-		MaxTransmissions: 4, SecondCopies: true, MayCancel: true, MaxRetryAfter: 500, MeterPeriod: 1000,
+		MaxAttempts: 4, Hedging: true, MayCancel: true, MaxRetryAfter: 500, MeterPeriod: 1000,
 		ColdFrom: 0.2, ColdFor: 10e3, FallMultiple: 2, FallWindow: 2000,
 	}
 }
@@ -49,26 +49,26 @@
 	return d
 }
 
-// arriving is an operation of one unit from customer 0, which uses all three doors.
-func arriving(op, profile, plan int) gate.Operation {
-	return gate.Operation{Op: op, Profile: profile, Plan: plan, TTL: 3000, Units: 1, Spread: 3}
+// arriving is a request of one unit from customer 0, which uses all three doors.
+func arriving(op, class, plan int) gate.Request {
+	return gate.Request{Op: op, Class: class, Plan: plan, TTL: 3000, Units: 1, Spread: 3}
 }
 
-// sentEach returns a door of four backends with an operation out at each.
+// sentEach returns a door of four backends with a request out at each.
 func sentEach() *Door {
 	d := door(4)
 	for i := range 4 {
-		d.arrive(arriving(i, replayable, plain))
+		d.arrive(arriving(i, idempotent, plain))
 		d.send(i, i)
 	}
 	d.settle()
 	return d
 }
 
-// sentOnce returns a door of four backends with operation 0 out at the given one.
-func sentOnce(profile, backend int) *Door {
+// sentOnce returns a door of four backends with request 0 out at the given one.
+func sentOnce(class, backend int) *Door {
 	d := door(4)
-	d.arrive(arriving(0, profile, plain))
+	d.arrive(arriving(0, class, plain))
 	d.send(0, backend)
 	d.settle()
 	d.actions = d.actions[:0]
