--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,9 @@
-// Package policy decides for one door of an admission gateway: which operations are held, sent, sent
-// again, rejected or scrapped, and to which backend they go.
+// Package policy decides for one door of an admission gateway: which requests are held, sent, sent
+// again, rejected or failed, and to which backend they go.
 // A carrier calls New once with the door's terms and seed, then Decide for each batch of events, with the
 // clock, and carries out the actions in order. Events, actions and terms are in package gate; the plain
 // state types are in state.go. The same events always give the same actions.
-// To read it: Decide takes the events in, each changing what is wanted of an operation (held, out, ended);
+// To read it: Decide takes the events in, each changing what is wanted of a request (held, out, ended);
 // tick lets time act; settle emits the difference. The ordinary path is arrive, release (hold over, units
 // secured) and pick (draw of a backend). docs/design.md tells what comes from where, and each exception.
 package policy
@@ -17,13 +17,13 @@
 
 const (
 	// The delay controller.
-	alpha       = 6.0  // finish intervals of hold for each operation of backlog; rejects near the contract time
+	alpha       = 6.0  // finish intervals of hold for each request of backlog; rejects near the contract time
 	marginShare = 0.2  // share of the contract time that latency may exceed its low by without any hold
-	tailTimes   = 5.0  // drains that a held operation must have left: slow ones take far more than the mean
+	tailTimes   = 5.0  // drains that a held request must have left: slow ones take far more than the mean
 	chance      = 1.0  // deviations of what is in flight (Poisson) or of a mean latency that count as chance
-	smoothing   = 0.06 // weight of a new latency; some 16 samples: a second of a profile, ten at a door of few
+	smoothing   = 0.06 // weight of a new latency; some 16 samples: a second of a class, ten at a door of few
 	lowAfter    = 16   // samples after which the smoothed latency may set a low; those that smoothing remembers
-	finishSpan  = 5e3  // ms over which the rate of finishing is averaged; some dozens of operations of a profile
+	finishSpan  = 5e3  // ms over which the rate of finishing is averaged; some dozens of requests of a class
 	leastKnown  = 0.1  // least share of finishSpan that a rate is taken to be averaged over, after a start
 	bestDrift   = 20e3 // ms in which a best rate gives way after part of the fleet is lost
 	lowDrift    = 60e3 // ms in which a low or a best rate gives way to a lastingly heavier mix
@@ -33,7 +33,7 @@
 	tickEvery   = 20.0 // ms between looks at what waits; small beside every contract time
 
 	// Quotas.
-	demandSpan  = 4e3  // ms over which demand is averaged; a few operations of a middling customer
+	demandSpan  = 4e3  // ms over which demand is averaged; a few requests of a middling customer
 	priorDemand = 0.25 // share of the rate's worth of evidence that the even slice counts for
 	trimOver    = 2.0  // meter periods in which parts are trimmed to the quota; the meter's word is one old
 	trimLeast   = 0.2  // least that a part is cut to, of itself
@@ -53,13 +53,13 @@
 	awayAfter   = 8    // calls in a row without a word: the counter was away, as a crowded one answers some
 	askFor      = 120. // ms in which a call that is answered at all is answered; a few ways there and back
 	takeOver    = 4e3  // ms in which parts of doors that are gone pass to others of a set; as demand is averaged
-	heldWeight  = 0.01 // weight of one more operation in the share that meets a hold; a hundred of them
-	openUnder   = 0.08 // share of operations that may meet a hold while one goes beyond its quota
+	heldWeight  = 0.01 // weight of one more request in the share that meets a hold; a hundred of them
+	openUnder   = 0.08 // share of requests that may meet a hold while one goes beyond its quota
 	debtShare   = 0.2  // share of its depth, times the doors of its set, that a charge may put a bucket in debt
 
 	// Health of backends.
 	silentRate  = 0.1 // a broken backend answers at this share of the expected rate
-	failNats    = 3.0 // evidence in one failed transmission: some 20 times likelier of a broken backend
+	failNats    = 3.0 // evidence in one failed attempt: some 20 times likelier of a broken backend
 	judgeAt     = 6.0 // nats that end the test: one false verdict in some 400 stretches of work
 	priorNats   = 3.0 // nats at which a backend is as likely broken as well; its odds are halved there
 	trialFirst  = 1e3 // ms from the verdict to the first trial
@@ -67,28 +67,28 @@
 	paceWeight  = 0.1 // weight of a new latency in a backend's pace; some 10 samples
 	queueWeight = 0.5 // weight of a new report of what waits at a backend; it comes once in a second or two
 	mostJudged  = 0.6 // share of the listed backends that may stand judged; more is the fleet's trouble
-	rescueAt    = 1.5 // expected latencies after which an operation on a judged backend is sent elsewhere
+	rescueAt    = 1.5 // expected latencies after which a request on a judged backend is sent elsewhere
 	lateLeast   = 0.5 // share of its gain that a late answer must earn to be waited for on a pressed fleet
 	fullRest    = 1e3 // ms a backend that turned a plan's work away is left alone by it, next time twice that
 
 	// The guards that the rules need.
 	coldShare = 0.8  // share of a cold backend's budget that the doors use; the rest is for chance
-	coldBlind = 2.0  // operations that the doors together send a cold backend in a window, knowing no warm one
+	coldBlind = 2.0  // requests that the doors together send a cold backend in a window, knowing no warm one
 	workSpan  = 10e3 // ms over which work sent to a backend is averaged
-	sameOdds  = 1e-3 // odds left to a backend that has had the operation, where there is another
-	memberGap = 1e3  // ms between operations to one member: idle connections are closed, evidence ages
+	sameOdds  = 1e-3 // odds left to a backend that has had the request, where there is another
+	memberGap = 1e3  // ms between requests to one member: idle connections are closed, evidence ages
 	memberMin = 8    // members at least; as many as may fail at once and leave some
 	roomPower = 3.0  // how fast thought room falls with own work out; less leaves queues at some and others idle
 	askRest   = 1e3  // ms between calls for the fleet list after one failed
-	lastLook  = 25.0 // ms before the client's wait ends at which a held operation gets its answer; over a tick
+	lastLook  = 25.0 // ms before the client's wait ends at which a held request gets its answer; over a tick
 )
 
 // New returns the decisions of a door that has just started and knows nothing.
 func New(t gate.Terms, seed uint64) *Door {
-	return &Door{terms: t, dice: newDice(seed), ask: t.MustAsk, lat: make([]latency, len(t.Profiles)),
-		out: make([]int, len(t.Profiles)), born: -1,
+	return &Door{terms: t, dice: newDice(seed), ask: t.MustAsk, lat: make([]latency, len(t.Classes)),
+		out: make([]int, len(t.Classes)), born: -1,
 		calling: 1, before: 1, cutAt: math.Inf(-1), crowdedAt: math.Inf(-1),
-		fleet: fleet{cases: make([][]suspicion, len(t.Profiles)+1)}}
+		fleet: fleet{cases: make([][]suspicion, len(t.Classes)+1)}}
 }
 
 // Decide takes in one batch and returns what is to be done.
@@ -103,7 +103,7 @@
 			d.list(e)
 		case gate.Doors:
 			d.here, d.doors = append(d.here[:0], e.Here...), e.Count
-		case gate.Operation:
+		case gate.Request:
 			d.arrive(e)
 		case gate.Ended:
 			d.ended(e)
@@ -155,10 +155,10 @@
 
 // ---- Arrival: quota first, then the hold ----
 
-func (d *Door) arrive(e gate.Operation) {
+func (d *Door) arrive(e gate.Request) {
 	d.ops = grown(d.ops, e.Op)
 	o := &d.ops[e.Op]
-	*o = operation{profile: e.Profile, plan: e.Plan, customer: e.Customer, units: e.Units,
+	*o = request{class: e.Class, plan: e.Plan, customer: e.Customer, units: e.Units,
 		came: d.now, until: d.now + e.TTL, repeat: e.Repeat, sends: o.sends[:0]}
 	d.live = append(d.live, e.Op)
 	d.taken++
@@ -189,7 +189,7 @@
 		d.promise(k, o, charged)
 	}
 	if d.tooLong(o, hold) {
-		d.reject(e.Op, d.drain(o.profile), gate.Pressed)
+		d.reject(e.Op, d.drain(o.class), gate.Pressed)
 	} else {
 		o.held = true
 	}
@@ -236,7 +236,7 @@
 	return k.trim * min(1, (k.demand+prior*even)/(k.demand+k.others+prior))
 }
 
-// shortfall tells how long the customer's quota or ceiling keeps the operation out, in ms; 0 lets it in.
+// shortfall tells how long the customer's quota or ceiling keeps the request out, in ms; 0 lets it in.
 // The bucket is written in units of the whole quota: a charge of units/part against a fill at the whole
 // rate is the design's charge of units against a fill at rate x part.
 func (d *Door) shortfall(k *bucket, units float64) (wait float64, why gate.Cause) {
@@ -261,9 +261,9 @@
 	return 0
 }
 
-// promise sets an operation's units aside while it is held, and draw takes them when it is first sent. Taken
+// promise sets a request's units aside while it is held, and draw takes them when it is first sent. Taken
 // at arrival they would fill up again during the hold, and a long hold's end would pass the ceiling.
-func (d *Door) promise(k *bucket, o *operation, charged bool) {
+func (d *Door) promise(k *bucket, o *request, charged bool) {
 	o.promised = true
 	if o.charge = 0; charged {
 		o.charge = min(o.units/d.part(k), max(o.units, k.level-k.promised+
@@ -273,7 +273,7 @@
 	k.promisedUnits += o.units
 }
 
-func (d *Door) draw(o *operation) {
+func (d *Door) draw(o *request) {
 	k := d.refill(o.customer)
 	if o.promised {
 		d.buckets[o.customer].unpromise(o)
@@ -283,16 +283,16 @@
 	k.sent += o.units / demandSpan
 }
 
-// repay puts an operation's true units in the place of the guess that it was charged by; the counter gets the
+// repay puts a request's true units in the place of the guess that it was charged by; the counter gets the
 // difference with the next call.
-func (k *bucket) repay(o *operation, units float64) {
+func (k *bucket) repay(o *request, units float64) {
 	more := units - o.units
 	k.level -= more * o.charge / o.units
 	k.sent += more / demandSpan
 	k.count.owed += more
 }
 
-// secure gets an operation its units, from counter or own part, and tells whether it has them.
+// secure gets a request its units, from counter or own part, and tells whether it has them.
 func (d *Door) secure(i int) bool {
 	o := &d.ops[i]
 	k := d.refill(o.customer)
@@ -320,9 +320,9 @@
 	return wait == 0
 }
 
-// welcome tells whether an operation beyond its customer's quota is sent all the same: where its plan earns
+// welcome tells whether a request beyond its customer's quota is sent all the same: where its plan earns
 // more by that than it costs, its ceiling holds it, and the fleet is not pressed. The quota is not charged.
-func (d *Door) welcome(t *gate.Terms, o *operation) bool {
+func (d *Door) welcome(t *gate.Terms, o *request) bool {
 	return d.pays(t, o.plan) && d.ceilingWait(&d.buckets[o.customer], o.units) == 0
 }
 
@@ -332,7 +332,7 @@
 	return p.Beyond > p.OverCost && d.pressed < openUnder
 }
 
-// Watch has the door tell where it would have decided otherwise under other terms, of the same profiles and
+// Watch has the door tell where it would have decided otherwise under other terms, of the same classes and
 // plans. It decides by its own as before.
 func (d *Door) Watch(t *gate.Terms) { d.watch = t }
 
@@ -343,7 +343,7 @@
 	}
 }
 
-// metered tells whether the meter's fresh word leaves most of the customer's whole store after the operation:
+// metered tells whether the meter's fresh word leaves most of the customer's whole store after the request:
 // then a part too thin to hold it, as at a door of many that sees the customer seldom, keeps nothing out.
 // What is let in so is taken from the word, so that one word lets in no more than the store held.
 func (d *Door) metered(k *bucket, units float64) bool {
@@ -357,7 +357,7 @@
 
 // Where there is a shared counter, each customer has a number on it for each window, the time in which its
 // quota fills the whole depth. The doors may add to it the level at its beginning, and what refills since.
-// A crowded counter is called for fewer operations; others go by part.
+// A crowded counter is called for fewer requests; others go by part.
 
 func (d *Door) counts(k *bucket) bool {
 	return d.terms.Counter && d.terms.Plans[k.plan].Rate > 0 && !d.pays(&d.terms, k.plan)
@@ -372,7 +372,7 @@
 }
 
 // count takes units from what the counter has granted this door, or calls for more, and tells the wait in ms.
-func (d *Door) count(o *operation, k *bucket) (wait float64) {
+func (d *Door) count(o *request, k *bucket) (wait float64) {
 	c, p := &k.count, &d.terms.Plans[k.plan]
 	n, left := d.window(k)
 	if c.window == n-1 { // else others may have emptied it unseen
@@ -414,9 +414,9 @@
 	return wait
 }
 
-// called tells whether the counter is to be called for an operation. A crowded one is, sooner for what earns
+// called tells whether the counter is to be called for a request. A crowded one is, sooner for what earns
 // more: where it bears some of the calls only, what it does not hear of should be what matters least.
-func (d *Door) called(o *operation) bool {
+func (d *Door) called(o *request) bool {
 	rank := 1.0
 	if gain := d.gain(o); gain > 0 {
 		rank = d.usualGain / gain
@@ -424,8 +424,8 @@
 	return d.dice.roll() <= math.Pow(d.calling, rank*rank)
 }
 
-func (d *Door) gain(o *operation) float64 {
-	return d.terms.Profiles[o.profile].Gain * d.terms.Plans[o.plan].Price * o.units
+func (d *Door) gain(o *request) float64 {
+	return d.terms.Classes[o.class].Gain * d.terms.Plans[o.plan].Price * o.units
 }
 
 // counted takes a call's answer.
@@ -487,90 +487,90 @@
 	k.heard = d.now
 }
 
-// hold is alpha x the backlog estimate of the operation's profile: operations in flight times the fraction by
+// hold is alpha x the backlog estimate of the request's class: requests in flight times the fraction by
 // which recent latency exceeds its recent low, above a margin set from the contract time. Alpha counts in the
-// intervals at which this door finishes operations of the profile at its recent best: the hold is the time in
+// intervals at which this door finishes requests of the class at its recent best: the hold is the time in
 // which the backlog drains, whatever the traffic. The latest latency or rate would not do: once all were
 // rejected, no sample would ever lower the estimate again.
-func (d *Door) hold(o *operation) float64 {
-	contract := d.terms.Profiles[o.profile].Contract
-	low, l := d.low(o.profile), &d.lat[o.profile]
+func (d *Door) hold(o *request) float64 {
+	contract := d.terms.Classes[o.class].Contract
+	low, l := d.low(o.class), &d.lat[o.class]
 	margin := marginShare*contract + chance*l.spread/math.Sqrt(max(1, min(float64(l.samples), 2/smoothing)))
-	excess := max(0, d.recent(o.profile)-low-margin) / low
-	// Hundreds of doors press a fleet with less than one operation each: what was in flight of late counts, as
+	excess := max(0, d.recent(o.class)-low-margin) / low
+	// Hundreds of doors press a fleet with less than one request each: what was in flight of late counts, as
 	// nothing is out at most looks.
 	flight := min(1, l.flight) * math.Exp((d.ticked-d.now)/flightSpan)
-	hold := alpha * excess * max(d.drain(o.profile), flight/d.best(o.profile))
+	hold := alpha * excess * max(d.drain(o.class), flight/d.best(o.class))
 	if hold < tickEvery { // none: what fades never ends
 		return 0
 	}
 	return hold
 }
 
-// low is a profile's recent low, or a guess until the smoothed latency means something: the first few samples
+// low is a class's recent low, or a guess until the smoothed latency means something: the first few samples
 // can be far under any true low, and would make all that follows look like backlog.
-func (d *Door) low(profile int) float64 {
-	contract := d.terms.Profiles[profile].Contract
-	if l := &d.lat[profile]; l.samples >= lowAfter {
+func (d *Door) low(class int) float64 {
+	contract := d.terms.Classes[class].Contract
+	if l := &d.lat[class]; l.samples >= lowAfter {
 		return min(l.low, lowMost*contract)
 	}
 	return firstGuess * contract
 }
 
-// drain is the time in which a profile's operations in flight finish at the recent best rate, ms; with too
+// drain is the time in which a class's requests in flight finish at the recent best rate, ms; with too
 // few samples to know a rate, one a low. What is in flight by chance is no backlog, and nothing in flight is
-// none: a door of few operations whose first samples were slow would else reject all, and never have another.
-func (d *Door) drain(profile int) float64 {
-	l := &d.lat[profile]
-	n := float64(d.out[profile])
-	contract := d.terms.Profiles[profile].Contract
-	if l.recent < l.low+marginShare*contract && !d.mute(profile) {
+// none: a door of few requests whose first samples were slow would else reject all, and never have another.
+func (d *Door) drain(class int) float64 {
+	l := &d.lat[class]
+	n := float64(d.out[class])
+	contract := d.terms.Classes[class].Contract
+	if l.recent < l.low+marginShare*contract && !d.mute(class) {
 		n = max(0, n-float64(l.late)) // what does come back is fast: these are lost
 	}
 	all := 0
 	for _, out := range d.out {
 		all += out
 	}
-	return n * (1 - min(1, chance/math.Sqrt(max(1, float64(all))))) / d.best(profile)
+	return n * (1 - min(1, chance/math.Sqrt(max(1, float64(all))))) / d.best(class)
 }
 
-// best is the rate at which this door finishes a profile's operations at its recent best, operations per ms.
-func (d *Door) best(profile int) float64 {
-	if l := &d.lat[profile]; l.samples >= lowAfter {
+// best is the rate at which this door finishes a class's requests at its recent best, requests per ms.
+func (d *Door) best(class int) float64 {
+	if l := &d.lat[class]; l.samples >= lowAfter {
 		return l.best
 	}
-	return 1 / d.low(profile)
+	return 1 / d.low(class)
 }
 
 // mute tells whether the whole fleet has been silent for longer than an answer may take. Then what is out is
 // no matter of single backends or lost answers.
-func (d *Door) mute(profile int) bool { return d.now > d.answeredAt+d.terms.Profiles[profile].Contract }
+func (d *Door) mute(class int) bool { return d.now > d.answeredAt+d.terms.Classes[class].Contract }
 
-// recent is a profile's recent latency. Silence gives no sample, so what is out longer than that adds its
+// recent is a class's recent latency. Silence gives no sample, so what is out longer than that adds its
 // excess, as one sample among those that the smoothing remembers.
 // A latency is seen only once it has passed: what is in flight will take its drain at least (Little's law),
 // and without that a surge is let in whole before its first slow answer.
-func (d *Door) recent(profile int) float64 {
-	return max(d.smoothed(profile)+smoothing*d.lat[profile].overdue, d.drain(profile))
+func (d *Door) recent(class int) float64 {
+	return max(d.smoothed(class)+smoothing*d.lat[class].overdue, d.drain(class))
 }
 
-func (d *Door) smoothed(profile int) float64 {
-	if l := &d.lat[profile]; l.samples > 0 {
+func (d *Door) smoothed(class int) float64 {
+	if l := &d.lat[class]; l.samples > 0 {
 		return l.recent
 	}
-	return d.low(profile)
+	return d.low(class)
 }
 
 // tooLong tells whether a hold eats the time left: the answer would come after the contract time, or
-// after the client has gone. Behind the hold the operation waits for what is in flight to drain.
-func (d *Door) tooLong(o *operation, hold float64) bool {
-	left := min(o.until, o.came+d.terms.Profiles[o.profile].Contract) - d.now
-	return hold > 0 && hold+tailTimes*max(d.low(o.profile), d.drain(o.profile)) > left
+// after the client has gone. Behind the hold the request waits for what is in flight to drain.
+func (d *Door) tooLong(o *request, hold float64) bool {
+	left := min(o.until, o.came+d.terms.Classes[o.class].Contract) - d.now
+	return hold > 0 && hold+tailTimes*max(d.low(o.class), d.drain(o.class)) > left
 }
 
 // ---- Release and choice of backend ----
 
-// release looks at a held operation: it goes out when its hold is over and a backend has room.
+// release looks at a held request: it goes out when its hold is over and a backend has room.
 func (d *Door) release(i int) {
 	o := &d.ops[i]
 	if d.now >= o.until-lastLook {
@@ -580,7 +580,7 @@
 	// Fixed at arrival, holds given in a quiet moment would all end in the same later one, in a wave.
 	if len(o.sends) == 0 && !o.granted {
 		if rest := o.came + d.hold(o) - d.now; d.tooLong(o, rest) {
-			d.giveUp(i, d.drain(o.profile), gate.Pressed)
+			d.giveUp(i, d.drain(o.class), gate.Pressed)
 			return
 		} else if rest > 0 {
 			return
@@ -595,12 +595,12 @@
 	if b, any := d.pick(o); b >= 0 {
 		d.send(i, b)
 	} else if len(o.sends) > 0 && !any { // nothing listed may have it
-		d.giveUp(i, d.drain(o.profile), gate.Nowhere)
+		d.giveUp(i, d.drain(o.class), gate.Nowhere)
 	}
 }
 
-// crowded holds an operation whose customer has this door's part of the transmissions allowed at once out.
-func (d *Door) crowded(o *operation) bool {
+// crowded holds a request whose customer has this door's part of the attempts allowed at once out.
+func (d *Door) crowded(o *request) bool {
 	p, k := &d.terms.Plans[o.plan], &d.buckets[o.customer]
 	return p.AtOnce > 0 && k.out >= max(1, int(math.Round(float64(p.AtOnce)*d.part(k))))
 }
@@ -614,9 +614,9 @@
 }
 
 // pick draws a backend with odds in step with thought room, among this door's members; one that may not have
-// the operation, or is judged or full, is stood in for by the next. A judged backend whose trial is due comes
-// first, for an operation that can be sent again elsewhere. It also tells whether any may have the operation.
-func (d *Door) pick(o *operation) (b int, any bool) {
+// the request, or is judged or full, is stood in for by the next. A judged backend whose trial is due comes
+// first, for a request that can be sent again elsewhere. It also tells whether any may have the request.
+func (d *Door) pick(o *request) (b int, any bool) {
 	f := &d.fleet
 	fresh := len(o.sends) == 0
 	odds := make([]float64, len(f.up))
@@ -625,7 +625,7 @@
 		if !d.allowed(o, b) {
 			continue
 		}
-		if any = true; f.shunned(b, o.profile) {
+		if any = true; f.shunned(b, o.class) {
 			if fresh && d.trial(o, b) {
 				return b, any
 			}
@@ -649,21 +649,21 @@
 
 // room is what a backend is thought to have free: size and pace, less for own work out and for what it says
 // that it has waiting, if it works at all.
-func (d *Door) room(b int, o *operation) float64 {
+func (d *Door) room(b int, o *request) float64 {
 	f := &d.fleet
 	if d.now < f.fullUntil[b][o.plan] {
 		return 0
 	}
-	c := f.against(b, o.profile)
+	c := f.against(b, o.class)
 	well := 1 / (1 + math.Exp(max(c[0].doubt, c[1].doubt)-priorNats))
 	taken := (1 + f.queue[b]) * math.Pow(1+float64(f.out[b]), roomPower)
 	return well * d.warmth(b) * f.size[b] / f.pace[b] / taken
 }
 
-// allowed holds the rules for where an operation may go: listed, not yet told to drain, within the cold
-// budget, and for a tokened operation that may have run within its group and window.
-func (d *Door) allowed(o *operation, b int) bool {
-	f, p := &d.fleet, &d.terms.Profiles[o.profile]
+// allowed holds the rules for where a request may go: listed, not yet told to drain, within the cold
+// budget, and for a keyed request that may have run within its group and window.
+func (d *Door) allowed(o *request, b int) bool {
+	f, p := &d.fleet, &d.terms.Classes[o.class]
 	if !f.up[b] || !d.coldRoom(o, b) {
 		return false
 	}
@@ -673,9 +673,9 @@
 			continue
 		}
 		switch {
-		case p.Semantics == gate.SingleUse:
+		case p.Semantics == gate.NonIdempotent:
 			return false
-		case p.Semantics == gate.Replayable:
+		case p.Semantics == gate.Idempotent:
 		case d.now >= s.at+p.Window-tickEvery:
 			return false
 		case p.Scope == gate.ScopeZone && f.zone[b] != f.zone[s.backend]:
@@ -687,10 +687,10 @@
 	return true
 }
 
-// canRepeat tells whether an operation that may have run may go anywhere at all once more.
-func (d *Door) canRepeat(o *operation) bool {
-	p := &d.terms.Profiles[o.profile]
-	return p.Semantics == gate.Replayable || p.Semantics == gate.Tokened && p.Scope == gate.ScopeAll
+// canRepeat tells whether a request that may have run may go anywhere at all once more.
+func (d *Door) canRepeat(o *request) bool {
+	p := &d.terms.Classes[o.class]
+	return p.Semantics == gate.Idempotent || p.Semantics == gate.Keyed && p.Scope == gate.ScopeAll
 }
 
 // warmth is the share of its capacity that a backend has at least.
@@ -704,16 +704,16 @@
 }
 
 // coldRoom keeps what is sent to a cold backend under this door's share of what would push it over, window
-// by window, judged from the work that warm backends of like size take. A share under one operation is
+// by window, judged from the work that warm backends of like size take. A share under one request is
 // rounded up or down at random, so that the shares of any number of doors add up.
-func (d *Door) coldRoom(o *operation, b int) bool {
+func (d *Door) coldRoom(o *request, b int) bool {
 	warm := d.warmth(b)
 	if warm >= 1 {
 		return true
 	}
 	f := &d.fleet
 	if d.now >= f.coldUntil[b] {
-		share := coldShare * d.terms.FallMultiple * warm * d.warmRate(b) * d.terms.FallWindow / d.low(o.profile)
+		share := coldShare * d.terms.FallMultiple * warm * d.warmRate(b) * d.terms.FallWindow / d.low(o.class)
 		if share == 0 { // no warm backend is known to compare with
 			share = coldBlind / float64(cmp.Or(d.doors, d.terms.Doors))
 		}
@@ -737,7 +737,7 @@
 	return f.work * math.Exp((f.workAt-d.now)/workSpan) / workSpan / size * f.size[b]
 }
 
-// send wants an operation out at a backend.
+// send wants a request out at a backend.
 func (d *Door) send(i, b int) {
 	o, f := &d.ops[i], &d.fleet
 	k := &d.buckets[o.customer]
@@ -745,15 +745,15 @@
 		d.draw(o)
 	}
 	o.held = false
-	o.sends = append(o.sends, transmission{backend: b, at: d.now, wanted: true})
+	o.sends = append(o.sends, attempt{backend: b, at: d.now, wanted: true})
 	o.out++
 	k.out++
 	f.out[b]++
 	f.sends, f.sendsAt = f.sends*math.Exp((f.sendsAt-d.now)/finishSpan)+1/finishSpan, d.now
-	d.out[o.profile]++
+	d.out[o.class]++
 	f.coldLeft[b]--
 	if d.warmth(b) >= 1 {
-		f.work = f.work*math.Exp((f.workAt-d.now)/workSpan) + d.low(o.profile)
+		f.work = f.work*math.Exp((f.workAt-d.now)/workSpan) + d.low(o.class)
 		f.workAt = d.now
 	}
 	d.touch(i)
@@ -763,13 +763,13 @@
 
 func (d *Door) ended(e gate.Ended) {
 	o, f := &d.ops[e.Op], &d.fleet
-	s := &o.sends[e.Transmission]
+	s := &o.sends[e.Attempt]
 	k := &d.buckets[o.customer]
 	s.ended, s.proven = true, e.Result.NeverRan()
 	o.out--
 	k.out--
 	f.out[s.backend]--
-	d.out[o.profile]--
+	d.out[o.class]--
 	d.refill(o.customer)
 	if e.Units > 0 {
 		k.repay(o, e.Units)
@@ -783,20 +783,20 @@
 	if o.want != undecided || o.out > 0 {
 		return
 	}
-	if o.held = len(o.sends) < d.terms.MaxTransmissions; !o.held {
-		d.giveUp(e.Op, d.drain(o.profile), gate.Failed)
+	if o.held = len(o.sends) < d.terms.MaxAttempts; !o.held {
+		d.giveUp(e.Op, d.drain(o.class), gate.Failed)
 		return
 	}
-	d.differs(gate.NoFurther, func(w *gate.Terms) bool { return len(o.sends) >= w.MaxTransmissions })
+	d.differs(gate.NoFurther, func(w *gate.Terms) bool { return len(o.sends) >= w.MaxAttempts })
 }
 
-// giveUp ends an operation at once: a rejection where trying again is harmless, else a scrapping.
+// giveUp ends a request at once: a rejection where trying again is harmless, else a failure.
 func (d *Door) giveUp(i int, retryAfter float64, why gate.Cause) {
 	o := &d.ops[i]
 	o.why = why
 	for j := range o.sends {
 		if !o.sends[j].proven && !d.canRepeat(o) {
-			o.want, o.held = scrapped, false
+			o.want, o.held = failed, false
 			d.touch(i)
 			return
 		}
@@ -819,7 +819,7 @@
 
 // judge is the sequential test. A backend that works answers at the expected rate; a broken one fails, or
 // answers at a small share of it. Answers take evidence away, failures and silence (in tick) add it.
-func (d *Door) judge(o *operation, s *transmission, e gate.Ended) {
+func (d *Door) judge(o *request, s *attempt, e gate.Ended) {
 	f, b := &d.fleet, s.backend
 	switch e.Result {
 	case gate.Finished:
@@ -828,46 +828,46 @@
 		}
 		d.answeredAt = d.now
 		f.fullGap[b][o.plan] /= 2
-		for _, c := range f.against(b, o.profile) {
+		for _, c := range f.against(b, o.class) {
 			c.doubt = max(0, c.doubt+math.Log(silentRate))
 			c.judged = c.judged && c.doubt >= priorNats
 		}
-		f.pace[b] = max(0.1, f.pace[b]+paceWeight*(e.Latency/d.recent(o.profile)-f.pace[b]))
-		d.sample(o.profile, min(e.Latency, d.terms.Profiles[o.profile].Contract))
+		f.pace[b] = max(0.1, f.pace[b]+paceWeight*(e.Latency/d.recent(o.class)-f.pace[b]))
+		d.sample(o.class, min(e.Latency, d.terms.Classes[o.class].Contract))
 	case gate.Full:
 		// A back end may turn away one plan alone, so each plan learns for itself; but being turned
 		// away is a sign of pressure, and a sample that no latency gives.
 		f.fullGap[b][o.plan] = min(trialMost, max(fullRest, 2*f.fullGap[b][o.plan]))
 		f.fullUntil[b][o.plan] = d.now + f.fullGap[b][o.plan]
-		l := &d.lat[o.profile]
-		l.recent += smoothing * (d.terms.Profiles[o.profile].Contract - l.recent)
+		l := &d.lat[o.class]
+		l.recent += smoothing * (d.terms.Classes[o.class].Contract - l.recent)
 	case gate.TimedOut, gate.Cancelled:
 		// All that is known is that the answer would have come later: where clients leave a pressed fleet
 		// unanswered, what does come back is the lucky rest. Covers lost answers in part, under the margin.
-		if l := &d.lat[o.profile]; e.Latency > l.recent && (!f.shunned(b, o.profile) || d.mute(o.profile)) {
-			l.recent += smoothing * (min(e.Latency, d.terms.Profiles[o.profile].Contract) - l.recent)
+		if l := &d.lat[o.class]; e.Latency > l.recent && (!f.shunned(b, o.class) || d.mute(o.class)) {
+			l.recent += smoothing * (min(e.Latency, d.terms.Classes[o.class].Contract) - l.recent)
 		}
 	case gate.Errored, gate.Unreachable, gate.Reset, gate.Spoilt:
-		d.doubt(b, o.profile, failNats)
+		d.doubt(b, o.class, failNats)
 	}
 }
 
-// doubt adds evidence against a backend, as a whole and for one profile: a backend may leave one profile
+// doubt adds evidence against a backend, as a whole and for one class: a backend may leave one class
 // alone unanswered, and the answers to the others must not hide that. Where too many would stand judged at
 // once the trouble is the fleet's, and judging more would only crowd the rest.
-func (d *Door) doubt(b, profile int, nats float64) {
+func (d *Door) doubt(b, class int, nats float64) {
 	f := &d.fleet
-	for i, c := range f.against(b, profile) {
+	for i, c := range f.against(b, class) {
 		c.doubt = min(c.doubt+nats, judgeAt)
-		if c.doubt == judgeAt && !c.judged && f.judgedWith(i == 0, profile) <= mostJudged {
+		if c.doubt == judgeAt && !c.judged && f.judgedWith(i == 0, class) <= mostJudged {
 			*c = suspicion{doubt: c.doubt, judged: true, trialAt: d.now + trialFirst, trialGap: trialFirst}
 		}
 	}
 }
 
-// trial tells whether an operation is to try a judged backend; a single-use one, none judged as a whole.
-func (d *Door) trial(o *operation, b int) bool {
-	cs := d.fleet.against(b, o.profile)
+// trial tells whether a request is to try a judged backend; a non-idempotent one, none judged as a whole.
+func (d *Door) trial(o *request, b int) bool {
+	cs := d.fleet.against(b, o.class)
 	if cs[1].judged && !d.canRepeat(o) {
 		return false
 	}
@@ -882,10 +882,10 @@
 	return true
 }
 
-// sample takes a finished latency into its profile's figures. The low follows at once downwards and
+// sample takes a finished latency into its class's figures. The low follows at once downwards and
 // drifts up slowly, so that a mix turned heavy for good does not hold for ever.
-func (d *Door) sample(profile int, ms float64) {
-	l := &d.lat[profile]
+func (d *Door) sample(class int, ms float64) {
+	l := &d.lat[class]
 	l.samples++
 	l.spread += max(smoothing, 1/float64(l.samples)) * (math.Abs(ms-l.recent) - l.spread)
 	l.recent += max(smoothing, 1/float64(l.samples)) * (ms - l.recent)
@@ -916,7 +916,7 @@
 		for j := range o.sends {
 			if s := &o.sends[j]; s.out() {
 				slow := max(1, d.fleet.pace[s.backend]) / d.warmth(s.backend)
-				d.doubt(s.backend, o.profile, (1-silentRate)*dt/(max(1, d.recent(o.profile))*slow))
+				d.doubt(s.backend, o.class, (1-silentRate)*dt/(max(1, d.recent(o.class))*slow))
 			}
 		}
 		if o.want == undecided && o.held {
@@ -947,39 +947,39 @@
 	}
 	for _, i := range d.live {
 		o := &d.ops[i]
-		l := &d.lat[o.profile]
+		l := &d.lat[o.class]
 		for j := range o.sends {
 			s := &o.sends[j]
-			if age := d.now - s.at; s.out() && age > d.terms.Profiles[o.profile].Contract {
-				if l.late++; d.mute(o.profile) {
-					l.overdue += d.terms.Profiles[o.profile].Contract
+			if age := d.now - s.at; s.out() && age > d.terms.Classes[o.class].Contract {
+				if l.late++; d.mute(o.class) {
+					l.overdue += d.terms.Classes[o.class].Contract
 				}
-			} else if s.out() && !d.fleet.shunned(s.backend, o.profile) {
-				l.overdue += max(0, age-d.smoothed(o.profile))
+			} else if s.out() && !d.fleet.shunned(s.backend, o.class) {
+				l.overdue += max(0, age-d.smoothed(o.class))
 			}
 		}
 	}
 }
 
-// rescue gives up what is late on a pressed fleet, and sends a second copy of what waits at a judged backend:
+// rescue gives up what is late on a pressed fleet, and sends a hedge of what waits at a judged backend:
 // silence, a stall, a lost zone. Slowness that all share calls for no copy: expected latency grows with it.
 func (d *Door) rescue(i int) {
 	o := &d.ops[i]
-	p := &d.terms.Profiles[o.profile]
+	p := &d.terms.Classes[o.class]
 	// What can no longer come in time must not keep a pressed fleet from what can: without this a fleet that has
 	// fallen behind goes on working on what is late, for as long as clients wait.
 	if d.now > o.came+p.Contract && p.LateValue < lateLeast && !o.streaming && d.hold(o) > 0 {
-		d.giveUp(i, d.drain(o.profile), gate.Late)
+		d.giveUp(i, d.drain(o.class), gate.Late)
 		return
 	}
-	if o.streaming || o.out != 1 || len(o.sends) >= d.terms.MaxTransmissions || !d.terms.SecondCopies {
+	if o.streaming || o.out != 1 || len(o.sends) >= d.terms.MaxAttempts || !d.terms.Hedging {
 		return
 	}
 	s := &o.sends[len(o.sends)-1]
-	if s.out() && d.fleet.shunned(s.backend, o.profile) && d.now-s.at > rescueAt*d.recent(o.profile) {
+	if s.out() && d.fleet.shunned(s.backend, o.class) && d.now-s.at > rescueAt*d.recent(o.class) {
 		if b, _ := d.pick(o); b >= 0 && b != s.backend {
 			d.send(i, b)
-			d.differs(gate.NoCopy, func(w *gate.Terms) bool { return !w.SecondCopies })
+			d.differs(gate.NoCopy, func(w *gate.Terms) bool { return !w.Hedging })
 		}
 	}
 }
@@ -1004,14 +1004,14 @@
 			}
 			if !s.wanted && s.out() && !s.dropped && d.terms.MayCancel {
 				s.dropped = true
-				d.actions = append(d.actions, gate.Cancel{Op: i, Transmission: j})
+				d.actions = append(d.actions, gate.Cancel{Op: i, Attempt: j})
 			}
 		}
 		if o.given == undecided && o.want != undecided {
 			if o.given = o.want; o.want == rejected {
 				d.actions = append(d.actions, gate.Reject{Op: i, RetryAfter: o.retryAfter, Why: o.why})
 			} else {
-				d.actions = append(d.actions, gate.Scrap{Op: i, Why: o.why})
+				d.actions = append(d.actions, gate.Fail{Op: i, Why: o.why})
 			}
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -12,27 +12,27 @@
 
 func TestHoldGrowsWithBacklogAboveTheMargin(t *testing.T) {
 	d := door(4)
-	o := &operation{profile: replayable}
-	d.out[replayable] = 5
-	d.lat[replayable].recent = 250 // within the margin
+	o := &request{class: idempotent}
+	d.out[idempotent] = 5
+	d.lat[idempotent].recent = 250 // within the margin
 	assert.Zero(t, d.hold(o))
-	d.lat[replayable].recent = 500
+	d.lat[idempotent].recent = 500
 	little := d.hold(o)
 	assert.Positive(t, little)
-	d.lat[replayable].recent = 700
+	d.lat[idempotent].recent = 700
 	assert.Greater(t, d.hold(o), little)
 }
 
 func TestNothingInFlightMeansNoHold(t *testing.T) {
 	d := door(4)
-	d.lat[replayable].recent = 5000 // all was rejected since; no sample will lower it
-	assert.Zero(t, d.hold(&operation{profile: replayable}))
+	d.lat[idempotent].recent = 5000 // all was rejected since; no sample will lower it
+	assert.Zero(t, d.hold(&request{class: idempotent}))
 }
 
 func TestHoldThatEatsTheTimeLeftIsRejectedWithAdvice(t *testing.T) {
 	d := door(4)
-	d.out[replayable], d.lat[replayable].recent = 25, 950
-	d.arrive(arriving(0, replayable, plain))
+	d.out[idempotent], d.lat[idempotent].recent = 25, 950
+	d.arrive(arriving(0, idempotent, plain))
 	assert.Equal(t, rejected, d.ops[0].want)
 	assert.Positive(t, d.ops[0].retryAfter)
 	assert.LessOrEqual(t, d.ops[0].retryAfter, 500.0)
@@ -41,42 +41,42 @@
 
 func TestFewSamplesSetNoLow(t *testing.T) {
 	d := door(1)
-	d.lat[replayable] = latency{}
+	d.lat[idempotent] = latency{}
 	for range lowAfter - 1 {
-		d.sample(replayable, 1)
+		d.sample(idempotent, 1)
 	}
-	assert.Equal(t, firstGuess*1000, d.low(replayable))
-	d.sample(replayable, 1)
-	assert.InDelta(t, 1, d.low(replayable), 1e-9)
+	assert.Equal(t, firstGuess*1000, d.low(idempotent))
+	d.sample(idempotent, 1)
+	assert.InDelta(t, 1, d.low(idempotent), 1e-9)
 }
 
 func TestLowFollowsALastinglyHeavierMix(t *testing.T) {
 	d := door(1)
 	for range 600 {
 		d.now += 1000
-		d.sample(replayable, 400)
+		d.sample(idempotent, 400)
 	}
-	assert.Greater(t, d.lat[replayable].low, 300.0)
+	assert.Greater(t, d.lat[idempotent].low, 300.0)
 }
 
 func TestSilenceOfTheFleetRaisesTheEstimate(t *testing.T) {
 	d := sentEach()
 	d.now += 800
 	d.look()
-	assert.InDelta(t, 100+smoothing*4*700, d.recent(replayable), 1)
+	assert.InDelta(t, 100+smoothing*4*700, d.recent(idempotent), 1)
 }
 
 func TestOneSilentBackendDoesNotRaiseTheEstimate(t *testing.T) {
 	d := door(4)
 	for i := range 4 {
-		d.arrive(arriving(i, replayable, plain))
+		d.arrive(arriving(i, idempotent, plain))
 		d.send(i, 0)
 	}
 	d.settle()
-	d.fleet.cases[replayable][0].judged = true
+	d.fleet.cases[idempotent][0].judged = true
 	d.now += 800
 	d.look()
-	assert.InDelta(t, 100, d.recent(replayable), 1)
+	assert.InDelta(t, 100, d.recent(idempotent), 1)
 }
 
 func TestPartIsEvenUntilOthersAreHeard(t *testing.T) {
@@ -94,7 +94,7 @@
 func TestBeyondQuotaIsRejectedAtOnce(t *testing.T) {
 	d := door(1)
 	d.fill(0, plain, 0, 3).level = 0.5
-	d.arrive(arriving(0, replayable, plain))
+	d.arrive(arriving(0, idempotent, plain))
 	assert.Equal(t, rejected, d.ops[0].want)
 	assert.InDelta(t, 250, d.ops[0].retryAfter, 1)
 }
@@ -134,7 +134,7 @@
 	d := door(1)
 	full := (30 - 2*askFor*0.003) / 3
 	d.fill(0, capped, 0, 3).ceiling = full
-	d.arrive(arriving(0, replayable, capped))
+	d.arrive(arriving(0, idempotent, capped))
 	d.now += 60e3 // a hold long enough to fill what it had taken
 	d.send(0, 0)
 	assert.InDelta(t, full-1, d.buckets[0].ceiling, 1e-9)
@@ -143,33 +143,33 @@
 
 func TestHoldsAreNotAllReleasedAtOnce(t *testing.T) {
 	d := door(4)
-	d.lat[replayable].recent = 300
+	d.lat[idempotent].recent = 300
 	for i := range 50 {
-		o := arriving(i, replayable, plain)
+		o := arriving(i, idempotent, plain)
 		o.Units = 0
 		d.arrive(o)
 	}
 	d.now += 100
 	d.tick()
-	assert.Positive(t, d.out[replayable])
-	assert.Less(t, d.out[replayable], 30)
+	assert.Positive(t, d.out[idempotent])
+	assert.Less(t, d.out[idempotent], 30)
 }
 
-func TestSingleUseThatMayHaveRunIsScrapped(t *testing.T) {
-	d := sentOnce(singleUse, 0)
+func TestNonIdempotentThatMayHaveRunIsFailed(t *testing.T) {
+	d := sentOnce(nonIdempotent, 0)
 	d.ended(gate.Ended{Result: gate.Reset, Use: -1})
 	d.tick()
-	assert.Equal(t, scrapped, d.ops[0].want)
+	assert.Equal(t, failed, d.ops[0].want)
 }
 
-func TestSingleUseThatNeverRanIsSentAgain(t *testing.T) {
-	d := sentOnce(singleUse, 0)
+func TestNonIdempotentThatNeverRanIsSentAgain(t *testing.T) {
+	d := sentOnce(nonIdempotent, 0)
 	d.ended(gate.Ended{Result: gate.Full, Use: -1})
 	assert.True(t, d.ops[0].held)
 }
 
-func TestTokenedStaysInItsGroupAndWindow(t *testing.T) {
-	d := sentOnce(tokenedInZone, 0)
+func TestKeyedStaysInItsGroupAndWindow(t *testing.T) {
+	d := sentOnce(keyedInZone, 0)
 	o := &d.ops[0]
 	assert.True(t, d.allowed(o, 2))
 	assert.False(t, d.allowed(o, 1), "another zone")
@@ -177,28 +177,28 @@
 	assert.False(t, d.allowed(o, 2), "past the window")
 }
 
-func TestTokenedOfOneZoneIsNotRejectedOnceItMayHaveRun(t *testing.T) {
-	d := sentOnce(tokenedInZone, 0)
+func TestKeyedOfOneZoneIsNotRejectedOnceItMayHaveRun(t *testing.T) {
+	d := sentOnce(keyedInZone, 0)
 	d.fleet.up = make([]bool, 4)
 	d.ended(gate.Ended{Result: gate.Reset, Use: -1})
 	d.tick()
-	assert.Equal(t, scrapped, d.ops[0].want)
+	assert.Equal(t, failed, d.ops[0].want)
 }
 
 func TestDrainingBackendGetsNothingNew(t *testing.T) {
 	d := door(2)
 	d.list(gate.Fleet{Entries: []gate.Entry{{Backend: 0, Status: gate.Draining}}})
 	for range 20 {
-		b, _ := d.pick(&operation{profile: replayable})
+		b, _ := d.pick(&request{class: idempotent})
 		assert.Equal(t, 1, b)
 	}
 }
 
 func TestColdBackendGetsTheSharesOfAnyNumberOfDoors(t *testing.T) {
 	d := door(2)
-	d.arrive(arriving(0, replayable, plain))
+	d.arrive(arriving(0, idempotent, plain))
 	d.fleet.since[0], d.now = 50e3, 50e3
-	d.fleet.work, d.fleet.workAt = 200, 50e3 // 0.02 ms of work a ms: a thin door, 0.1 operations a window
+	d.fleet.work, d.fleet.workAt = 200, 50e3 // 0.02 ms of work a ms: a thin door, 0.1 requests a window
 	sent := 0
 	for range 400 {
 		d.now += d.terms.FallWindow
@@ -214,41 +214,41 @@
 }
 
 func TestSilenceIsJudgedAndAnswersClear(t *testing.T) {
-	d := sentOnce(replayable, 0)
+	d := sentOnce(idempotent, 0)
 	for range 10 {
 		d.now += 100
 		d.tick()
 	}
-	assert.True(t, d.fleet.shunned(0, replayable))
+	assert.True(t, d.fleet.shunned(0, idempotent))
 	o := &d.ops[0]
 	d.judge(o, &o.sends[0], gate.Ended{Result: gate.Finished, Latency: 100})
 	d.judge(o, &o.sends[0], gate.Ended{Result: gate.Finished, Latency: 100})
-	assert.False(t, d.fleet.shunned(0, replayable))
+	assert.False(t, d.fleet.shunned(0, idempotent))
 }
 
 func TestAWholeFleetIsNeverJudged(t *testing.T) {
 	d := door(4)
 	for b := range 4 {
-		d.doubt(b, replayable, judgeAt)
+		d.doubt(b, idempotent, judgeAt)
 	}
-	assert.True(t, d.fleet.shunned(1, replayable))
-	assert.False(t, d.fleet.shunned(2, replayable))
+	assert.True(t, d.fleet.shunned(1, idempotent))
+	assert.False(t, d.fleet.shunned(2, idempotent))
 }
 
-func TestAProfileLeftUnansweredIsJudgedWhereOthersAreAnswered(t *testing.T) {
-	d := sentOnce(replayable, 0)
+func TestAClassLeftUnansweredIsJudgedWhereOthersAreAnswered(t *testing.T) {
+	d := sentOnce(idempotent, 0)
 	for range 10 {
 		d.now += 200
 		d.tick()
-		d.judge(&operation{profile: singleUse}, &transmission{}, gate.Ended{Result: gate.Finished, Latency: 100})
+		d.judge(&request{class: nonIdempotent}, &attempt{}, gate.Ended{Result: gate.Finished, Latency: 100})
 	}
-	assert.True(t, d.fleet.shunned(0, replayable))
-	assert.False(t, d.fleet.shunned(0, singleUse))
+	assert.True(t, d.fleet.shunned(0, idempotent))
+	assert.False(t, d.fleet.shunned(0, nonIdempotent))
 }
 
-func TestHeldOperationIsAnsweredBeforeTheWaitEnds(t *testing.T) {
+func TestHeldRequestIsAnsweredBeforeTheWaitEnds(t *testing.T) {
 	d := door(0) // nowhere to send
-	d.arrive(arriving(0, replayable, plain))
+	d.arrive(arriving(0, idempotent, plain))
 	d.now = d.ops[0].until - tickEvery
 	d.tick()
 	assert.Equal(t, rejected, d.ops[0].want)
@@ -256,7 +256,7 @@
 
 func TestWakeIsAskedForAgainWhateverTheClockSays(t *testing.T) {
 	d := door(0)
-	d.arrive(arriving(0, replayable, plain))
+	d.arrive(arriving(0, idempotent, plain))
 	d.Decide(d.now, nil)
 	acts := d.Decide(d.now+tickEvery-0.0001, []gate.Event{gate.Woken{}})
 	assert.Contains(t, acts, gate.Wake{At: d.now + tickEvery})
@@ -266,20 +266,20 @@
 	d := door(4)
 	full := (30 - 2*askFor*0.003) / 3
 	d.fill(0, capped, 0, 3).ceiling = full
-	d.arrive(arriving(0, replayable, capped))
-	d.arrive(arriving(1, replayable, capped))
+	d.arrive(arriving(0, idempotent, capped))
+	d.arrive(arriving(1, idempotent, capped))
 	d.release(0)
 	d.release(1)
 	assert.Len(t, d.ops[0].sends, 1)
 	assert.True(t, d.ops[1].held)
 }
 
-// asking returns door 1 of 3, which may write to the others, with operation 0 for a customer of doors 0 to 2.
-// counting2 returns a door with operation 0 of two units waiting for the shared counter.
+// asking returns door 1 of 3, which may write to the others, with request 0 for a customer of doors 0 to 2.
+// counting2 returns a door with request 0 of two units waiting for the shared counter.
 func counting2() *Door {
 	d := door(4)
 	d.terms.Counter = true
-	e := arriving(0, replayable, plain)
+	e := arriving(0, idempotent, plain)
 	e.Units = 2
 	d.arrive(e)
 	d.tick()
@@ -291,12 +291,12 @@
 func TestACustomerWithAmpleRoomIsCountedWithALaterCall(t *testing.T) {
 	d := counting2()
 	d.calls = nil
-	e := arriving(1, replayable, plain)
+	e := arriving(1, idempotent, plain)
 	e.Customer, e.Spread = 1, 1
 	d.arrive(e)
 	d.tick()
 	assert.Empty(t, d.calls)
-	assert.Equal(t, 1, d.out[replayable], "it goes at once")
+	assert.Equal(t, 1, d.out[idempotent], "it goes at once")
 	d.buckets[1].level = 4
 	e.Op = 2
 	d.arrive(e)
@@ -310,13 +310,13 @@
 	d := counting2()
 	call := d.calls[0].(gate.Count)
 	assert.Equal(t, 2.0, call.Add)
-	assert.Zero(t, d.out[replayable])
+	assert.Zero(t, d.out[idempotent])
 	d.counted(gate.Counted{Epoch: call.Epoch, Total: 12})
 	d.tick()
-	assert.Equal(t, 1, d.out[replayable])
+	assert.Equal(t, 1, d.out[idempotent])
 }
 
-func TestRoomTooSmallOnTheCounterIsKeptForSmallerOperations(t *testing.T) {
+func TestRoomTooSmallOnTheCounterIsKeptForSmallerRequests(t *testing.T) {
 	d := counting2()
 	call := d.calls[0].(gate.Count)
 	c := &d.buckets[0].count
@@ -324,9 +324,9 @@
 	d.tick()
 	assert.Equal(t, rejected, d.ops[0].want)
 	assert.InDelta(t, 1, c.back, 1e-9, "the next call takes off what was not granted")
-	d.arrive(arriving(1, replayable, plain))
+	d.arrive(arriving(1, idempotent, plain))
 	d.tick()
-	assert.Equal(t, 1, d.out[replayable])
+	assert.Equal(t, 1, d.out[idempotent])
 }
 
 func TestUnitsRefillWithinAWindowFromTheLevelLastSeen(t *testing.T) {
@@ -350,7 +350,7 @@
 	d.counted(gate.Counted{Epoch: d.calls[0].(gate.Count).Epoch, Result: gate.Full})
 	assert.Less(t, d.calling, 1.0)
 	d.tick()
-	assert.Equal(t, 1, d.out[replayable], "decided by part")
+	assert.Equal(t, 1, d.out[idempotent], "decided by part")
 }
 
 func TestACounterThatWasAwayIsCalledAsBefore(t *testing.T) {
@@ -439,7 +439,7 @@
 func TestCallsAreNotSavedForEver(t *testing.T) {
 	d := counting2()
 	d.crowdedAt, d.calls = d.now, nil
-	e := arriving(1, replayable, plain) // of a customer whose part is fair
+	e := arriving(1, idempotent, plain) // of a customer whose part is fair
 	e.Customer, e.Units = 1, 2
 	d.arrive(e)
 	d.tick()
@@ -464,12 +464,12 @@
 
 func TestLostAnswersAreNoBacklog(t *testing.T) {
 	d := sentEach()
-	assert.Positive(t, d.drain(replayable))
+	assert.Positive(t, d.drain(idempotent))
 	d.now += 1500 // past the contract time, not yet given up by the clients
 	d.answeredAt = d.now - 100
 	d.look()
-	assert.Zero(t, d.drain(replayable))
-	assert.InDelta(t, 100, d.recent(replayable), 1)
+	assert.Zero(t, d.drain(idempotent))
+	assert.InDelta(t, 100, d.recent(idempotent), 1)
 	assert.Zero(t, d.hold(&d.ops[0]))
 }
 
@@ -480,35 +480,35 @@
 	d.now += 1500
 	d.answeredAt = d.now - 1500
 	d.look()
-	assert.Positive(t, d.drain(replayable))
+	assert.Positive(t, d.drain(idempotent))
 	assert.Positive(t, d.hold(&d.ops[0]))
 }
 
 func TestALatencyAtAJudgedBackendCountsOnceAllAreMute(t *testing.T) {
-	d := sentOnce(replayable, 2)
-	d.fleet.cases[replayable][2].judged = true
+	d := sentOnce(idempotent, 2)
+	d.fleet.cases[idempotent][2].judged = true
 	gone := gate.Ended{Result: gate.TimedOut, Latency: 900, Use: -1}
 	d.answeredAt = d.now
 	d.judge(&d.ops[0], &d.ops[0].sends[0], gone)
-	assert.Equal(t, 100.0, d.lat[replayable].recent, "one silent backend is no pressed fleet")
+	assert.Equal(t, 100.0, d.lat[idempotent].recent, "one silent backend is no pressed fleet")
 	d.answeredAt = d.now - 1500
 	d.judge(&d.ops[0], &d.ops[0].sends[0], gone)
-	assert.Greater(t, d.lat[replayable].recent, 100.0)
+	assert.Greater(t, d.lat[idempotent].recent, 100.0)
 }
 
-// Each of hundreds of doors may have one operation in flight by chance, but not one of every profile.
+// Each of hundreds of doors may have one request in flight by chance, but not one of every class.
 func TestChanceInFlightCountsOnceForTheDoor(t *testing.T) {
 	d := door(4)
-	d.out[replayable] = 1
-	assert.Zero(t, d.drain(replayable))
-	d.out[singleUse], d.out[tokenedInZone] = 1, 1
-	assert.Positive(t, d.drain(replayable))
+	d.out[idempotent] = 1
+	assert.Zero(t, d.drain(idempotent))
+	d.out[nonIdempotent], d.out[keyedInZone] = 1, 1
+	assert.Positive(t, d.drain(idempotent))
 }
 
 func TestARepeatRejectedAtACrowdedCounterIsNotSent(t *testing.T) {
 	d := counting2()
 	d.calling = 0
-	e := arriving(1, replayable, plain)
+	e := arriving(1, idempotent, plain)
 	e.Customer, e.Repeat, e.Units = 1, true, 5 // more than its part holds
 	d.arrive(e)
 	d.tick()
@@ -516,14 +516,14 @@
 	assert.Empty(t, d.ops[1].sends, "one never to be sent would count as out for ever")
 }
 
-func TestLateTransmissionsAreBacklogWhileAnswersAreSlow(t *testing.T) {
+func TestLateAttemptsAreBacklogWhileAnswersAreSlow(t *testing.T) {
 	d := door(4)
 	for i := range 9 {
-		d.arrive(arriving(i, replayable, plain))
+		d.arrive(arriving(i, idempotent, plain))
 		d.send(i, i%4)
 	}
 	d.settle()
-	d.lat[replayable].recent = 900
+	d.lat[idempotent].recent = 900
 	d.now += 1500
 	d.look()
 	assert.Positive(t, d.hold(&d.ops[0]), "else the door goes on sending into a fleet that answers nothing in time")
@@ -531,20 +531,20 @@
 
 func TestALowLearntOnAPressedFleetHasAMost(t *testing.T) {
 	d := door(1)
-	d.lat[replayable].low = 900
-	assert.Equal(t, lowMost*1000, d.low(replayable))
+	d.lat[idempotent].low = 900
+	assert.Equal(t, lowMost*1000, d.low(idempotent))
 }
 
 func TestGivenUpIsALatencyOfItsAge(t *testing.T) {
-	d := sentOnce(replayable, 0)
+	d := sentOnce(idempotent, 0)
 	d.ended(gate.Ended{Result: gate.TimedOut, Latency: 3000, Use: -1})
-	assert.InDelta(t, 100+smoothing*900, d.lat[replayable].recent, 1)
+	assert.InDelta(t, 100+smoothing*900, d.lat[idempotent].recent, 1)
 }
 
 func TestWhatIsLateOnAPressedFleetIsGivenUpAtOnce(t *testing.T) {
 	d := door(4)
 	for i := range 9 {
-		d.arrive(arriving(i, replayable, plain))
+		d.arrive(arriving(i, idempotent, plain))
 		d.send(i, i%4)
 	}
 	d.settle()
@@ -552,15 +552,15 @@
 	d.answeredAt = d.now
 	d.tick()
 	assert.Equal(t, undecided, d.ops[0].want, "nothing says that the fleet is pressed")
-	d.lat[replayable].recent = 900
+	d.lat[idempotent].recent = 900
 	d.tick()
 	assert.Equal(t, rejected, d.ops[0].want)
 }
 
-// Fleets whose backends are replaced all day: a gone one's index is free once no operation that went there is open,
+// Fleets whose backends are replaced all day: a gone one's index is free once no request that went there is open,
 // and the next one under it inherits no opinion.
 func TestAGoneBackendsIndexIsFreedOnce(t *testing.T) {
-	d := sentOnce(replayable, 1)
+	d := sentOnce(idempotent, 1)
 	d.fleet.cases[0][1].judged = true
 	d.list(gate.Fleet{Entries: []gate.Entry{{Backend: 1, Status: gate.Gone}}})
 	d.delist()
@@ -573,21 +573,21 @@
 	d.delist()
 	assert.Len(t, d.forgets, 1)
 	d.list(gate.Fleet{Entries: []gate.Entry{{Backend: 1}}})
-	assert.False(t, d.fleet.shunned(1, replayable))
+	assert.False(t, d.fleet.shunned(1, idempotent))
 	assert.Equal(t, 1.0, d.fleet.size[1])
 	d.list(gate.Fleet{Complete: true, Entries: []gate.Entry{{Backend: 0}}})
 	d.delist()
 	assert.Len(t, d.forgets, 4, "what a whole list leaves out is gone")
 }
 
-// Hundreds of doors with some tens of operations a second each: over all backends, connections are opened anew for
+// Hundreds of doors with some tens of requests a second each: over all backends, connections are opened anew for
 // half of them, and a backend is met too seldom to be known.
 func TestADoorKeepsToSoManyMembersAsItsTrafficReaches(t *testing.T) {
 	d := door(100)
 	met := func() map[int]bool {
 		met := map[int]bool{}
 		for range 400 {
-			o := operation{profile: replayable, plan: plain}
+			o := request{class: idempotent, plan: plain}
 			b, any := d.pick(&o)
 			require.True(t, any)
 			met[b] = true
@@ -608,11 +608,11 @@
 
 func TestWhatFailsIsStoodInForByTheNext(t *testing.T) {
 	d := door(30)
-	o := operation{profile: replayable, plan: plain}
+	o := request{class: idempotent, plan: plain}
 	f := &d.fleet
 	first := append([]int(nil), f.order[:memberMin]...)
 	for _, b := range first { // the whole lot is lost with its zone
-		f.cases[replayable][b] = suspicion{judged: true, doubt: judgeAt, trialAt: d.now + 1e3}
+		f.cases[idempotent][b] = suspicion{judged: true, doubt: judgeAt, trialAt: d.now + 1e3}
 	}
 	for range 100 {
 		b, _ := d.pick(&o)
@@ -663,11 +663,11 @@
 	assert.GreaterOrEqual(t, kept, memberMin-1)
 }
 
-// meteredDoor has operation 0 of two units held, gone past a crowded counter, at a door whose part is empty.
+// meteredDoor has request 0 of two units held, gone past a crowded counter, at a door whose part is empty.
 func meteredDoor(heardAgo float64) *Door {
 	d := door(2)
 	d.terms.Counter = true
-	e := arriving(0, replayable, plain)
+	e := arriving(0, idempotent, plain)
 	e.Units = 2
 	d.arrive(e)
 	d.ops[0].uncounted = true
@@ -676,7 +676,7 @@
 	return d
 }
 
-// At a door of many, the part of a customer seen seldom holds no operation: a fresh word of the meter that leaves the
+// At a door of many, the part of a customer seen seldom holds no request: a fresh word of the meter that leaves the
 // whole store full lets it in, and takes its units from what the word left.
 func TestAFreshMeterWordLetsInWhatAThinPartCannotHold(t *testing.T) {
 	d := meteredDoor(500)
@@ -696,19 +696,19 @@
 	d := meteredDoor(500)
 	d.buckets[0].store = 12
 	require.True(t, d.secure(0))
-	e := arriving(1, replayable, plain)
+	e := arriving(1, idempotent, plain)
 	e.Units = 2
 	d.arrive(e)
 	d.ops[1].uncounted = true
 	assert.False(t, d.secure(1), "8 units would be left of the word's 12, under the share it must keep")
 }
 
-// callingWith returns the units that a door calls for from the counter for an operation of two units, with the window's
+// callingWith returns the units that a door calls for from the counter for a request of two units, with the window's
 // room at 12 units and the customer's demand at this door as given, units/ms.
 func callingWith(demand float64) float64 {
 	d := door(2)
 	d.terms.Counter = true
-	e := arriving(0, replayable, plain)
+	e := arriving(0, idempotent, plain)
 	e.Spread, e.Units = 1, 2
 	d.arrive(e)
 	k := &d.buckets[0]
@@ -729,19 +729,19 @@
 func payingBeyond() *Door {
 	d := door(4)
 	d.terms.Plans[plain].Beyond = 0.3
-	d.arrive(arriving(0, replayable, plain))
+	d.arrive(arriving(0, idempotent, plain))
 	d.buckets[0].level = 0
 	return d
 }
 
 func TestWhatPaysBeyondItsQuotaIsSentWhileTheFleetIsNotPressed(t *testing.T) {
 	d := payingBeyond()
-	d.arrive(arriving(1, replayable, plain))
+	d.arrive(arriving(1, idempotent, plain))
 	assert.Equal(t, undecided, d.ops[1].want)
 	assert.Zero(t, d.ops[1].charge, "it takes nothing from the quota")
 
 	d.terms.Plans[plain].OverCost = 0.3 // no more than it costs
-	d.arrive(arriving(2, replayable, plain))
+	d.arrive(arriving(2, idempotent, plain))
 	assert.Equal(t, rejected, d.ops[2].want)
 }
 
@@ -749,16 +749,16 @@
 func TestNothingGoesBeyondItsQuotaOnAPressedFleet(t *testing.T) {
 	d := payingBeyond()
 	d.pressed = 2 * openUnder
-	d.arrive(arriving(1, replayable, plain))
+	d.arrive(arriving(1, idempotent, plain))
 	assert.Equal(t, rejected, d.ops[1].want)
 }
 
 func TestACeilingHoldsForWhatPaysBeyondItsQuota(t *testing.T) {
 	d := door(4)
 	d.terms.Plans[capped].Beyond = 0.3
-	d.arrive(arriving(0, replayable, capped))
+	d.arrive(arriving(0, idempotent, capped))
 	d.buckets[0].level, d.buckets[0].ceiling = 0, 0
-	d.arrive(arriving(1, replayable, capped))
+	d.arrive(arriving(1, idempotent, capped))
 	assert.Equal(t, rejected, d.ops[1].want)
 }
 
@@ -770,19 +770,19 @@
 	assert.True(t, d.counts(&d.buckets[0]))
 }
 
-// A door of one operation a second needs ten seconds for its first samples. When those were slow it rejected all of the
-// profile for good, as no sample came any more.
-func TestAProfileOfFewSlowSamplesIsNotPressedWithNothingOut(t *testing.T) {
+// A door of one request a second needs ten seconds for its first samples. When those were slow it rejected all of the
+// class for good, as no sample came any more.
+func TestAClassOfFewSlowSamplesIsNotPressedWithNothingOut(t *testing.T) {
 	d := door(4)
-	d.lat[replayable] = latency{recent: 1063, low: 1063, samples: lowAfter - 1, lowAt: d.now}
-	d.arrive(arriving(0, replayable, plain))
+	d.lat[idempotent] = latency{recent: 1063, low: 1063, samples: lowAfter - 1, lowAt: d.now}
+	d.arrive(arriving(0, idempotent, plain))
 	assert.Equal(t, undecided, d.ops[0].want)
 	assert.Zero(t, d.hold(&d.ops[0]))
 }
 
-// A backend that turns one plan away for half a minute is met by a door of few operations once in seconds.
+// A backend that turns one plan away for half a minute is met by a door of few requests once in seconds.
 func TestABackendThatTurnsAPlanAwayAgainIsLeftAloneForLonger(t *testing.T) {
-	d := sentOnce(replayable, 2)
+	d := sentOnce(idempotent, 2)
 	rest := func() float64 { return d.fleet.fullUntil[2][plain] - d.now }
 	d.judge(&d.ops[0], &d.ops[0].sends[0], gate.Ended{Result: gate.Full, Use: -1})
 	first := rest()
@@ -803,13 +803,13 @@
 	_, left := d.window(k)
 	d.now += left + 1000
 	k.count.calling, k.barred = false, 0
-	o := operation{units: 1, profile: replayable}
+	o := request{units: 1, class: idempotent}
 	d.count(&o, k)
 	assert.Positive(t, k.count.before)
 }
 
 func TestTrueUnitsTakeThePlaceOfTheGuess(t *testing.T) {
-	d := sentOnce(replayable, 0)
+	d := sentOnce(idempotent, 0)
 	level, charge := d.buckets[0].level, d.ops[0].charge
 	d.ended(gate.Ended{Op: 0, Result: gate.Finished, Latency: 100, Over: true, Use: -1, Units: 3})
 	assert.InDelta(t, level-2*charge, d.buckets[0].level, 1e-9, "a guess of 1, and the door's part was charged")
@@ -818,11 +818,11 @@
 
 func TestACrowdedCounterIsCalledForWhatEarnsMore(t *testing.T) {
 	d := door(1)
-	d.terms.Profiles[replayable].Gain, d.terms.Plans[plain].Price = 1, 1
+	d.terms.Classes[idempotent].Gain, d.terms.Plans[plain].Price = 1, 1
 	d.usualGain, d.calling = 2, 0.4
 	calls := func(units float64) (n int) {
 		for range 1000 {
-			if d.called(&operation{units: units}) {
+			if d.called(&request{units: units}) {
 				n++
 			}
 		}
@@ -839,7 +839,7 @@
 func watching(d *Door) func() []gate.Difference {
 	w := d.terms
 	w.Plans = []gate.Plan{{Rate: 0.002, Depth: 12, Beyond: 0.3}, d.terms.Plans[capped]}
-	w.MaxRetryAfter, w.SecondCopies, w.MaxTransmissions = 0, false, 1
+	w.MaxRetryAfter, w.Hedging, w.MaxAttempts = 0, false, 1
 	d.Watch(&w)
 	return func() (kinds []gate.Difference) {
 		for _, a := range d.actions {
@@ -855,35 +855,35 @@
 func TestWatchingTellsWhatOtherTermsWouldDecideAndDecidesAsBefore(t *testing.T) {
 	d := door(4)
 	told := watching(d)
-	d.arrive(arriving(0, replayable, plain))
+	d.arrive(arriving(0, idempotent, plain))
 	assert.Empty(t, told(), "sent under both")
 	d.buckets[0].level = 0
-	d.arrive(arriving(1, replayable, plain))
+	d.arrive(arriving(1, idempotent, plain))
 	assert.Equal(t, rejected, d.ops[1].want)
 	assert.Equal(t, []gate.Difference{gate.OtherAdvice, gate.SentBeyond}, told())
 	d.pressed = 2 * openUnder
-	d.arrive(arriving(2, replayable, plain))
+	d.arrive(arriving(2, idempotent, plain))
 	assert.Equal(t, []gate.Difference{gate.OtherAdvice}, told(), "a pressed fleet sends nothing beyond a quota")
 }
 
-func TestWatchingTellsOfCallsCopiesAndFurtherTransmissions(t *testing.T) {
+func TestWatchingTellsOfCallsCopiesAndFurtherAttempts(t *testing.T) {
 	d := counting2()
 	told := watching(d)
 	d.calls, d.buckets[0].count = nil, counting{}
-	d.count(&operation{units: 2, profile: replayable}, &d.buckets[0])
+	d.count(&request{units: 2, class: idempotent}, &d.buckets[0])
 	assert.Len(t, d.calls, 1, "called as before")
 	assert.Equal(t, []gate.Difference{gate.NotCounted}, told())
 
-	d = sentOnce(replayable, 2)
+	d = sentOnce(idempotent, 2)
 	told = watching(d)
-	d.fleet.cases[replayable][2].judged = true
-	d.now += 10 * rescueAt * d.recent(replayable)
+	d.fleet.cases[idempotent][2].judged = true
+	d.now += 10 * rescueAt * d.recent(idempotent)
 	d.ops[0].came = d.now
 	d.rescue(0)
 	assert.Len(t, d.ops[0].sends, 2, "copied as before")
 	assert.Equal(t, []gate.Difference{gate.NoCopy}, told())
 
-	d = sentOnce(replayable, 2)
+	d = sentOnce(idempotent, 2)
 	told = watching(d)
 	d.ended(gate.Ended{Op: 0, Result: gate.Errored, Latency: 100, Use: -1})
 	assert.True(t, d.ops[0].held, "held to be sent again as before")
@@ -895,7 +895,7 @@
 	for n := range 3 {
 		d := door(1)
 		d.terms.Number = n
-		d.arrive(arriving(0, replayable, capped))
+		d.arrive(arriving(0, idempotent, capped))
 		d.now += 1e6
 		sum += d.refill(0).ceiling
 	}
@@ -905,16 +905,16 @@
 
 func TestAtOnceADoorHasItsPartOut(t *testing.T) {
 	d := door(4)
-	d.arrive(arriving(0, replayable, capped))
+	d.arrive(arriving(0, idempotent, capped))
 	d.send(0, 0)
-	d.arrive(arriving(1, replayable, capped))
+	d.arrive(arriving(1, idempotent, capped))
 	d.tick()
 	assert.Empty(t, d.ops[1].sends, "three at once over three doors is one at each")
 }
 
 func TestABackendThatReportsWorkWaitingIsDrawnLessOften(t *testing.T) {
-	d := sentOnce(replayable, 2)
-	o := operation{profile: replayable, plan: plain}
+	d := sentOnce(idempotent, 2)
+	o := request{class: idempotent, plan: plain}
 	before := d.room(2, &o)
 	d.judge(&d.ops[0], &d.ops[0].sends[0], gate.Ended{Result: gate.Finished, Latency: 100, Queue: -1})
 	assert.InEpsilon(t, before, d.room(2, &o), 0.1, "nothing told")
@@ -925,15 +925,15 @@
 // Each of hundreds of doors has nothing out at most looks, and together they keep a pressed fleet pressed.
 func TestWhatWasInFlightOfLatePressesAThinDoor(t *testing.T) {
 	d := door(4)
-	d.lat[replayable] = latency{recent: 900, low: 100, best: 0.001, samples: 100, flight: 0.8}
-	assert.Positive(t, d.hold(&operation{profile: replayable}))
+	d.lat[idempotent] = latency{recent: 900, low: 100, best: 0.001, samples: 100, flight: 0.8}
+	assert.Positive(t, d.hold(&request{class: idempotent}))
 	d.now += 10 * flightSpan
-	assert.Zero(t, d.hold(&operation{profile: replayable}), "what fades ends")
+	assert.Zero(t, d.hold(&request{class: idempotent}), "what fades ends")
 }
 
 // What waited at a process that is gone waits no longer: its successor would be shunned for a queue it never had.
 func TestASuccessorInheritsNoQueue(t *testing.T) {
-	d := sentOnce(replayable, 2)
+	d := sentOnce(idempotent, 2)
 	d.judge(&d.ops[0], &d.ops[0].sends[0], gate.Ended{Result: gate.Finished, Latency: 100, Queue: 6})
 	assert.Positive(t, d.fleet.queue[2])
 	d.list(gate.Fleet{Entries: []gate.Entry{{Backend: 2, Since: 5}}})
@@ -988,7 +988,7 @@
 		for range draws {
 			f := &d.fleet
 			f.coldUntil[0] = 0
-			d.coldRoom(&operation{}, 0)
+			d.coldRoom(&request{}, 0)
 			n += f.coldLeft[0]
 		}
 		return n
@@ -1014,7 +1014,7 @@
 					if i%7 == 0 {
 						how = gate.Errored
 					}
-					events = append(events, gate.Ended{Op: i, Transmission: s, Backend: tr.backend, Result: how, Latency: now - tr.at, Over: how == gate.Finished, Use: 0.1, Queue: -1})
+					events = append(events, gate.Ended{Op: i, Attempt: s, Backend: tr.backend, Result: how, Latency: now - tr.at, Over: how == gate.Finished, Use: 0.1, Queue: -1})
 				}
 			}
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -17,18 +17,18 @@
 	return s
 }
 
-// verdict is the final answer that an operation is wanted to have.
+// verdict is the final answer that a request is wanted to have.
 type verdict uint8
 
 const (
 	undecided verdict = iota
 	rejected
-	scrapped
+	failed
 	answered // the client has its answer, or has left
 )
 
-// transmission is one sending of an operation. wanted against the other two is the difference to emit.
-type transmission struct {
+// attempt is one sending of a request. wanted against the other two is the difference to emit.
+type attempt struct {
 	backend int
 	at      float64
 	wanted  bool // it should be out
@@ -38,25 +38,25 @@
 	proven  bool // it is known never to have run
 }
 
-func (t *transmission) out() bool { return t.sent && !t.ended }
+func (t *attempt) out() bool { return t.sent && !t.ended }
 
-// operation is all that is known of one operation. Its slot is free while it is over with nothing out.
-type operation struct {
-	profile, plan, customer int
-	units, charge           float64
-	came, until             float64 // arrival and end of the client's wait, ms
-	held                    bool    // waiting for release
-	granted                 bool    // the counter has granted its units
-	uncounted               bool    // goes without the counter, which is crowded
-	promised                bool    // its units are set aside
-	streaming               bool
-	repeat                  bool // of a try that was not answered well
-	want, given             verdict
-	retryAfter              float64
-	why                     gate.Cause
-	out                     int
-	sends                   []transmission
-	queued                  bool // listed as changed in this batch
+// request is all that is known of one request. Its slot is free while it is over with nothing out.
+type request struct {
+	class, plan, customer int
+	units, charge         float64
+	came, until           float64 // arrival and end of the client's wait, ms
+	held                  bool    // waiting for release
+	granted               bool    // the counter has granted its units
+	uncounted             bool    // goes without the counter, which is crowded
+	promised              bool    // its units are set aside
+	streaming             bool
+	repeat                bool // of a try that was not answered well
+	want, given           verdict
+	retryAfter            float64
+	why                   gate.Cause
+	out                   int
+	sends                 []attempt
+	queued                bool // listed as changed in this batch
 }
 
 // bucket is a customer's state at this door.
@@ -68,10 +68,10 @@
 	set           float64  // of its doors, those that are here
 	level         float64  // what the customer's quota is thought to hold, units
 	ceiling       float64  // what this door's slice of the ceiling holds, units
-	promised      float64  // charges of held operations, units
-	promisedUnits float64  // units of held operations
+	promised      float64  // charges of held requests, units
+	promisedUnits float64  // units of held requests
 	barred        float64  // clock before which the counter has no room, ms
-	barredUnits   float64  // for operations of this many units or more
+	barredUnits   float64  // for requests of this many units or more
 	filled        float64  // clock of the last fill, ms
 	demand        float64  // units asked here lately, units/ms
 	others        float64  // use by other doors as heard, units/ms
@@ -80,8 +80,8 @@
 	trim          float64  // share left of this door's part while the parts add up to more than the quota
 	sent          float64  // units first sent here lately, units/ms
 	count         counting // this customer's part of the shared counter
-	out           int      // transmissions out
-	open          int      // operations not over
+	out           int      // attempts out
+	open          int      // requests not over
 }
 
 // of makes k the bucket of a customer's plan and doors, full where it was another's. One that is new has filled since
@@ -98,7 +98,7 @@
 }
 
 // unpromise ends a promise, kept or not.
-func (k *bucket) unpromise(o *operation) {
+func (k *bucket) unpromise(o *request) {
 	if o.promised {
 		o.promised = false
 		k.promised -= o.charge
@@ -119,7 +119,7 @@
 	back    float64 // units added to the number and not taken, which the next call takes off
 	owed    float64 // units sent and not added yet
 	asked   float64 // units that it asks for
-	least   float64 // of these, for the operation that it was made for
+	least   float64 // of these, for the request that it was made for
 	rest    float64 // clock before which no call is made, ms
 }
 
@@ -131,23 +131,23 @@
 	zone, cell []int
 	since      []float64 // latest start, ms; 0 means long ago
 	size       []float64
-	out        []int         // own transmissions out
-	cases      [][]suspicion // by profile, then backend; the last row is for backends as a whole
+	out        []int         // own attempts out
+	cases      [][]suspicion // by class, then backend; the last row is for backends as a whole
 	pace       []float64     // its latency over the fleet's
 	fullUntil  [][]float64   // turned work of a plan away; left alone for it until then
 	fullGap    [][]float64   // for so long, ms
 	queue      []float64     // waiting as reported
 	work       float64       // work sent lately to warm backends, decaying, ms of work
 	workAt     float64       // clock of that figure, ms
-	coldLeft   []int         // operations that it may still get in a window while it is cold
+	coldLeft   []int         // requests that it may still get in a window while it is cold
 	coldUntil  []float64     // end of that window, ms
 	mark       []float64     // place on the ring that all doors have in common, 0 to 1
 	order      []int         // listed backends from this door's place on the ring; it keeps to the first
-	sends      float64       // transmissions per ms, averaged
+	sends      float64       // attempts per ms, averaged
 	sendsAt    float64       // clock of that figure, ms
 }
 
-// suspicion is the sequential test of one backend, for one profile or as a whole.
+// suspicion is the sequential test of one backend, for one class or as a whole.
 type suspicion struct {
 	doubt    float64 // evidence that it does not work, nats
 	judged   bool    // the test has ended against it
@@ -168,22 +168,22 @@
 	clear(f.fullGap[b])
 }
 
-// against returns what is held against a backend: for the profile, and as a whole.
-func (f *fleet) against(b, profile int) [2]*suspicion {
-	return [2]*suspicion{&f.cases[profile][b], &f.cases[len(f.cases)-1][b]}
+// against returns what is held against a backend: for the class, and as a whole.
+func (f *fleet) against(b, class int) [2]*suspicion {
+	return [2]*suspicion{&f.cases[class][b], &f.cases[len(f.cases)-1][b]}
 }
 
-func (f *fleet) shunned(b, profile int) bool {
-	cs := f.against(b, profile)
+func (f *fleet) shunned(b, class int) bool {
+	cs := f.against(b, class)
 	return cs[0].judged || cs[1].judged
 }
 
-// judgedWith returns the share of the listed backends that stand judged, with one more; for the profile
+// judgedWith returns the share of the listed backends that stand judged, with one more; for the class
 // alone, or as a whole.
-func (f *fleet) judgedWith(alone bool, profile int) float64 {
+func (f *fleet) judgedWith(alone bool, class int) float64 {
 	row := f.cases[len(f.cases)-1]
 	if alone {
-		row = f.cases[profile]
+		row = f.cases[class]
 	}
 	listed, judged := 0, 1
 	for b, up := range f.up {
@@ -225,15 +225,15 @@
 	}
 }
 
-// latency holds what a profile's finished transmissions showed.
+// latency holds what a class's finished attempts showed.
 type latency struct {
 	recent, low float64 // smoothed latency and its recent low, ms
-	rate, best  float64 // finished operations per ms, averaged, and the recent best of that
+	rate, best  float64 // finished requests per ms, averaged, and the recent best of that
 	lowAt       float64 // clock of the last sample, ms
 	spread      float64 // smoothed distance of a latency from the mean, ms
 	samples     int
-	flight      float64 // averaged transmissions in flight, at the latest tick
-	late        int     // transmissions out past the contract time
+	flight      float64 // averaged attempts in flight, at the latest tick
+	late        int     // attempts out past the contract time
 	overdue     float64 // sum of what the others are out beyond the usual, ms
 }
 
@@ -272,12 +272,12 @@
 	now        float64
 	born       float64
 	dice       dice
-	ops        []operation
-	live       []int // operations that may still need attention, in order of arrival
+	ops        []request
+	live       []int // requests that may still need attention, in order of arrival
 	buckets    []bucket
 	fleet      fleet
 	lat        []latency
-	out        []int   // transmissions out, by profile
+	out        []int   // attempts out, by class
 	bell       bool    // a Wake is pending
 	ticked     float64 // clock of the latest tick, ms
 	changed    []int
@@ -286,11 +286,11 @@
 	forgets    []gate.Action // indices that are free again
 	calls      []gate.Action // of the counter, waiting to be made
 	swept      float64       // clock of the last look for idle buckets
-	pressed    float64       // share of recent operations that met a hold at their arrival
-	taken      int           // operations
+	pressed    float64       // share of recent requests that met a hold at their arrival
+	taken      int           // requests
 	usualGain  float64       // smoothed gain of one
-	answeredAt float64       // clock of the latest good answer, of whatever profile, ms
-	calling    float64       // share of operations for which the counter is called
+	answeredAt float64       // clock of the latest good answer, of whatever class, ms
+	calling    float64       // share of requests for which the counter is called
 	before     float64       // that share at its latest answer
 	misses     int           // calls without any since
 	cutAt      float64       // clock at which that share was last cut, ms
@@ -317,7 +317,7 @@
 	}
 }
 
-// delist frees the indices of backends that are gone. What an operation was sent to is looked up for as long as it
+// delist frees the indices of backends that are gone. What a request was sent to is looked up for as long as it
 // may be sent again, so an index must outlive it.
 func (d *Door) delist() {
 	f := &d.fleet
@@ -338,7 +338,7 @@
 	}
 }
 
-// touch lists an operation as changed.
+// touch lists a request as changed.
 func (d *Door) touch(i int) {
 	if o := &d.ops[i]; !o.queued {
 		o.queued = true
--- a/release/release.go
+++ b/release/release.go
@@ -33,9 +33,9 @@
 
 // Ends is by how much the changed may be worse than the others before a release goes back; 0 for the module's own.
 type Ends struct {
-	Operations float64 `json:"operations,omitempty"` // share of operations not in time, scrapped or rejected
-	Latency    float64 `json:"latency,omitempty"`    // share of the others' latency
-	Memory     float64 `json:"memory,omitempty"`     // share of the others' memory
+	Requests float64 `json:"operations,omitempty"` // share of requests not in time, failed or rejected
+	Latency  float64 `json:"latency,omitempty"`    // share of the others' latency
+	Memory   float64 `json:"memory,omitempty"`     // share of the others' memory
 }
 
 // Wave is some of the doors, and how long they are watched once all of them have taken it. Exactly one of the first four.
@@ -79,7 +79,7 @@
 		return bad("digest", "%q is no sha256 in %d digits", p.Digest, digestSize)
 	case len(p.Waves) == 0:
 		return bad("waves", "none")
-	case !(p.Ends.Operations >= 0 && p.Ends.Operations < 1) || !(p.Ends.Latency >= 0) || !(p.Ends.Memory >= 0):
+	case !(p.Ends.Requests >= 0 && p.Ends.Requests < 1) || !(p.Ends.Latency >= 0) || !(p.Ends.Memory >= 0):
 		return bad("ends", "shares from 0 on are wanted, operations under 1")
 	}
 	for i, w := range p.Waves {
--- a/release/verdict.go
+++ b/release/verdict.go
@@ -17,7 +17,7 @@
 	InTime    uint64  `json:"in_time"` // finished within the contract time
 	Finished  uint64  `json:"finished"`
 	Rejected  uint64  `json:"rejected"`
-	Scrapped  uint64  `json:"scrapped"`
+	Failed    uint64  `json:"scrapped"`
 	LatencyMs float64 `json:"latency_ms"` // of all finished, added up
 	MemoryMB  float64 `json:"memory_mb"`  // resident now
 }
@@ -44,10 +44,10 @@
 	lookMs    = 5e3   // between two looks of the test
 	alpha     = 0.01  // chance of a false halt by one figure of one wave, however often is looked
 	concern   = 0.1   // chance under which a figure keeps a wave waiting that is over
-	leastOps  = 200   // operations at the changed before a wave may be over
+	leastOps  = 200   // requests at the changed before a wave may be over
 	patience  = 3.0   // times the watch, after which a wave that is still unclear is halted
-	burst     = 3.0   // by which counts vary more than independent operations would: clients come in bursts
-	marginOps = 0.01  // share of operations that the changed may be worse by
+	burst     = 3.0   // by which counts vary more than independent requests would: clients come in bursts
+	marginOps = 0.01  // share of requests that the changed may be worse by
 	marginLat = 0.15  // of the others' latency
 	marginMem = 0.30  // of the others' memory
 	leastMem  = 0.05  // deviation of the memory's logarithm that is taken for given
@@ -86,7 +86,7 @@
 
 // Ending has the comparison end by other bounds than the module's own, where they are told.
 func (c *Comparison) Ending(e Ends) *Comparison {
-	c.ends = Ends{cmp.Or(e.Operations, marginOps), cmp.Or(e.Latency, marginLat), cmp.Or(e.Memory, marginMem)}
+	c.ends = Ends{cmp.Or(e.Requests, marginOps), cmp.Or(e.Latency, marginLat), cmp.Or(e.Memory, marginMem)}
 	return c
 }
 
@@ -115,12 +115,12 @@
 func minus(a, b Counts) Counts {
 	sub := func(x, y uint64) uint64 { return x - min(x, y) }
 	return Counts{Process: a.Process, Arrived: sub(a.Arrived, b.Arrived), InTime: sub(a.InTime, b.InTime), Finished: sub(a.Finished, b.Finished),
-		Rejected: sub(a.Rejected, b.Rejected), Scrapped: sub(a.Scrapped, b.Scrapped), LatencyMs: max(0, a.LatencyMs-b.LatencyMs), MemoryMB: a.MemoryMB}
+		Rejected: sub(a.Rejected, b.Rejected), Failed: sub(a.Failed, b.Failed), LatencyMs: max(0, a.LatencyMs-b.LatencyMs), MemoryMB: a.MemoryMB}
 }
 
 func plus(a, b Counts) Counts {
 	return Counts{Process: b.Process, Arrived: a.Arrived + b.Arrived, InTime: a.InTime + b.InTime, Finished: a.Finished + b.Finished,
-		Rejected: a.Rejected + b.Rejected, Scrapped: a.Scrapped + b.Scrapped, LatencyMs: a.LatencyMs + b.LatencyMs, MemoryMB: b.MemoryMB}
+		Rejected: a.Rejected + b.Rejected, Failed: a.Failed + b.Failed, LatencyMs: a.LatencyMs + b.LatencyMs, MemoryMB: b.MemoryMB}
 }
 
 // group is one side of the comparison.
@@ -214,12 +214,12 @@
 // figures compares all that is compared.
 func (c *Comparison) figures(changed, others group) (all []figure) {
 	share := func(name string, of func(Counts) (part, whole uint64)) {
-		if f, ok := compareShares(name, changed, others, c.ends.Operations, of); ok {
+		if f, ok := compareShares(name, changed, others, c.ends.Requests, of); ok {
 			all = append(all, f)
 		}
 	}
 	share("not finished in contract time", func(n Counts) (uint64, uint64) { return n.Arrived - min(n.Arrived, n.InTime), n.Arrived })
-	share("scrapped", func(n Counts) (uint64, uint64) { return n.Scrapped, n.Arrived })
+	share("scrapped", func(n Counts) (uint64, uint64) { return n.Failed, n.Arrived })
 	share("rejected", func(n Counts) (uint64, uint64) { return n.Rejected, n.Arrived })
 	mean := func(name string, margin, least float64, of func(Counts) (float64, bool)) {
 		if f, ok := compareLogs(name, changed, others, margin, least, of); ok {
@@ -233,7 +233,7 @@
 	return all
 }
 
-// compareShares compares shares of operations. Doors differ by more than chance, as their customers do: how much is told by the
+// compareShares compares shares of requests. Doors differ by more than chance, as their customers do: how much is told by the
 // unchanged ones.
 func compareShares(name string, changed, others group, margin float64, of func(Counts) (uint64, uint64)) (f figure, ok bool) {
 	sum := func(g group) (part, whole float64, shares []float64, chance float64) {
--- a/release/verdict_test.go
+++ b/release/verdict_test.go
@@ -14,7 +14,7 @@
 		for i := range doors {
 			n := of(i)
 			grown := Counts{Process: uint64(i + 1), Arrived: uint64(s * float64(n.Arrived)), InTime: uint64(s * float64(n.InTime)), Finished: uint64(s * float64(n.Finished)),
-				Rejected: uint64(s * float64(n.Rejected)), Scrapped: uint64(s * float64(n.Scrapped)), LatencyMs: s * n.LatencyMs, MemoryMB: n.MemoryMB}
+				Rejected: uint64(s * float64(n.Rejected)), Failed: uint64(s * float64(n.Failed)), LatencyMs: s * n.LatencyMs, MemoryMB: n.MemoryMB}
 			c.Heard(now, fmt.Sprintf("d%02d", i), i < changed, grown)
 		}
 		if v = c.Look(now); v.Says != Wait {
@@ -24,7 +24,7 @@
 	return v
 }
 
-var well = Counts{Arrived: 100, InTime: 95, Finished: 97, Rejected: 2, Scrapped: 1, LatencyMs: 97 * 40, MemoryMB: 12}
+var well = Counts{Arrived: 100, InTime: 95, Finished: 97, Rejected: 2, Failed: 1, LatencyMs: 97 * 40, MemoryMB: 12}
 
 func TestAWaveLikeTheOthersGoesOnWhenItsTimeIsOver(t *testing.T) {
 	c := NewComparison(0, 30e3)
@@ -36,7 +36,7 @@
 func TestEachKindOfHarmIsFoundAndNamed(t *testing.T) {
 	for name, bad := range map[string]func(n *Counts){
 		"not finished in contract time": func(n *Counts) { n.InTime = 85 },
-		"scrapped":                      func(n *Counts) { n.Scrapped, n.InTime = 8, 92 },
+		"scrapped":                      func(n *Counts) { n.Failed, n.InTime = 8, 92 },
 		"latency":                       func(n *Counts) { n.LatencyMs *= 1.6 },
 		"memory":                        func(n *Counts) { n.MemoryMB *= 3 },
 	} {
@@ -98,6 +98,6 @@
 	}
 	v := fed(NewComparison(0, 30e3), 0, 200e3, 12, 3, worse)
 	assert.Equal(t, GoBck, v.Says)
-	v = fed(NewComparison(0, 30e3).Ending(Ends{Operations: 0.3}), 0, 200e3, 12, 3, worse)
+	v = fed(NewComparison(0, 30e3).Ending(Ends{Requests: 0.3}), 0, 200e3, 12, 3, worse)
 	assert.Equal(t, GoOn, v.Says, v.Why)
 }
