--- a/config/config.go
+++ b/config/config.go
@@ -33,12 +33,28 @@
 	Odd                     []string // keys that nothing reads, each with a word on it
 }
 
+// One rule bounds how late a door hears what discovery could have told it, whatever came before: a watch that falls silent
+// is noticed after Silence, and then a call may fail and the next one must be answered, each after ConnectTimeout at most
+// for its connection, FirstWord for its first byte, and Redial for the pause behind it. The sum stays within toldWithin.
+const (
+	toldWithin     = 6e3 // ms after which what discovery has told counts as known
+	firstWordMost  = 1e3 // an agent answers at once; over that it is down, and the next dial may find it back
+	firstWordLeast = 100 // less would give up an answer that is on its way
+)
+
+// told is that sum, ms.
+func (p *Pace) told(connectTimeout float64) float64 {
+	return p.Silence + 2*(connectTimeout+p.FirstWord+p.Redial)
+}
+
 // Pace holds the carrier's own times, ms. The key "pace" overrides the defaults.
 type Pace struct {
 	SlowInput   float64 `json:"slow_input_ms"`   // a message that takes longer to arrive or leave is given up
 	IdleClient  float64 `json:"idle_client_ms"`  // a client connection with no request for longer is closed
 	IdleBackend float64 `json:"idle_backend_ms"` // a backend connection idle for longer is closed
+	Settle      float64 `json:"settle_ms"`       // a backend connection carries nothing for so long after an answer
 	Silence     float64 `json:"silence_ms"`      // a watch silent for longer is dialled again
+	FirstWord   float64 `json:"first_word_ms"`   // and so is one that has not begun to answer for longer
 	DeadCounter float64 `json:"dead_counter_ms"` // a counter connection that owes an answer for longer is closed
 	Redial      float64 `json:"redial_ms"`       // rest between failed dials of discovery or the counter
 	Linger      float64 `json:"linger_ms"`       // new connections are served for this long after the call to stop
@@ -176,6 +192,9 @@
 		return Door{Odd: d.Odd}, err
 	}
 	d.defaults()
+	if sum := d.Pace.told(d.Deal.ConnectTimeout); sum > toldWithin {
+		d.Odd = append(d.Odd, fmt.Sprintf("key \"pace.silence_ms\": with connect_timeout, pace.first_word_ms and pace.redial_ms a change of the fleet list may be heard %.0f ms late, and counts as told after %.0f", sum, toldWithin))
+	}
 	return d, nil
 }
 
@@ -223,7 +242,7 @@
 	}
 	return append(faults, below0([]figure{{"limits.cores", d.Cores}, {"limits.memory_mb", float64(d.MemoryMB)}, {"limits.sockets", float64(d.Sockets)},
 		{"pace.slow_input_ms", d.Pace.SlowInput}, {"pace.idle_client_ms", d.Pace.IdleClient}, {"pace.idle_backend_ms", d.Pace.IdleBackend},
-		{"pace.silence_ms", d.Pace.Silence}, {"pace.dead_counter_ms", d.Pace.DeadCounter},
+		{"pace.settle_ms", d.Pace.Settle}, {"pace.silence_ms", d.Pace.Silence}, {"pace.first_word_ms", d.Pace.FirstWord}, {"pace.dead_counter_ms", d.Pace.DeadCounter},
 		{"pace.redial_ms", d.Pace.Redial}, {"pace.linger_ms", d.Pace.Linger},
 		{"settings.limits.conn_idle", d.Deal.ConnIdle}, {"settings.limits.connect_timeout", d.Deal.ConnectTimeout},
 		{"settings.extra.counter_timeout", d.Deal.CounterTimeout}, {"settings.extra.units_top", d.Deal.MostUnits}})...)
@@ -328,8 +347,10 @@
 	p.SlowInput = or(p.SlowInput, 2400) // clients write in one go; with a look at idle ones it stays under 3 s
 	p.IdleClient = or(p.IdleClient, 2200)
 	p.IdleBackend = or(p.IdleBackend, or(l.ConnIdle, 10e3)/2)
+	p.Settle = or(p.Settle, 20)    // a second answer comes some milliseconds behind the first
 	p.Silence = or(p.Silence, 3e3) // a watch says something every 2 s
 	p.DeadCounter = or(p.DeadCounter, 10*l.CounterTimeout)
 	p.Redial = or(p.Redial, 100)
+	p.FirstWord = or(p.FirstWord, max(firstWordLeast, min(firstWordMost, (toldWithin-p.Silence)/2-l.ConnectTimeout-p.Redial)))
 	p.Linger = or(p.Linger, 700) // clients come for up to 0.4 s, and may for 0.3 s more
 }
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -39,7 +39,22 @@
 func TestDefaultsFollowFromTheSettings(t *testing.T) {
 	d, err := Read([]byte(strings.Replace(full, `"seed"`, `"pace":{"linger_ms":5},"seed"`, 1)), unset)
 	require.NoError(t, err)
-	assert.Equal(t, Pace{SlowInput: 2400, IdleClient: 2200, IdleBackend: 7500, Silence: 3000, DeadCounter: 800, Redial: 100, Linger: 5}, d.Pace)
+	assert.Equal(t, Pace{SlowInput: 2400, IdleClient: 2200, IdleBackend: 7500, Settle: 20, Silence: 3000, FirstWord: 1000, DeadCounter: 800, Redial: 100, Linger: 5}, d.Pace)
+}
+
+// Whatever failed before, what discovery could tell is heard within 6 s: by default, and with connections slow to come.
+func TestWhatDiscoveryTellsIsHeardInTime(t *testing.T) {
+	for connect, want := range map[string]float64{"0.25": 1000, "0.15": 1000, "0.6": 800, "1.2": 200} {
+		d, err := Read([]byte(strings.Replace(full, `"connect_timeout":0.25`, `"connect_timeout":`+connect, 1)), unset)
+		require.NoError(t, err)
+		assert.InDelta(t, want, d.Pace.FirstWord, 1e-6, connect)
+		assert.LessOrEqual(t, d.Pace.told(d.Deal.ConnectTimeout), toldWithin, connect)
+		assert.Empty(t, d.Odd)
+	}
+	d, err := Read([]byte(strings.Replace(full, `"seed"`, `"pace":{"silence_ms":9000},"seed"`, 1)), unset)
+	require.NoError(t, err)
+	assert.Len(t, d.Odd, 1)
+	assert.Contains(t, d.Odd[0], "pace.silence_ms")
 }
 
 func TestErrorsNameTheFaultyKey(t *testing.T) {
--- a/frontdoor/backend.go
+++ b/frontdoor/backend.go
@@ -19,6 +19,7 @@
 type attempt struct {
 	op, number, backend int
 	at, until           float64 // clock of its start and of the end of its time, ms
+	by                  float64 // clock after which it must not begin, ms; 0 is none
 	link                *link
 	stage               atomic.Int32
 	ended               bool
@@ -32,6 +33,11 @@
 	dropped       // will not be written
 )
 
+// unsent claims an attempt that has not begun, or tells that one never left whole.
+func (f *attempt) unsent() bool {
+	return f.stage.CompareAndSwap(waiting, dropped) || f.stage.Load() != writing
+}
+
 // expire ends an attempt whose time has run out.
 func (f *attempt) expire(c *core) {
 	if !f.ended {
@@ -134,7 +140,7 @@
 
 // dial brings the connection up, and tells how it ended where that did not work or came too late.
 func (l *link) dial(ctx context.Context) (up bool, how end) {
-	nc, err := l.c.dialer.DialContext(ctx, "tcp", l.addr)
+	nc, err := l.c.dial(ctx, l.addr)
 	if err != nil {
 		return false, endOfDial(err)
 	}
@@ -178,6 +184,12 @@
 	defer pool.Put(msg)
 	l.busy.Store(true)
 	defer l.busy.Store(false)
+	// A connection may have been long in coming: what its time has passed by would run at a backend that may have
+	// forgotten the request's key, and twice.
+	if f.by > 0 && l.c.clock.now() > f.by && f.stage.CompareAndSwap(waiting, dropped) {
+		l.c.post(lapsed{f})
+		return
+	}
 	if !l.carry(f) {
 		if f.stage.Load() == waiting {
 			l.nc.Close() // the owner takes another
@@ -240,7 +252,7 @@
 // send starts an attempt, on an idle connection where there is one.
 func (c *core) send(a gate.Send) {
 	o := &c.ops[a.Op]
-	f := &attempt{op: a.Op, number: len(o.attempts), backend: a.Backend, at: c.now, until: o.until}
+	f := &attempt{op: a.Op, number: len(o.attempts), backend: a.Backend, at: c.now, until: o.until, by: a.By}
 	if a.Cap > 0 {
 		f.until = min(f.until, c.now+a.Cap)
 	}
@@ -249,16 +261,27 @@
 	c.launch(f)
 }
 
+// rested takes the connection used last that has been idle for long enough. A second answer may come some time behind the
+// first: on a connection that carries the next attempt already, it would be taken for that one's.
+func (b *backend) rested(before float64) *link {
+	for i := len(b.idle) - 1; i >= 0; i-- {
+		if l := b.idle[i]; l.idleSince <= before {
+			b.idle = append(b.idle[:i], b.idle[i+1:]...)
+			return l
+		}
+	}
+	return nil
+}
+
 // launch puts an attempt on an idle connection where there is one.
 func (c *core) launch(f *attempt) {
 	b := &c.backends[f.backend]
-	if n := len(b.idle); n > 0 {
-		f.link, b.idle = b.idle[n-1], b.idle[:n-1]
-	} else if c.budget.take(0) || c.spare() && c.budget.take(0) {
+	if f.link = b.rested(c.now - c.cfg.Pace.Settle); f.link == nil {
+		if !c.budget.take(c.budget.own) && !(c.spare() && c.budget.take(c.budget.own)) {
+			c.finish(f, endNoSocket, c.now, -1, -1)
+			return
+		}
 		f.link = &link{c: c, backend: f.backend, addr: b.addr, since: b.since}
-	} else {
-		c.finish(f, endNoSocket, c.now, -1, -1)
-		return
 	}
 	l := f.link
 	l.cur = f
@@ -309,13 +332,30 @@
 		return
 	}
 	how := sent
-	if f.stage.CompareAndSwap(waiting, dropped) || f.stage.Load() == broken {
+	if f.unsent() {
 		how = unsent
 	}
 	c.retire(f.link)
 	c.finish(f, how, c.now, -1, -1)
 }
 
+// holdBack keeps attempts from leaving that have not yet, of a request that is over: none may begin for a client that has
+// gone or has its answer. That needs no leave to cancel, as nothing is out.
+func (c *core) holdBack(o *request) {
+	for _, f := range o.attempts {
+		if !f.ended && f.stage.CompareAndSwap(waiting, dropped) {
+			c.retire(f.link)
+			c.finish(f, endLeftUnsent, c.now, -1, -1)
+		}
+	}
+}
+
+// lapsed is an attempt whose connection came too late for it to begin. The connection goes with it: it may be on its way
+// down, and another attempt takes one that is known.
+type lapsed struct{ f *attempt }
+
+func (n lapsed) take(c *core) { c.abandon(n.f, endLateUnsent, endLateUnsent) }
+
 // finish tells the decisions how an attempt ended.
 func (c *core) finish(f *attempt, how end, at, use, queue float64) {
 	o := &c.ops[f.op]
@@ -340,7 +380,8 @@
 	if l.closed || f == nil {
 		return
 	}
-	l.cur, l.idleSince, l.used = nil, c.now, true
+	f.stage.CompareAndSwap(waiting, writing) // what has an answer has left
+	l.cur, l.idleSince, l.used = nil, n.at, true
 	how := endOf(&n.a)
 	if how == endWell {
 		c.answer(f.op, http.StatusOK, 0, n.a.Body)
@@ -375,14 +416,14 @@
 		return
 	}
 	unsent := f.stage.CompareAndSwap(waiting, dropped)
-	if unsent && l.used && c.backends[f.backend].up { // the connection had gone stale, which is no news of the backend
+	if unsent && !c.ops[f.op].over && l.used && c.backends[f.backend].up { // the connection had gone stale, which is no news of the backend
 		f.ended = true
-		again := &attempt{op: f.op, number: f.number, backend: f.backend, at: f.at, until: f.until}
+		again := &attempt{op: f.op, number: f.number, backend: f.backend, at: f.at, until: f.until, by: f.by}
 		c.ops[f.op].attempts[f.number] = again
 		c.launch(again)
 		return
 	}
-	if (unsent || f.stage.Load() == broken) && !n.how.result().NeverRan() {
+	if (unsent || f.stage.Load() != writing) && !n.how.result().NeverRan() {
 		n.how = endCutUnsent
 	}
 	c.finish(f, n.how, c.now, -1, -1)
--- a/frontdoor/budget.go
+++ b/frontdoor/budget.go
@@ -2,16 +2,26 @@
 
 import "sync"
 
+// Who may take the last sockets: what a door needs to know where it may send goes before what it sends, and that before
+// who comes. Without the first, idle clients and attempts that hang would keep a door from hearing that discovery is back.
+const (
+	clientsLeave  = 4                 // part of the sockets, one in so many, that clients leave for what they come for
+	backendsLeave = 2*counted + watch // of these, what backends leave for the counter and the fleet list
+	watch         = 2                 // connections of the fleet list: one that is ending, and the next
+)
+
 // budget shares out the sockets that a door may hold.
 type budget struct {
-	kept  int // what clients leave for what they come for
+	kept  int // what clients leave
+	own   int // what backends leave
 	mu    sync.Mutex
 	free  int
 	freed chan struct{} // told when one comes back
 }
 
 func newBudget(sockets int) *budget {
-	return &budget{kept: sockets / 4, free: sockets, freed: make(chan struct{}, 1)}
+	kept := sockets / clientsLeave
+	return &budget{kept: kept, own: min(backendsLeave, kept/2), free: sockets, freed: make(chan struct{}, 1)}
 }
 
 // take takes a socket if more than keep are free.
--- a/frontdoor/client.go
+++ b/frontdoor/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -14,15 +15,21 @@
 	"github.com/swifthall/swifthall/internal/pool"
 )
 
-// client is one client connection. Its goroutine reads; answers are written by one goroutine each.
+// client is one client connection. Its goroutine reads, and ends it; answers are written by one goroutine each.
 type client struct {
 	c     *core
 	nc    net.Conn
 	wrote chan struct{} // an answer has left
 	shut  atomic.Bool   // no more requests are wanted on it
+	ahead atomic.Bool   // its reader holds bytes that wait for an answer to leave
+	spilt atomic.Bool   // more came ahead of an answer than is held: that answer is the last
 	ended atomic.Bool   // its last answer has left, or could not: nothing more is taken from it
 	began float64       // clock, ms
 
+	mu       sync.Mutex
+	woken    bool // the reader is wanted, whatever else it waits for
+	draining bool // it reads what is left behind the last answer
+
 	// The owner's.
 	op        int // open request; -1 is none
 	idleSince float64
@@ -34,71 +41,151 @@
 	return &client{c: c, nc: nc, wrote: make(chan struct{}, 1), began: now, op: -1, idleSince: now}
 }
 
+// wake has the reader look at what it waits for, in or before its next read. Its wish and the deadline that carries it are
+// one step beside limit, or a deadline that the reader sets just then would take the wish along.
+func (cl *client) wake() {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if cl.woken = true; !cl.draining { // that has an end of its own, and cut short it would take the answer along
+		cl.nc.SetReadDeadline(time.Now())
+	}
+}
+
+// limit has reads end at a time, the zero one for never, unless the reader has been woken meanwhile.
+func (cl *client) limit(at time.Time) {
+	cl.mu.Lock()
+	if cl.woken {
+		at = time.Now()
+	}
+	cl.nc.SetReadDeadline(at)
+	cl.mu.Unlock()
+}
+
+// woke takes the wish: its reader is looking.
+func (cl *client) woke() {
+	cl.mu.Lock()
+	cl.woken = false
+	cl.mu.Unlock()
+}
+
 // reading is the state of a client connection's goroutine.
 type reading struct {
 	in      http1.Requests
+	buf     []byte  // of one size
+	rest    []byte  // of it, what has come and is not fed yet
+	at      float64 // clock at which that came, ms
 	first   float64 // clock of the first byte of what is coming, ms
 	owed    bool    // an answer may not have left yet
 	limited bool    // a read deadline is set
 	brought bool    // a request has come
+	passed  int     // bytes passed over while an answer is owed
+	last    bool    // an answer has left behind which the connection is closed
 }
 
+const (
+	mostDrained = 32      // buffers read behind a last answer
+	mostPassed  = 1 << 18 // bytes passed over ahead of an answer; its client is no longer listened to then
+)
+
 func (cl *client) run() {
-	var r reading
-	buf := pool.Get()[:pool.Size]
+	r := reading{buf: pool.Get()[:pool.Size]}
 	defer func() {
+		if r.last {
+			cl.drain(r.buf)
+		}
 		cl.nc.Close()
 		r.in.Drop()
-		pool.Put(buf)
+		pool.Put(r.buf)
 		cl.c.budget.put()
 		cl.c.post(left{cl})
 	}()
-	for {
-		n, err := cl.nc.Read(buf)
-		if n > 0 && !cl.take(&r, buf[:n]) {
-			return
-		}
-		if err != nil && !cl.goOn(&r, err) {
-			return
-		}
+	for cl.step(&r) {
 	}
 }
 
-// take feeds what came, and tells whether the connection goes on.
-func (cl *client) take(r *reading, p []byte) bool {
-	at := cl.c.clock.now()
-	for len(p) > 0 {
-		cl.await(r)          // nothing is gathered ahead: a connection holds one body at a time
-		if cl.ended.Load() { // what its client sent behind would run with no way to answer it
-			return false
-		}
-		if !r.in.Begun() {
-			r.first = at
-		}
-		used, whole, err := r.in.Feed(p)
-		p = p[used:]
-		if err != nil {
-			if cl.fault(err, true) {
-				cl.drain()
-			}
-			return false
-		}
-		if !whole {
-			break
+// step does the next thing there is to do for a connection, and tells whether it goes on.
+func (cl *client) step(r *reading) bool {
+	r.settle(cl)
+	// What its client sent behind a last answer would run with no way to answer it; behind what was passed over it would
+	// be read from somewhere in the middle.
+	if cl.ended.Load() || cl.spilt.Load() && !r.owed {
+		r.last = true
+		return false
+	}
+	switch {
+	case len(r.rest) > 0 && !r.owed: // nothing is fed ahead of an answer: a connection holds one body at a time
+		cl.ahead.Store(false)
+		return cl.take(r)
+	case len(r.rest) > 0 && !cl.ahead.Load():
+		cl.ahead.Store(true) // the answer may have left just before: look once more
+		return true
+	}
+	return cl.read(r)
+}
+
+// settle notices that the answer owed has left.
+func (r *reading) settle(cl *client) {
+	select {
+	case <-cl.wrote:
+		r.owed = false
+	default:
+	}
+}
+
+// read reads on, also while an answer is owed: a client that leaves is noticed behind whatever it sent. What comes ahead
+// of the answer is held as far as there is room, and then passed over.
+func (cl *client) read(r *reading) bool {
+	if cl.shut.Load() && !r.owed && len(r.rest) == 0 && !r.in.Begun() {
+		return cl.lastLook(r)
+	}
+	free := r.buf[len(r.rest):]
+	if len(r.rest) > 0 && &r.rest[0] != &r.buf[0] {
+		copy(r.buf, r.rest)
+		r.rest = r.buf[:len(r.rest)]
+	}
+	if len(free) > 0 {
+		n, err := cl.nc.Read(free)
+		if n > 0 {
+			r.rest, r.at = r.buf[:len(r.rest)+n], cl.c.clock.now()
 		}
+		return err == nil || cl.goOn(r, err)
+	}
+	cl.spilt.Store(true)
+	if r.passed >= mostPassed {
+		<-cl.wrote
+		r.owed = false
+		return true
+	}
+	over := pool.Get()[:pool.Size]
+	n, err := cl.nc.Read(over)
+	pool.Put(over)
+	r.passed += n
+	return err == nil || cl.goOn(r, err)
+}
+
+// take feeds what came, up to one whole request, and tells whether the connection goes on.
+func (cl *client) take(r *reading) bool {
+	if !r.in.Begun() {
+		r.first = r.at
+	}
+	used, whole, err := r.in.Feed(r.rest)
+	r.rest = r.rest[used:]
+	if err != nil {
+		cl.fault(r, err, true)
+		return false
+	}
+	if whole {
 		r.brought = true
 		if r.limited {
 			r.limited = false
-			cl.nc.SetReadDeadline(time.Time{})
-		}
-		if !cl.dispatch(r) {
-			return false
+			cl.limit(time.Time{})
 		}
+		return cl.dispatch(r)
 	}
 	// One that dribbles its request must not keep the connection for ever.
 	if r.in.Begun() && !r.limited {
 		r.limited = true
-		cl.nc.SetReadDeadline(time.Now().Add(span(r.since(cl) + cl.c.cfg.Pace.SlowInput - at)))
+		cl.limit(time.Now().Add(span(r.since(cl) + cl.c.cfg.Pace.SlowInput - r.at)))
 	}
 	return true
 }
@@ -112,14 +199,6 @@
 	return cl.began
 }
 
-// await waits until the answer to the request before has left: clients get theirs in order.
-func (cl *client) await(r *reading) {
-	if r.owed {
-		<-cl.wrote
-		r.owed = false
-	}
-}
-
 // dispatch passes a whole request on, or answers what is none.
 func (cl *client) dispatch(r *reading) bool {
 	op, err := r.in.Take()
@@ -129,7 +208,7 @@
 			status = http.StatusServiceUnavailable
 		}
 		op.Free()
-		return cl.say(status, op.Last) && !op.Last
+		return cl.say(r, status, op.Last)
 	}
 	var ev gate.Request
 	if err == nil {
@@ -138,7 +217,7 @@
 		}
 	}
 	if err != nil {
-		return cl.fault(err, op.Last) && !op.Last
+		return cl.fault(r, err, op.Last)
 	}
 	r.owed = true
 	cl.c.post(arrived{cl, op, ev, r.first})
@@ -146,17 +225,22 @@
 }
 
 // fault answers what is no request.
-func (cl *client) fault(err error, last bool) bool {
+func (cl *client) fault(r *reading, err error, last bool) bool {
 	status := http.StatusBadRequest
 	var f *http1.Fault
 	if errors.As(err, &f) {
 		status = f.Status
 	}
-	return cl.say(status, last)
+	return cl.say(r, status, last)
 }
 
-func (cl *client) say(status int, last bool) bool {
-	return cl.write(http1.AppendAnswer(pool.Get(), status, 0, nil, last))
+// say answers from the reader itself, and tells whether the connection goes on.
+func (cl *client) say(r *reading, status int, last bool) bool {
+	if !cl.write(http1.AppendAnswer(pool.Get(), status, 0, nil, last)) {
+		return false
+	}
+	r.last = last
+	return !last
 }
 
 // write sends a whole answer. A client that does not read it is left.
@@ -167,17 +251,16 @@
 	return err == nil
 }
 
-const mostDrained = 32 // buffers
-
-// drain reads on for a while behind an answer to what cannot be read: a connection closed with bytes unread is
+// drain ends the sending side behind a last answer and reads on for a while: a connection closed with bytes unread is
 // reset, and takes the answer with it. Nothing of what comes is looked at.
-func (cl *client) drain() {
+func (cl *client) drain(buf []byte) {
 	if half, ok := cl.nc.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
 		return
 	}
+	cl.mu.Lock()
+	cl.draining = true
 	cl.nc.SetReadDeadline(time.Now().Add(span(cl.c.cfg.Pace.Linger / 2)))
-	buf := pool.Get()[:pool.Size]
-	defer pool.Put(buf)
+	cl.mu.Unlock()
 	for range mostDrained {
 		if _, err := cl.nc.Read(buf); err != nil {
 			return
@@ -185,13 +268,18 @@
 	}
 }
 
-// answer writes a request's answer, and closes the connection behind the last one.
+// answer writes a request's answer. Behind the last one the reader ends the connection.
 func (cl *client) answer(answer []byte, last bool) {
-	if !cl.write(answer) || last {
+	if well := cl.write(answer); !well || last {
 		cl.ended.Store(true)
-		cl.nc.Close()
+		if !well {
+			cl.nc.Close() // there is nothing to save
+		}
 	}
 	cl.wrote <- struct{}{}
+	if cl.ended.Load() || cl.ahead.Load() || cl.shut.Load() {
+		cl.wake()
+	}
 }
 
 // goOn tells whether a connection goes on after a read that failed.
@@ -199,7 +287,11 @@
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
 	}
-	if r.in.Begun() {
+	cl.woke()
+	if r.settle(cl); cl.ended.Load() {
+		return true
+	}
+	if r.in.Begun() && !r.owed && len(r.rest) == 0 {
 		pace := &cl.c.cfg.Pace
 		most := pace.SlowInput
 		if cl.shut.Load() {
@@ -207,42 +299,33 @@
 		}
 		if rest := r.since(cl) + most - cl.c.clock.now(); rest > 0 {
 			r.limited = true
-			cl.nc.SetReadDeadline(time.Now().Add(span(rest)))
+			cl.limit(time.Now().Add(span(rest)))
 			return true
 		}
-		cl.say(http.StatusRequestTimeout, true)
+		cl.say(r, http.StatusRequestTimeout, true)
 		return false
 	}
-	select {
-	case <-cl.wrote:
-		r.owed = false
-	default:
-	}
-	if r.owed || !cl.shut.Load() { // its answer will close it
-		cl.nc.SetReadDeadline(time.Time{})
-		return true
-	}
-	return cl.lastLook(r)
+	cl.limit(time.Time{})
+	return true
 }
 
-// lastLook reads once more before an idle connection is closed, so that no request is crossed that has come.
+// lastLook reads once more before an idle connection is closed, so that no request is crossed that has come. What comes
+// later is never read, and its client is reset: it knows that the request was not taken.
 func (cl *client) lastLook(r *reading) bool {
-	cl.nc.SetReadDeadline(time.Time{})
-	buf := pool.Get()[:pool.Size]
-	defer pool.Put(buf)
-	n := readNow(cl.nc, buf)
-	return n > 0 && cl.take(r, buf[:n])
+	n := readNow(cl.nc, r.buf)
+	if n <= 0 {
+		return false
+	}
+	r.rest, r.at = r.buf[:n], cl.c.clock.now()
+	return true
 }
 
 // readNow reads what is there without waiting. A read with a short deadline would not do: held up for that long,
-// it never looks.
+// it never looks, and neither does one whose deadline is over.
 func readNow(nc net.Conn, p []byte) (n int) {
 	if sc, ok := nc.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
-			raw.Read(func(fd uintptr) bool {
-				n, _ = syscall.Read(int(fd), p)
-				return true
-			})
+			raw.Control(func(fd uintptr) { n, _ = syscall.Read(int(fd), p) })
 		}
 	}
 	return n
@@ -251,5 +334,5 @@
 // close asks an idle connection to end itself; what has come on it is answered first.
 func (cl *client) close() {
 	cl.shut.Store(true)
-	cl.nc.SetReadDeadline(time.Now())
+	cl.wake()
 }
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -56,7 +56,8 @@
 	log    logrus.FieldLogger
 	clock  clock
 	budget *budget
-	dialer net.Dialer
+	dial   func(ctx context.Context, addr string) (net.Conn, error)
+	listen func(ctx context.Context, addr string) (net.Listener, error)
 	notes  chan note
 	done   chan struct{} // closed when the owner has gone
 
@@ -93,7 +94,7 @@
 	accepting bool
 	asked     bool // discovery has been, once
 	deaf      bool // no more connections are wanted
-	listener  *net.TCPListener
+	listener  net.Listener
 	tally     tally
 	total     Counts
 }
@@ -113,7 +114,7 @@
 		notes: make(chan note, batch), done: make(chan struct{}), customers: index.New[uint64](), names: index.New[string](),
 		zones: index.New[string](), cells: index.New[int64](),
 		ids: map[string]struct{}{}, clients: map[*client]struct{}{}, links: map[*link]struct{}{}}
-	c.dialer = net.Dialer{Timeout: span(cfg.Deal.ConnectTimeout), KeepAlive: -1}
+	c.dial, c.listen = systemDial(span(cfg.Deal.ConnectTimeout)), systemListen
 	return c
 }
 
@@ -264,12 +265,13 @@
 		return
 	}
 	o.over = true
+	c.holdBack(o)
 	c.total.answered(status, c.clock.now()-o.came, o.contract)
 	c.closing = append(c.closing, op)
 	cl := o.client
 	cl.op, cl.idleSince = -1, c.now
 	// Clients are given only so many connections: those that ask once and stay must not take all of them.
-	last := o.msg.Last || c.leaving || c.aside || cl.shut.Load() || c.budget.short(c.budget.kept) || c.known*keptPart > c.cfg.Sockets
+	last := o.msg.Last || c.leaving || c.aside || cl.shut.Load() || cl.spilt.Load() || c.budget.short(c.budget.kept) || c.known*keptPart > c.cfg.Sockets
 	go cl.answer(http1.AppendAnswer(pool.Get(), status, retryAfter, body, last), last)
 }
 
@@ -327,6 +329,7 @@
 		c.ops[op].over = true
 		c.closing = append(c.closing, op)
 		c.pending = append(c.pending, gate.Vanished{Op: op})
+		c.holdBack(&c.ops[op])
 	}
 }
 
@@ -377,7 +380,11 @@
 	c.sweepAt = c.now + c.cfg.Pace.Linger/16
 	if c.leaving && c.now > c.lingering && !c.deaf {
 		c.deaf = true
-		c.listener.SetDeadline(time.Now())
+		if wait, ok := c.listener.(halting); ok {
+			wait.SetDeadline(time.Now())
+		} else {
+			c.listener.Close()
+		}
 	}
 	for cl := range c.clients { // a new connection has the linger time to bring its first request
 		if cl.op < 0 && (cl.known || c.now-cl.idleSince > c.cfg.Pace.Linger) {
--- a/frontdoor/core_test.go
+++ b/frontdoor/core_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
 	"github.com/swifthall/swifthall/internal/http1"
+	"github.com/swifthall/swifthall/internal/pool"
 	"github.com/swifthall/swifthall/internal/registry"
 )
 
@@ -31,7 +33,7 @@
 		Deal: config.Deal{Terms: gate.Terms{Doors: 3, Classes: []gate.Class{{}, {Semantics: gate.Keyed}},
 			Plans: make([]gate.Plan, 1)}, Classes: map[string]int{"look": 0, "book": 1}, Plans: map[string]int{"team": 0},
 			ConnectTimeout: 250, CounterTimeout: 80, LongestWait: 2000, MostUnits: 8},
-		Pace: config.Pace{SlowInput: 2000, IdleClient: 2000, IdleBackend: 5000, Silence: 3000, DeadCounter: 800, Redial: 20, Linger: 500}}
+		Pace: config.Pace{SlowInput: 2000, IdleClient: 2000, IdleBackend: 5000, Silence: 3000, FirstWord: 1000, DeadCounter: 800, Redial: 20, Linger: 500}}
 }
 
 // owned is a core that no goroutine runs, with one backend and one open request from a connected client.
@@ -74,6 +76,13 @@
 	}
 }
 
+// bringing is a reader that holds bytes.
+func bringing(text string) *reading {
+	r := &reading{buf: make([]byte, pool.Size)}
+	r.rest = r.buf[:copy(r.buf, text)]
+	return r
+}
+
 // heard reads one answer.
 func heard(t *testing.T, nc net.Conn) http1.Answer { return heardEach(t, nc, 1)[0] }
 
@@ -304,8 +313,9 @@
 	c, _ := owned(t)
 	cl := newClient(c, dialled(t, standIn(t, keep)))
 	cl.answer(http1.AppendAnswer(nil, http.StatusOK, 0, nil, true), true)
-	r := reading{owed: true}
-	assert.False(t, cl.take(&r, []byte(look)))
+	r := bringing(look)
+	r.owed = true
+	assert.False(t, cl.step(r))
 	assert.Empty(t, c.notes, "nothing is passed on")
 }
 
@@ -388,12 +398,34 @@
 	old, fresh := &call{at: c.clock.now() - 1000}, &call{at: c.clock.now() + 1000}
 	conn := newCounterConn(c, "")
 	conn.queue = []*call{old, fresh}
-	calls, late := conn.load(true)
+	conn.nc, _ = net.Pipe()
+	calls, late, up := conn.load(conn.nc)
+	assert.True(t, up)
 	assert.Equal(t, []*call{fresh}, calls)
 	assert.Equal(t, []*call{old}, late)
 	assert.Equal(t, calls, conn.flying)
 }
 
+// A connection that ends between the look for it and the load of its calls has ended what flew on it. Loaded all the same,
+// a call would have no end, and the reply to the next connection's first would be taken for its.
+func TestACallIsNotLoadedOntoAConnectionThatHasEnded(t *testing.T) {
+	c, _ := owned(t)
+	conn := newCounterConn(c, standIn(t, func(nc net.Conn) { nc.Close() }))
+	nc, how := conn.connect(t.Context())
+	require.Equal(t, endWell, how)
+	for conn.up() != nil { // its reader sees the end and is over
+		runtime.Gosched()
+	}
+	k := &call{conn: conn, at: c.clock.now()}
+	conn.queue = []*call{k}
+	calls, late, up := conn.load(nc)
+	assert.False(t, up)
+	assert.Equal(t, []*call{k}, calls)
+	assert.Empty(t, late)
+	assert.Empty(t, conn.flying, "nothing waits for a reply that can't come")
+	assert.True(t, how.unsent().result().NeverRan(), "and nothing was added")
+}
+
 func TestAConnectionThatOwesACallForTooLongIsClosed(t *testing.T) {
 	c, _ := owned(t)
 	far, near := net.Pipe()
--- a/frontdoor/counter.go
+++ b/frontdoor/counter.go
@@ -148,10 +148,10 @@
 			return
 		}
 		nc, how := k.connect(ctx)
-		calls, late := k.load(nc != nil)
+		calls, late, up := k.load(nc)
 		k.end(late, endLateUnsent)
-		if nc == nil {
-			k.end(calls, how)
+		if !up {
+			k.end(calls, how.unsent())
 			rest(ctx, k.c.cfg.Pace.Redial)
 			continue
 		}
@@ -167,11 +167,14 @@
 }
 
 // load takes the calls that wait, apart from those whose time has run out: units that nobody waits for must
-// not be added. up says that the others will fly.
-func (k *counterConn) load(up bool) (calls, late []*call) {
+// not be added. up says that the others will fly over nc, which then is still the connection. One that ended since it was
+// looked up has ended its calls already: those loaded after would have no end, and the next connection's replies would
+// be taken for theirs, one customer's total for another's.
+func (k *counterConn) load(nc net.Conn) (calls, late []*call, up bool) {
 	oldest := k.c.clock.now() - k.c.cfg.Deal.CounterTimeout
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	up = nc != nil && k.nc == nc
 	for _, a := range k.queue {
 		if a.at < oldest {
 			late = append(late, a)
@@ -183,7 +186,7 @@
 	if up {
 		k.flying = append(k.flying, calls...)
 	}
-	return calls, late
+	return calls, late, up
 }
 
 // countName names a customer's number for an epoch, the same at every door.
@@ -206,7 +209,7 @@
 	if !k.c.budget.take(0) {
 		return nil, endNoSocket
 	}
-	nc, err := k.c.dialer.DialContext(ctx, "tcp", k.addr)
+	nc, err := k.c.dial(ctx, k.addr)
 	if err != nil {
 		k.c.budget.put()
 		return nil, endOfDial(err)
--- /dev/null
+++ b/frontdoor/crossing_test.go
@@ -0,0 +1,583 @@
+package frontdoor
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/swifthall/swifthall/config"
+	"github.com/swifthall/swifthall/gate"
+)
+
+// Crossings: a request, an answer, a signal or the end of a connection comes between two lines of the door. The door has
+// its connections from Network, and stops where a test wants it to.
+
+// patience is how long a test waits for what must come; none passes by its running out.
+const patience = 20 * time.Second
+
+// step is a point at which a connection stops.
+type step string
+
+const (
+	beforeWrite step = "before a write"
+	afterShut   step = "between shutdown and close"
+	beforeClose step = "before close"
+)
+
+// stopping is a connection that calls a function at its steps.
+type stopping struct {
+	*net.TCPConn
+	at func(step)
+}
+
+func (s *stopping) Write(p []byte) (int, error) {
+	s.at(beforeWrite)
+	return s.TCPConn.Write(p)
+}
+
+func (s *stopping) CloseWrite() error {
+	err := s.TCPConn.CloseWrite()
+	s.at(afterShut)
+	return err
+}
+
+func (s *stopping) Close() error {
+	s.at(beforeClose)
+	return s.TCPConn.Close()
+}
+
+// listening hands the door connections that stop.
+type listening struct {
+	*net.TCPListener
+	at func(step)
+}
+
+func (l *listening) Accept() (net.Conn, error) {
+	nc, err := l.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &stopping{nc.(*net.TCPConn), l.at}, nil
+}
+
+// rig is a door on sockets, with its own port and stand-ins that the test sets up before.
+type rig struct {
+	cfg     config.Door
+	network Network
+	decider gate.Decider
+	at      func(step) // steps of client connections
+
+	door  *Door
+	addr  string
+	stop  func()
+	ended chan error
+}
+
+func (g *rig) serve(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	g.addr = ln.Addr().String()
+	g.cfg.Listen = g.addr
+	if g.network.Listen == nil {
+		g.network.Listen = func(context.Context, string) (net.Listener, error) {
+			if g.at == nil {
+				return ln, nil
+			}
+			return &listening{ln.(*net.TCPListener), g.at}, nil
+		}
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g.door = New(g.cfg, g.decider, log)
+	g.door.Over(g.network)
+	ctx, cancel := context.WithCancel(t.Context())
+	g.stop, g.ended = cancel, make(chan error, 1)
+	go func() { g.ended <- g.door.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-g.door.Done()
+	})
+}
+
+// endNow has the door leave without its time for lingering clients, where a test gave it a long one.
+func (g *rig) endNow() {
+	g.stop()
+	for g.door.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	g.door.core.post(does(func(c *core) { c.lingering, c.sweepAt, c.cfg.Deal.LongestWait = 0, 0, 0 }))
+}
+
+// ready waits until the door can serve.
+func (g *rig) ready(t *testing.T) {
+	for end := time.Now().Add(patience); !g.door.Ready(); time.Sleep(time.Millisecond) {
+		require.True(t, time.Now().Before(end), "never ready")
+	}
+}
+
+// rigged is a door with one backend, whose decisions are scripted.
+func rigged(t *testing.T, backend func(net.Conn), d gate.Decider) *rig {
+	g := &rig{cfg: settled(), decider: d}
+	g.cfg.Sockets = 1000
+	g.cfg.Discovery = standIn(t, registryOf(standIn(t, backend), make(chan string, 99), keep))
+	return g
+}
+
+// until waits for an event of a kind.
+func until[E any](t *testing.T, events <-chan gate.Event) E {
+	for {
+		select {
+		case e := <-events:
+			if e, is := e.(E); is {
+				return e
+			}
+		case <-time.After(patience):
+			var e E
+			require.Fail(t, "never heard", "%T", e)
+		}
+	}
+}
+
+// await waits for something that happens in time.
+func await[T any](t *testing.T, c <-chan T, what string) (v T) {
+	select {
+	case v = <-c:
+	case <-time.After(patience):
+		require.Fail(t, "never came", what)
+	}
+	return v
+}
+
+// named is a request of its own id.
+func named(id string) string { return strings.Replace(look, "a1", id, 1) }
+
+// whole reads to the end of a connection, and tells how it ended: nil is an orderly end.
+func whole(nc net.Conn) (string, error) {
+	nc.SetReadDeadline(time.Now().Add(patience))
+	got, err := io.ReadAll(nc)
+	return string(got), err
+}
+
+// A client that sends more than it is asked for may have bytes unread in the door's system when its last answer leaves, here
+// between the shutdown and the close. A close over them resets the connection, and what had not left yet is gone: here most
+// of a large answer, to a client that takes little at a time.
+func TestBytesUnreadAtTheCloseDoNotResetTheAnswerAway(t *testing.T) {
+	shut, sent := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	events := make(chan gate.Event, 99)
+	g := rigged(t, backendOf(open()), sends(events))
+	g.cfg.Pace.Linger = 10e3 // the client reads on at once, however busy the machine
+	g.at = func(s step) {
+		if s == afterShut {
+			once.Do(func() { close(shut); <-sent })
+		}
+	}
+	g.serve(t)
+	g.ready(t)
+	small := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048) })
+	}}
+	nc, err := small.DialContext(t.Context(), "tcp", g.addr)
+	require.NoError(t, err)
+	defer nc.Close()
+	big := strings.Repeat("x", 60_000)
+	_, err = io.WriteString(nc, strings.Replace(strings.Replace(look, "GET /look", "POST /book", 1), "\r\n\r\n",
+		fmt.Sprintf("\r\nConnection: close\r\nIdempotency-Key: m\r\nContent-Length: %d\r\n\r\n", len(big)), 1)+big)
+	require.NoError(t, err)
+	await(t, shut, "the shutdown")
+	_, err = io.WriteString(nc, named("b2"))
+	require.NoError(t, err)
+	close(sent)
+	got, err := whole(nc)
+	assert.NoError(t, err, "an orderly end, no reset")
+	assert.True(t, strings.HasSuffix(got, "hi"+big), "the whole answer: %d bytes", len(got))
+	nc.Close()
+	until[gate.Ended](t, events)
+	for len(events) > 0 {
+		assert.IsNotType(t, gate.Request{}, <-events, "what is read after the shutdown is not sent on")
+	}
+	g.endNow()
+}
+
+// A request that comes in the instant of an idle close, behind the last look, is never sent on.
+func TestARequestInTheInstantOfAnIdleCloseIsNotSentOn(t *testing.T) {
+	closing, sent := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	events := make(chan gate.Event, 99)
+	g := rigged(t, backendOf(open()), sends(events))
+	g.cfg.Pace.IdleClient = 50
+	g.at = func(s step) {
+		if s == beforeClose {
+			once.Do(func() { close(closing); <-sent })
+		}
+	}
+	g.serve(t)
+	g.ready(t)
+	nc := dialled(t, g.addr)
+	status, _ := say(t, nc, look)
+	require.Equal(t, http.StatusOK, status)
+	await(t, closing, "the idle close")
+	_, err := io.WriteString(nc, named("b2"))
+	require.NoError(t, err)
+	close(sent)
+	got, _ := whole(nc)
+	assert.Empty(t, got)
+	until[gate.Request](t, events) // the first one
+	g.stop()
+	require.NoError(t, await(t, g.ended, "the end"))
+	for len(events) > 0 {
+		assert.IsNotType(t, gate.Request{}, <-events)
+	}
+}
+
+// A request that comes with SIGTERM on a resting connection, before the door's last look at it, is answered whole.
+func TestARequestInTheInstantOfSIGTERMIsAnswered(t *testing.T) {
+	events := make(chan gate.Event, 99)
+	g := rigged(t, backendOf(open()), sends(events))
+	g.serve(t)
+	g.ready(t)
+	nc := dialled(t, g.addr)
+	status, _ := say(t, nc, look)
+	require.Equal(t, http.StatusOK, status)
+	held := make(chan struct{})
+	g.door.core.post(does(func(*core) { <-held })) // the owner stands between two lines
+	g.stop()
+	_, err := io.WriteString(nc, named("b2"))
+	require.NoError(t, err)
+	close(held)
+	got, err := whole(nc)
+	assert.NoError(t, err)
+	assert.Contains(t, got, "hi")
+	assert.Contains(t, got, "Connection: close")
+	require.NoError(t, await(t, g.ended, "the end"))
+}
+
+// The system accepts connections for a door that has not yet: a listener that closes resets them with the requests that
+// their clients have written.
+func TestWhatWaitsInTheListenersQueueIsServedBeforeItCloses(t *testing.T) {
+	deaf, let := make(chan struct{}, 1), make(chan struct{})
+	events := make(chan gate.Event, 99)
+	g := rigged(t, backendOf(open()), sends(events))
+	g.cfg.Pace.Linger = 50
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	q := &queued{TCPListener: ln.(*net.TCPListener), deaf: deaf, let: let}
+	g.network.Listen = func(context.Context, string) (net.Listener, error) { return q, nil }
+	g.serve(t)
+	g.ready(t)
+	nc := dialled(t, ln.Addr().String())
+	_, err = io.WriteString(nc, look)
+	require.NoError(t, err)
+	g.stop()
+	await(t, deaf, "the end of accepting")
+	close(let) // only now does the door get to accept
+	got, err := whole(nc)
+	assert.NoError(t, err)
+	assert.Contains(t, got, "hi")
+	require.NoError(t, await(t, g.ended, "the end"))
+}
+
+// queued is a listener whose first Accept is held up until the test lets go.
+type queued struct {
+	*net.TCPListener
+	deaf chan<- struct{} // a deadline was set
+	let  <-chan struct{}
+}
+
+func (q *queued) SetDeadline(at time.Time) error {
+	err := q.TCPListener.SetDeadline(at)
+	select {
+	case q.deaf <- struct{}{}:
+	default:
+	}
+	return err
+}
+
+func (q *queued) Accept() (net.Conn, error) {
+	<-q.let
+	return q.TCPListener.Accept()
+}
+
+// A client that has gone is noticed behind whatever it sent: a FIN, a reset, bytes ahead of its answer, more of them than
+// the door holds; also where many go at once.
+func TestAClientThatHasGoneIsNoticedBehindWhatItSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		ahead string
+		reset bool
+		many  int
+	}{
+		"FIN":                       {"", false, 1},
+		"reset":                     {"", true, 1},
+		"FIN behind a request":      {named("b2"), false, 1},
+		"reset behind a request":    {named("b2"), true, 1},
+		"FIN behind a full buffer":  {strings.Repeat("x", 64<<10), false, 1},
+		"reset behind a flood":      {strings.Repeat("x", 128<<10), true, 1},
+		"a burst":                   {"", false, 200},
+		"a burst that sends ahead":  {named("b2"), false, 200},
+		"a burst of resets and all": {named("b2"), true, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			events := make(chan gate.Event, 9999)
+			g := rigged(t, backendOf(open()), scripted(func(_ float64, es []gate.Event) []gate.Action { // holds all
+				for _, e := range es {
+					events <- e
+				}
+				return nil
+			}))
+			g.serve(t)
+			g.ready(t)
+			var ncs []net.Conn
+			for i := range c.many {
+				nc := dialled(t, g.addr)
+				_, err := io.WriteString(nc, strings.ReplaceAll(named(fmt.Sprintf("w%d", i))+c.ahead, "b2", fmt.Sprintf("v%d", i)))
+				require.NoError(t, err)
+				ncs = append(ncs, nc)
+			}
+			for range ncs {
+				until[gate.Request](t, events)
+			}
+			for _, nc := range ncs {
+				if c.reset {
+					nc.(*net.TCPConn).SetLinger(0)
+				}
+				nc.Close()
+			}
+			for range ncs {
+				until[gate.Vanished](t, events)
+			}
+		})
+	}
+}
+
+// An attempt that waits for its connection does not begin once its client has gone, whether or not the settings allow to
+// cancel what is out.
+func TestNoAttemptBeginsForAClientThatHasGone(t *testing.T) {
+	dialling, let := make(chan struct{}), make(chan struct{})
+	come := make(chan string, 9)
+	events := make(chan gate.Event, 99)
+	g := rigged(t, func(nc net.Conn) {
+		got, _ := io.ReadAll(nc)
+		come <- string(got)
+	}, sends(events))
+	g.cfg.Deal.LongestWait = 3600e3 // its time does not run out meanwhile
+	registry := g.cfg.Discovery
+	g.network.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		nc, err := (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), "tcp", addr)
+		if addr != registry {
+			close(dialling)
+			<-let
+		}
+		return nc, err
+	}
+	g.serve(t)
+	g.ready(t)
+	nc := dialled(t, g.addr)
+	_, err := io.WriteString(nc, strings.Replace(look, "1500m", "3600000m", 1))
+	require.NoError(t, err)
+	await(t, dialling, "the dial")
+	nc.Close()
+	until[gate.Vanished](t, events)
+	assert.Equal(t, gate.Skipped, until[gate.Ended](t, events).Result, "it never ran")
+	close(let)
+	assert.Empty(t, await(t, come, "the connection's end"))
+}
+
+// A repeat whose connection comes up only when the backend may have forgotten the request's key does not begin.
+func TestAnAttemptDoesNotBeginPastItsTime(t *testing.T) {
+	come := make(chan string, 9)
+	events := make(chan gate.Event, 99)
+	g := rigged(t, func(nc net.Conn) {
+		got, _ := io.ReadAll(nc)
+		come <- string(got)
+	}, scripted(func(now float64, es []gate.Event) (out []gate.Action) {
+		for _, e := range es {
+			if e, is := e.(gate.Request); is {
+				out = append(out, gate.Send{Op: e.Op, By: now - 1}) // as if the dial had taken longer
+			}
+			if e, is := e.(gate.Ended); is && !e.Over {
+				out = append(out, gate.Fail{Op: e.Op})
+			}
+			events <- e
+		}
+		return out
+	}))
+	g.serve(t)
+	g.ready(t)
+	status, _ := say(t, dialled(t, g.addr), look)
+	assert.Equal(t, http.StatusBadGateway, status)
+	assert.Equal(t, gate.Skipped, until[gate.Ended](t, events).Result, "it never ran")
+	assert.Empty(t, await(t, come, "the connection's end"))
+}
+
+// A second answer comes behind the first, when the next request is under way already: on the same connection it would be
+// taken for that one's answer.
+func TestASecondAnswerThatComesLateIsNobodys(t *testing.T) {
+	first, second := make(chan net.Conn, 1), make(chan struct{})
+	g := rigged(t, func(nc net.Conn) {
+		for r := bufio.NewReader(nc); ; {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			switch req.Header.Get("X-Txn") {
+			case "a1":
+				first <- nc
+				io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none")
+			case "b2":
+				io.WriteString(<-first, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none") // the second answer to a1
+				<-second
+				io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo")
+			}
+		}
+	}, sends(nil))
+	g.cfg.Pace.Settle = 60_000 // however busy the machine, the next request comes sooner
+	g.serve(t)
+	g.ready(t)
+	nc := dialled(t, g.addr)
+	_, body := say(t, nc, look)
+	assert.Equal(t, "one", body)
+	go func() {
+		for g.linksOf() > 1 { // the first connection ends by its second answer
+			time.Sleep(time.Millisecond)
+		}
+		close(second)
+	}()
+	_, body = say(t, nc, named("b2"))
+	assert.Equal(t, "two", body)
+}
+
+// linksOf is how many backend connections the door has.
+func (g *rig) linksOf() int {
+	n := make(chan int, 1)
+	g.door.core.post(does(func(c *core) { n <- len(c.links) }))
+	return <-n
+}
+
+// does has the owner of the decisions do something between two of its lines.
+type does func(*core)
+
+func (n does) take(c *core) { n(c) }
+
+// A wish that the reader look at its connection is not lost to a deadline that the reader sets just then.
+func TestAWishIsNotLostToADeadline(t *testing.T) {
+	c, _ := owned(t)
+	cl := newClient(c, dialled(t, standIn(t, keep)))
+	cl.wake()
+	cl.limit(time.Time{}) // the line after, in the reader
+	ended := make(chan error, 1)
+	go func() {
+		_, err := cl.nc.Read(make([]byte, 1))
+		ended <- err
+	}()
+	assert.ErrorIs(t, await(t, ended, "the look"), os.ErrDeadlineExceeded)
+}
+
+// A watch that is taken and never answered is dialled again long before one that was answered and falls silent.
+func TestAWatchThatIsNeverAnsweredIsDialledAgain(t *testing.T) {
+	c, _ := owned(t)
+	c.cfg.Pace.FirstWord, c.cfg.Pace.Silence = 20, 3600e3
+	asks := make(chan string, 99)
+	c.cfg.Discovery = standIn(t, func(nc net.Conn) {
+		if req, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+			asks <- req.RequestURI
+		}
+	})
+	go c.follow(t.Context(), c.cfg.Discovery, 41, 0)
+	await(t, asks, "the first call")
+	assert.Equal(t, "/registry/instances?stream=1&index=41", await(t, asks, "the next"))
+}
+
+// Idle clients and attempts that hang fill the sockets while discovery is down. Its return is heard all the same.
+func TestDiscoverysReturnIsHeardWithAllSocketsTaken(t *testing.T) {
+	hung, asks, down := make(chan struct{}), make(chan string, 99), make(chan net.Conn, 9)
+	t.Cleanup(func() { close(hung) })
+	events := make(chan gate.Event, 9999)
+	g := rigged(t, backendOf(hung), sends(events))
+	backend := standIn(t, backendOf(hung))
+	g.cfg.Discovery = standIn(t, registryOf(backend, asks, func(nc net.Conn) { down <- nc }))
+	g.cfg.Sockets, g.cfg.Deal.LongestWait = 100, 3600e3
+	g.cfg.Pace.IdleClient, g.cfg.Pace.Linger = 3600e3, 3600e3 // none of them gives way
+	g.serve(t)
+	g.ready(t)
+	await(t, asks, "the first watch")
+	for i := 0; !g.door.core.budget.short(g.door.core.budget.kept); i++ {
+		nc := dialled(t, g.addr)
+		status, _ := say(t, nc, "GET /health/live HTTP/1.1\r\nHost: d\r\n\r\n")
+		require.Equal(t, http.StatusOK, status)
+		if i == 0 {
+			_, err := io.WriteString(nc, strings.Replace(look, "1500m", "3600000m", 1))
+			require.NoError(t, err)
+			until[gate.Request](t, events)
+		}
+	}
+	for range g.cfg.Sockets { // its attempts take what they get
+		done := make(chan struct{})
+		g.door.core.post(does(func(c *core) { c.send(gate.Send{}); close(done) }))
+		await(t, done, "an attempt")
+	}
+	more, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() { // and more of them want what the watch lets go of
+		for more.Err() == nil {
+			g.door.core.post(does(func(c *core) { c.send(gate.Send{}) }))
+		}
+	}()
+	(await(t, down, "the watch")).Close()
+	assert.Equal(t, "/registry/instances?stream=1&index=41", await(t, asks, "discovery's return"))
+	stop()
+	g.endNow()
+}
+
+// A flood of a client's costs its own connection alone: the door passes over so much of it, and stops reading.
+func TestAFloodAheadOfAnAnswerIsPassedOver(t *testing.T) {
+	const flood = 256 << 20
+	may, events := make(chan struct{}), make(chan gate.Event, 99)
+	g := rigged(t, backendOf(may), sends(events))
+	g.cfg.Deal.LongestWait = 3600e3
+	g.serve(t)
+	g.ready(t)
+	nc := dialled(t, g.addr)
+	_, err := io.WriteString(nc, strings.Replace(look, "1500m", "3600000m", 1))
+	require.NoError(t, err)
+	until[gate.Request](t, events)
+	nc.SetWriteDeadline(time.Now().Add(2 * time.Second)) // a door that reads all takes it in less
+	n, err := io.Copy(nc, io.LimitReader(endless{}, flood))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	assert.Less(t, n, int64(flood))
+	close(may)
+	nc.SetReadDeadline(time.Now().Add(patience))
+	res, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	assert.Equal(t, "hi", string(body))
+	status, _ := say(t, dialled(t, g.addr), named("b2"))
+	assert.Equal(t, http.StatusOK, status, "others are served")
+}
+
+// What was passed over leaves a gap: nothing behind it is read as a request.
+func TestNothingIsReadBehindAGap(t *testing.T) {
+	c, _ := owned(t)
+	cl := newClient(c, dialled(t, standIn(t, keep)))
+	cl.spilt.Store(true) // after its answer was worded, which does not say that it is the last
+	assert.False(t, cl.step(bringing(look)))
+	assert.Empty(t, c.notes)
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return copy(p, bytes.Repeat([]byte("x"), len(p))), nil }
--- a/frontdoor/end.go
+++ b/frontdoor/end.go
@@ -30,3 +30,11 @@
 }
 
 func (e end) result() gate.Result { return results[e] }
+
+// unsent is the end of what had not been written when a connection ended.
+func (e end) unsent() end {
+	if e == endWell {
+		return endCutUnsent
+	}
+	return e
+}
--- a/frontdoor/fleet.go
+++ b/frontdoor/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -118,12 +119,12 @@
 	go c.follow(ctx, addr, version, c.watches)
 }
 
-// follow keeps a watch of the fleet list until ctx ends. A watch that breaks or falls silent is dialled again
-// and goes on from the version that came last. What discovery holds it tells at once: a door that has waited as
+// follow keeps a watch of the fleet list until ctx ends. A watch that breaks, falls silent or is taken and never answered is
+// dialled again and goes on from the version that came last; config.Pace bounds what that may take, whatever came before. What discovery holds it tells at once: a door that has waited as
 // long as a connection may take serves by what it knew.
 func (c *core) follow(ctx context.Context, addr string, version int64, number int) {
 	defer time.AfterFunc(span(c.cfg.Deal.ConnectTimeout), func() { c.post(asked{}) }).Stop()
-	well := true
+	well, dice := true, rand.New(rand.NewPCG(c.cfg.Seed, uint64(number)))
 	for ctx.Err() == nil {
 		err := c.watch(ctx, addr, version, func(l registry.List) {
 			version = l.Version
@@ -138,10 +139,13 @@
 			well = false
 			c.log.WithError(err).Warn("fleet watch ended")
 		}
-		rest(ctx, c.cfg.Pace.Redial)
+		// Apart, or the doors that lost discovery together would call on it together.
+		rest(ctx, c.cfg.Pace.Redial*(1-redialJitter*dice.Float64()))
 	}
 }
 
+const redialJitter = 0.5 // most of the pause between dials that chance takes off it
+
 func rest(ctx context.Context, ms float64) {
 	select {
 	case <-time.After(span(ms)):
@@ -155,7 +159,7 @@
 		return errNoSocket
 	}
 	defer c.budget.put()
-	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	nc, err := c.dial(ctx, addr)
 	if err != nil {
 		return err
 	}
@@ -171,8 +175,10 @@
 
 func (c *core) readWatch(nc net.Conn, buf []byte, heard func(registry.List)) error {
 	var w registry.Watch
+	patience := c.cfg.Pace.FirstWord
 	for {
-		nc.SetReadDeadline(time.Now().Add(span(c.cfg.Pace.Silence)))
+		nc.SetReadDeadline(time.Now().Add(span(patience)))
+		patience = c.cfg.Pace.Silence
 		n, err := nc.Read(buf)
 		done, fault := w.Feed(buf[:n], heard)
 		switch {
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -21,10 +21,7 @@
 )
 
 // Door is one front door.
-type Door struct {
-	core     *core
-	listener net.Listener // handed over by another process; nil where it listens itself
-}
+type Door struct{ core *core }
 
 // New returns a door that will serve by the decider, which is its own from here on.
 func New(cfg config.Door, decider gate.Decider, log logrus.FieldLogger) *Door {
@@ -33,7 +30,9 @@
 
 // On has the door serve clients of a listener that another process listens at as well, in place of listening itself: one door
 // can follow another with no connection refused. It is called before Serve, which closes the listener.
-func (d *Door) On(ln *net.TCPListener) { d.listener = ln }
+func (d *Door) On(ln *net.TCPListener) {
+	d.core.listen = func(context.Context, string) (net.Listener, error) { return ln, nil }
+}
 
 // Serve listens and serves until ctx ends; then it answers all that was taken, and what still comes for a
 // while, and returns. A door serves once.
@@ -43,16 +42,13 @@
 		close(c.done)
 		return &SocketsError{c.cfg.Sockets}
 	}
-	ln := d.listener
-	if ln == nil {
-		var err error
-		if ln, err = (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", c.cfg.Listen); err != nil {
-			close(c.done)
-			return &ListenError{c.cfg.Listen, err}
-		}
+	ln, err := c.listen(ctx, c.cfg.Listen)
+	if err != nil {
+		close(c.done)
+		return &ListenError{c.cfg.Listen, err}
 	}
 	defer ln.Close()
-	c.listener, c.accepting = ln.(*net.TCPListener), true
+	c.listener, c.accepting = ln, true
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	c.background = background
@@ -99,9 +95,13 @@
 
 func (accepted) take(c *core) { c.accepting = false }
 
+// lastAccepts is how long a listener that is to close goes on taking what waits in its queue, once nothing has come.
+const lastAccepts = 5 * time.Millisecond
+
 // accept takes connections in while there are sockets for them. A quarter of the sockets is kept for what
 // clients come for.
 func (c *core) accept(ctx context.Context) {
+	var closeBy time.Time // zero before the listener is to close
 	for {
 		for !c.budget.take(c.budget.kept) {
 			c.post(crowded{})
@@ -112,9 +112,19 @@
 				return
 			}
 		}
+		wait, halts := c.listener.(halting)
+		if halts && !closeBy.IsZero() {
+			wait.SetDeadline(time.Now().Add(lastAccepts))
+		}
 		nc, err := c.listener.Accept()
 		if err != nil {
 			c.budget.put()
+			// The system has accepted what stands in the listener's queue: its clients may have written whole requests, and a
+			// listener that is closed resets them. A deadline in the past has Accept return before it looks at the queue.
+			if halts && errors.Is(err, os.ErrDeadlineExceeded) && closeBy.IsZero() {
+				closeBy = time.Now().Add(span(c.cfg.Pace.Linger))
+				continue
+			}
 			if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
 				c.listener.Close()
 				c.post(accepted{})
@@ -128,6 +138,9 @@
 		cl := newClient(c, nc)
 		c.post(opened{cl})
 		go cl.run()
+		if !closeBy.IsZero() && time.Now().After(closeBy) { // they come for ever
+			c.listener.Close()
+		}
 	}
 }
 
--- a/frontdoor/serve_test.go
+++ b/frontdoor/serve_test.go
@@ -100,15 +100,16 @@
 
 func servingBy(t *testing.T, cfg config.Door, may <-chan struct{}, d gate.Decider,
 	log *logrus.Logger) (addr string, stop func(), ended <-chan error) {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // the door's own from here on: nobody else can have its port meanwhile
 	require.NoError(t, err)
-	free.Close()
-	cfg.Listen, cfg.Sockets = free.Addr().String(), 1000 // short of sockets only where a test means it
+	cfg.Listen, cfg.Sockets = ln.Addr().String(), 1000 // short of sockets only where a test means it
 	cfg.Discovery = standIn(t, registryOf(standIn(t, backendOf(may)), make(chan string, 9), keep))
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	end := make(chan error, 1)
-	go func() { end <- New(cfg, d, log).Serve(ctx) }()
+	door := New(cfg, d, log)
+	door.On(ln.(*net.TCPListener))
+	go func() { end <- door.Serve(ctx) }()
 	for range 500 {
 		if nc, err := net.Dial("tcp", cfg.Listen); err == nil {
 			status, _ := say(t, nc, "GET /health/ready HTTP/1.1\r\nHost: d\r\nConnection: close\r\n\r\n")
@@ -171,19 +172,14 @@
 
 func TestNothingIsGatheredAheadOfAnAnswer(t *testing.T) {
 	c, _ := owned(t)
-	cl := newClient(c, nil)
-	r := reading{owed: true}
-	done := make(chan bool)
-	go func() { done <- cl.take(&r, []byte("GET /health/live HTTP/1.1\r\n")) }()
-	select {
-	case <-done:
-		assert.Fail(t, "fed while an answer is owed")
-	case <-time.After(20 * time.Millisecond):
-	}
+	cl := newClient(c, dialled(t, standIn(t, keep)))
+	r := bringing("GET /health/live HTTP/1.1\r\n")
+	r.owed = true
+	assert.True(t, cl.step(r))
+	assert.True(t, cl.ahead.Load(), "whoever answers is to wake the reader")
 	assert.False(t, r.in.Begun(), "a client that sends ahead holds one body, not two")
-	cl.nc = dialled(t, standIn(t, keep))
 	cl.wrote <- struct{}{}
-	assert.True(t, <-done)
+	assert.True(t, cl.step(r))
 	assert.True(t, r.in.Begun())
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -172,6 +172,7 @@
 type Send struct {
 	Op, Backend int
 	Cap         float64 // time-out, ms; 0 means until the client gives up
+	By          float64 // clock after which it must not begin any more, ms; 0 means whenever. What then has not is Skipped
 }
 
 // Cancel stops waiting for one attempt.
--- a/lab/model/backend.go
+++ b/lab/model/backend.go
@@ -16,6 +16,7 @@
 	Number  int
 	Backend int
 	at      float64 // sent, ms
+	by      float64 // clock after which it may not begin, ms; 0 is none
 	life    int     // of the backend that it was sent to
 	caller  Caller
 	work    float64 // of its own, with the handshake
--- a/lab/model/door.go
+++ b/lab/model/door.go
@@ -410,7 +410,7 @@
 	}
 	t := o.try
 	b := w.backends[d.names.ID(a.Backend)]
-	j := &Job{Try: t, Number: len(o.jobs), Backend: b.id, at: w.now, life: b.life, caller: d}
+	j := &Job{Try: t, Number: len(o.jobs), Backend: b.id, at: w.now, by: a.By, life: b.life, caller: d}
 	w.tell(trace.Event{Kind: trace.Sent, Try: t.ID, Door: d.id, Number: j.Number, Backend: b.id, Zone: b.zone, Cell: b.cell, Crosses: b.zone != d.zone})
 	if j.Number == 0 {
 		w.meter.add(w, t.want.customer, t.want.units)
--- a/lab/model/world.go
+++ b/lab/model/world.go
@@ -364,9 +364,15 @@
 		w.back(b, j, gate.Unreachable)
 		return
 	}
+	z := w.doors[j.Try.Door].zone
+	if j.by > 0 {
+		if up := w.now + w.way(b.zone, z); up > j.by { // it may not begin any more
+			w.at(up, due{kind: dueBack, j: j, p: gate.Skipped})
+			return
+		}
+	}
 	b.open++
 	j.life = b.life
-	z := w.doors[j.Try.Door].zone
 	w.at(w.now+w.way(b.zone, z)+w.way(z, b.zone), due{kind: dueCome, j: j})
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -75,6 +75,7 @@
 	coldShare = 0.8  // share of a cold backend's budget that the doors use; the rest is for chance
 	coldBlind = 2.0  // requests that the doors together send a cold backend in a window, knowing no warm one
 	workSpan  = 10e3 // ms over which work sent to a backend is averaged
+	repeatGap = 50.  // ms before a group may forget a key within which no repeat begins: a door may stop for so long unseen
 	sameOdds  = 1e-3 // odds left to a backend that has had the request, where there is another
 	memberGap = 1e3  // ms between requests to one member: idle connections are closed, evidence ages
 	memberMin = 8    // members at least; as many as may fail at once and leave some
@@ -676,7 +677,7 @@
 		case p.Semantics == gate.NonIdempotent:
 			return false
 		case p.Semantics == gate.Idempotent:
-		case d.now >= s.at+p.Window-tickEvery:
+		case d.now >= s.at+p.Window-repeatGap:
 			return false
 		case p.Scope == gate.ScopeZone && f.zone[b] != f.zone[s.backend]:
 			return false
@@ -687,6 +688,18 @@
 	return true
 }
 
+// by is the clock after which an attempt may not begin, 0 for none: its connection may be long in coming, and the
+// groups that had a keyed request before may have forgotten it then.
+func (d *Door) by(o *request, attempt int) (by float64) {
+	p := &d.terms.Classes[o.class]
+	for j := range attempt {
+		if s := &o.sends[j]; p.Semantics == gate.Keyed && !s.proven {
+			by = cmp.Or(min(by, s.at+p.Window-repeatGap), s.at+p.Window-repeatGap)
+		}
+	}
+	return by
+}
+
 // canRepeat tells whether a request that may have run may go anywhere at all once more.
 func (d *Door) canRepeat(o *request) bool {
 	p := &d.terms.Classes[o.class]
@@ -1000,7 +1013,7 @@
 			s.wanted = s.wanted && o.want == undecided
 			if s.wanted && !s.sent {
 				s.sent = true
-				d.actions = append(d.actions, gate.Send{Op: i, Backend: s.backend})
+				d.actions = append(d.actions, gate.Send{Op: i, Backend: s.backend, By: d.by(o, j)})
 			}
 			if !s.wanted && s.out() && !s.dropped && d.terms.MayCancel {
 				s.dropped = true
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -177,6 +177,30 @@
 	assert.False(t, d.allowed(o, 2), "past the window")
 }
 
+// A repeat is decided within the window, but its connection may be long in coming: it says by when it must begin, counted
+// from the earliest attempt that may have run.
+func TestARepeatSaysByWhenItMustBegin(t *testing.T) {
+	for class, want := range map[int]float64{keyedAnywhere: 100e3 + 4000 - repeatGap, keyedInZone: 100e3 + 4000 - repeatGap, idempotent: 0} {
+		d := sentOnce(class, 0)
+		assert.Zero(t, d.by(&d.ops[0], 0), "the first may begin whenever")
+		d.now += 1000
+		d.ended(gate.Ended{Result: gate.Reset, Use: -1})
+		d.send(0, 2)
+		d.settle()
+		assert.Contains(t, d.actions, gate.Send{Op: 0, Backend: 2, By: want})
+		d.now += 1000
+		d.ended(gate.Ended{Attempt: 1, Result: gate.Skipped, Use: -1})
+		d.send(0, 2)
+		assert.Equal(t, want, d.by(&d.ops[0], 2), "one that never ran moves nothing")
+	}
+	d := sentOnce(keyedAnywhere, 0)
+	d.ended(gate.Ended{Result: gate.Unreachable, Use: -1})
+	d.now += 3000
+	d.send(0, 2)
+	d.settle()
+	assert.Contains(t, d.actions, gate.Send{Op: 0, Backend: 2})
+}
+
 func TestKeyedOfOneZoneIsNotRejectedOnceItMayHaveRun(t *testing.T) {
 	d := sentOnce(keyedInZone, 0)
 	d.fleet.up = make([]bool, 4)
