Holder: what it starts leaves in its own time, one process serves, and SIGHUP reaches the one being started

Cause, found by reading; the crossings are forced with real processes that do what the test says (internal/holding/crossing_test.go): - holding.go:279-283 killed a process that was not ready in time or was being started when the holder was told to end. It has the listener from its first instant: requests that it had taken were lost. It is told to leave, as any other. - holding.go:460-470 put a new process in the old one's place though the holder had been told to end meanwhile: nobody told it to leave. - holding.go:343 put what was started after an unexpected end in the place of what a change had started meanwhile: two processes served, and the release's was the one forgotten. - holding.go:305 told only the process that serves of a SIGHUP: one that was being started had read its file before. It is told once it can serve; sooner, it may not listen to signals yet and would end. - With a configuration laid over the door's own file, SIGHUP had the process read the file made at its start: a new discovery was not seen. It is made anew. - Run returned while a change or a start was under way; it waits.

--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -77,6 +77,9 @@
 	failed  map[string]string // digests that were not taken, why
 	cur     *worker
 	ending  bool
+	hups    int // times that the door was told to read its file again
+
+	steps sync.WaitGroup // changes and watches under way
 }
 
 // worker is one process of the door.
@@ -111,7 +114,7 @@
 	defer signal.Stop(hup)
 	go func() {
 		for range hup {
-			h.signal(syscall.SIGHUP)
+			h.reload()
 		}
 	}()
 	if err := h.first(); err != nil {
@@ -121,12 +124,19 @@
 	go func() { defer close(over); h.change() }()
 	<-ctx.Done()
 	<-over
+	h.end()
+	return nil
+}
+
+// end has the door leave, and returns once nothing of it runs: a change or a new start that is under way finds that the
+// holder is ending, and has what it started leave as well.
+func (h *holder) end() {
 	h.mu.Lock()
 	h.ending = true
 	w := h.cur
 	h.mu.Unlock()
 	h.leave(w)
-	return nil
+	h.steps.Wait()
 }
 
 // load reads what the door ran last.
@@ -172,7 +182,7 @@
 	h.mu.Lock()
 	h.cur, h.before = w, h.runs
 	h.mu.Unlock()
-	go h.watch(w)
+	h.steps.Go(func() { h.watch(w) })
 	return nil
 }
 
@@ -245,8 +255,12 @@
 	return program, file, nil
 }
 
-// start starts a process and waits until it can serve.
+// start starts a process and waits until it can serve. It takes clients from its first instant, as it has the listener that
+// the one before it has: one that does not get ready, or is not wanted any more, is told to leave as any other.
 func (h *holder) start(runs release.Runs) (*worker, error) {
+	h.mu.Lock()
+	hups := h.hups
+	h.mu.Unlock()
 	program, file, err := h.prepare(runs)
 	if err != nil {
 		return nil, err
@@ -276,16 +290,22 @@
 	}()
 	select {
 	case ok := <-got:
-		if ok {
-			return w, nil
+		if !ok {
+			<-w.done // it closed its end: it has ended, or is about to
+			return nil, &StartError{program, cmd.ProcessState.String()}
 		}
-		<-w.done // it closed its end: it has ended, or is about to
-		return nil, &StartError{program, cmd.ProcessState.String()}
+		h.mu.Lock()
+		missed := h.hups != hups
+		h.mu.Unlock()
+		if missed { // it may have read its file before that was replaced
+			h.again(w, runs)
+		}
+		return w, nil
 	case <-time.After(readyFor):
-		h.kill(w)
+		h.leave(w)
 		return nil, &StartError{program, fmt.Sprintf("not ready after %v", readyFor)}
 	case <-h.ctx.Done():
-		h.kill(w)
+		h.leave(w)
 		return nil, &StartError{program, "the holder was told to end"}
 	}
 }
@@ -308,14 +328,27 @@
 	}
 }
 
-func (h *holder) signal(s os.Signal) {
+// reload has the door read its file again. A process that is being started is told once it can serve: before that it may not
+// listen to signals yet, and would end.
+func (h *holder) reload() {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.cur != nil {
-		_ = h.cur.cmd.Process.Signal(s)
+	h.hups++
+	w, runs := h.cur, h.runs
+	h.mu.Unlock()
+	if w != nil {
+		h.again(w, runs)
 	}
 }
 
+// again has one process read its file again; where that is the door's own with something laid over it, it is made anew.
+func (h *holder) again(w *worker, runs release.Runs) {
+	if _, _, err := h.prepare(runs); err != nil {
+		h.log.WithError(err).Error("configuration left as it was")
+		return
+	}
+	_ = w.cmd.Process.Signal(syscall.SIGHUP)
+}
+
 // watch starts a process again that ended by itself. Soon after a change that is the change's fault: what ran before runs again,
 // with nobody's leave, as the door is out already.
 func (h *holder) watch(w *worker) {
@@ -351,10 +384,12 @@
 			return
 		}
 		h.mu.Lock()
-		h.cur, h.runs = next, runs
-		ending := h.ending
+		late := h.ending || h.cur != w // a change has put another in its place meanwhile
+		if !late {
+			h.cur, h.runs = next, runs
+		}
 		h.mu.Unlock()
-		if ending {
+		if late {
 			h.leave(next)
 			return
 		}
@@ -411,7 +446,7 @@
 			case permits.Post:
 				go h.ask(a)
 			case permits.Take:
-				go h.take(a)
+				h.steps.Go(func() { h.take(a) })
 			}
 		}
 	}
@@ -466,6 +501,11 @@
 		return
 	}
 	h.mu.Lock()
+	if h.ending { // it was told so between the start and here
+		h.mu.Unlock()
+		h.leave(w)
+		return
+	}
 	old := h.cur
 	h.cur, h.runs, h.before, h.changed = w, runs, before, time.Now()
 	if t.Back {
@@ -474,6 +514,6 @@
 	h.mu.Unlock()
 	entry.Info(Changed)
 	h.save(runs)
-	go h.watch(w)
+	h.steps.Go(func() { h.watch(w) })
 	h.leave(old)
 }
