--- a/config/config.go
+++ b/config/config.go
@@ -292,6 +292,9 @@
 		if p.Gain < 0 {
 			fault(at+"worth", "below 0")
 		}
+		if p.Semantics == gate.Keyed && p.Window <= 0 {
+			fault(at+"window", "%g, though the class is deduplicated", p.Window/msPerSecond)
+		}
 	}
 	for i, p := range t.Plans {
 		at := fmt.Sprintf("tariffs[%d].", i)
--- a/config/deal.go
+++ b/config/deal.go
@@ -60,14 +60,15 @@
 	MyNumber  int    `json:"my_number"`
 	Registry  string `json:"registry_mode"`
 	Classes   []struct {
-		Name      string  `json:"name"`
-		Aim       float64 `json:"aim"`
-		GiveUp    float64 `json:"give_up"`
-		Semantics string  `json:"semantics"`
-		Scope     string  `json:"dedup_scope"`
-		Window    float64 `json:"window"`
-		LateValue float64 `json:"late_value"`
-		Worth     float64 `json:"worth"`
+		Name      string   `json:"name"`
+		Aim       float64  `json:"aim"`
+		GiveUp    *float64 `json:"give_up"`
+		Fraction  *float64 `json:"fraction"`
+		Semantics string   `json:"semantics"`
+		Scope     string   `json:"dedup_scope"`
+		Window    float64  `json:"window"`
+		LateValue float64  `json:"late_value"`
+		Worth     float64  `json:"worth"`
 	} `json:"profiles"`
 	Tariffs []struct {
 		Name         string  `json:"name"`
@@ -150,15 +151,28 @@
 		if !ok {
 			return Deal{}, keyFault(fmt.Sprintf("%s.profiles[%d].dedup_scope", under, i), "unknown word %q", p.Scope)
 		}
-		d.Classes[p.Name] = i
-		d.LongestWait = max(d.LongestWait, p.GiveUp*msPerSecond)
+		at := fmt.Sprintf("%s.profiles[%d].", under, i)
+		if err := named(d.Classes, p.Name, i, at, "class"); err != nil {
+			return Deal{}, err
+		}
+		if p.GiveUp != nil {
+			if *p.GiveUp <= 0 {
+				return Deal{}, keyFault(at+"give_up", "%g: no request could be answered", *p.GiveUp)
+			}
+			d.LongestWait = max(d.LongestWait, *p.GiveUp*msPerSecond)
+		}
+		if first := s.Classes[0].Fraction; (p.Fraction == nil) != (first == nil) || p.Fraction != nil && *p.Fraction < 0 {
+			return Deal{}, keyFault(at+"fraction", "missing or below 0, though other classes have theirs")
+		}
 		d.Terms.Classes = append(d.Terms.Classes, gate.Class{
 			Contract: p.Aim * msPerSecond, Semantics: sem, Scope: scope,
 			Window: p.Window * msPerSecond, LateValue: p.LateValue, Gain: p.Worth,
 		})
 	}
 	for i, p := range s.Tariffs {
-		d.Plans[p.Name] = i
+		if err := named(d.Plans, p.Name, i, fmt.Sprintf("%s.tariffs[%d].", under, i), "plan"); err != nil {
+			return Deal{}, err
+		}
 		d.Terms.Plans = append(d.Terms.Plans, gate.Plan{
 			Rate: p.Rate / msPerSecond, Depth: p.Depth, AtOnce: p.AtOnce,
 			CeilingRate: p.CeilingRate / msPerSecond, CeilingDepth: p.CeilingBurst, Price: p.Pays,
@@ -168,6 +182,18 @@
 	return d, nil
 }
 
+// named gives a name its index. Two of one name would share settings that are meant for one.
+func named(all map[string]int, name string, i int, at, what string) error {
+	if before, is := all[name]; is || name == "" {
+		if !is {
+			return keyFault(at+"name", "missing")
+		}
+		return keyFault(at+"name", "%q is the name of %s %d already", name, what, before)
+	}
+	all[name] = i
+	return nil
+}
+
 // decodeFault names the key that a JSON error is about.
 func decodeFault(under string, err error) error {
 	var wrong *json.UnmarshalTypeError
--- a/frontdoor/crossing_test.go
+++ b/frontdoor/crossing_test.go
@@ -132,7 +132,7 @@
 // rigged is a door with one backend, whose decisions are scripted.
 func rigged(t *testing.T, backend func(net.Conn), d gate.Decider) *rig {
 	g := &rig{cfg: settled(), decider: d}
-	g.cfg.Sockets = 1000
+	g.cfg.Sockets, g.cfg.Pace.Linger = 1000, 100
 	g.cfg.Discovery = standIn(t, registryOf(standIn(t, backend), make(chan string, 99), keep))
 	return g
 }
--- /dev/null
+++ b/frontdoor/terms_test.go
@@ -0,0 +1,289 @@
+package frontdoor
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/policy"
+)
+
+// The door with its real decisions, before backends that do wrong. What counts is what the backends truly ran.
+
+// wrong is what a backend does with the first request that reaches it whole. ran tells whether it ran it.
+type wrong struct {
+	does     func(nc net.Conn)
+	ran      bool
+	answered bool // with a whole answer, after which the attempt is no longer out
+}
+
+// rest4ever lets a backend do nothing more until its door ends the connection.
+func rest4ever(nc net.Conn) { io.Copy(io.Discard, nc) }
+
+func says(text string, then func(net.Conn)) func(net.Conn) {
+	return func(nc net.Conn) {
+		io.WriteString(nc, text)
+		then(nc)
+	}
+}
+
+func ends(nc net.Conn) { nc.Close() }
+
+func resets(nc net.Conn) {
+	nc.(*net.TCPConn).SetLinger(0)
+	nc.Close()
+}
+
+// floods writes without end, and notes how much was taken.
+func floods(text string, taken *atomic.Int64) func(net.Conn) {
+	return func(nc net.Conn) {
+		many := strings.Repeat(text, 1+4096/len(text))
+		for {
+			n, err := io.WriteString(nc, many)
+			if taken.Add(int64(n)); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// ledger is what the backends did together.
+type ledger struct {
+	mu             sync.Mutex
+	came, ran, out int
+	most           int  // out at once
+	again          bool // something came on a connection that had done wrong
+}
+
+// serve is a backend that does wrong with the first request of all, and right with the others.
+func (l *ledger) serve(w wrong) func(net.Conn) {
+	return func(nc net.Conn) {
+		defer nc.Close()
+		for r := bufio.NewReader(nc); ; {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			l.mu.Lock()
+			first := l.came == 0
+			l.came++
+			l.out++
+			l.most = max(l.most, l.out)
+			if !first || w.ran {
+				l.ran++
+			}
+			over := !first || w.answered
+			if over { // before the answer can be seen
+				l.out--
+			}
+			l.mu.Unlock()
+			if first {
+				w.does(nc)
+			} else {
+				io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+			if !over {
+				l.mu.Lock()
+				l.out--
+				l.mu.Unlock()
+			}
+			if first {
+				if _, err := http.ReadRequest(r); err == nil {
+					l.mu.Lock()
+					l.again = true
+					l.mu.Unlock()
+				}
+				return
+			}
+		}
+	}
+}
+
+// decided is a door with the real decisions and two backends.
+func decided(t *testing.T, backends ...func(net.Conn)) *rig {
+	g := &rig{cfg: settled()}
+	g.cfg.Sockets, g.cfg.Deal.LongestWait, g.cfg.Pace.Linger = 1000, 5000, 100
+	terms := &g.cfg.Deal.Terms
+	terms.Classes = []gate.Class{{Contract: 1000, Gain: 1}, {Contract: 1000, Gain: 1, Semantics: gate.Keyed, Window: 60e3},
+		{Contract: 1000, Gain: 1, Semantics: gate.NonIdempotent}, {Contract: 1000, Gain: 1, Semantics: gate.Keyed, Window: 300}}
+	terms.Plans = []gate.Plan{{Price: 1}}
+	terms.MaxAttempts, terms.Hedging, terms.MayCancel = 4, true, true
+	terms.Doors = 1
+	g.cfg.Deal.Classes = map[string]int{"look": 0, "book": 1, "buy": 2, "brief": 3}
+	list := ""
+	for i, b := range backends {
+		list += fmt.Sprintf(`,{"instanceId":"s%d","hostPort":%q,"lifecycle":"Ready","weight":1}`, i, standIn(t, b))
+	}
+	g.cfg.Discovery = standIn(t, func(nc net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+			line := `{"generation":41,"reset":true,"instances":[` + list[1:] + `]}`
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(line)+1, line)
+		}
+	})
+	g.decider = policy.New(*terms, 1)
+	return g
+}
+
+const (
+	buy   = "POST /buy?key=0000000000000001 HTTP/1.1\r\nHost: d\r\nX-Txn: a1\r\nX-Tariff: team\r\nX-Remaining: 4000m\r\nX-Weight: units=1,spread=1,first=0\r\nContent-Length: 4\r\n\r\nride"
+	keyed = "POST /book?key=0000000000000001 HTTP/1.1\r\nHost: d\r\nX-Txn: a1\r\nX-Tariff: team\r\nX-Remaining: 4000m\r\nIdempotency-Key: k1\r\nX-Weight: units=1,spread=1,first=0\r\nContent-Length: 4\r\n\r\nride"
+)
+
+// wrongs are the ways in which an answer can fail. Their backend has run the request but where told.
+func wrongs(taken *atomic.Int64) map[string]wrong {
+	return map[string]wrong{
+		"an error":                     {says("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", rest4ever), true, true},
+		"turned away":                  {says("HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", rest4ever), false, true},
+		"a 503 of its own":             {says("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", rest4ever), true, true},
+		"an end":                       {ends, true, false},
+		"a reset":                      {resets, true, false},
+		"silence":                      {rest4ever, true, false},
+		"half a line, then silence":    {says("HTTP/1.1 2", rest4ever), true, false},
+		"half a line, then an end":     {says("HTTP/1.1 2", ends), true, false},
+		"half a head, then a reset":    {says("HTTP/1.1 200 OK\r\nContent-", resets), true, false},
+		"a body cut short":             {says("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nwrong", ends), true, false},
+		"a chunk cut short":            {says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n50\r\nwrong", resets), true, false},
+		"no length, then a reset":      {says("HTTP/1.1 200 OK\r\n\r\nwrong", resets), true, false},
+		"noise":                        {says("\x00\x01\x02 nonsense\r\n\r\n", rest4ever), true, false},
+		"a head without end":           {says("HTTP/1.1 200 OK\r\n", floods("X-More: and more\r\n", taken)), true, false},
+		"a body without end":           {says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", floods("4\r\nmore\r\n", taken)), true, false},
+		"a trailer without end":        {says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", floods("X-More: and more\r\n", taken)), true, false},
+		"announcements without end":    {says("", floods("HTTP/1.1 100 Continue\r\n\r\n", taken)), true, false},
+		"a body over the most allowed": {says("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", floods("more", taken)), true, false},
+	}
+}
+
+// played has one request played before two backends, the first of whose answers goes wrong.
+func played(t *testing.T, request string, w wrong) (status int, body string, took time.Duration, l *ledger) {
+	l = &ledger{}
+	g := decided(t, l.serve(w), l.serve(w))
+	g.serve(t)
+	g.ready(t)
+	begun := time.Now()
+	nc := dialled(t, g.addr)
+	status, body = say(t, nc, request)
+	took = time.Since(begun)
+	nc.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	n, _ := nc.Read(make([]byte, 1))
+	assert.Zero(t, n, "one final answer")
+	g.stop()
+	require.NoError(t, await(t, g.ended, "the end"))
+	return status, body, took, l
+}
+
+const inTime = 4000*time.Millisecond + 500*time.Millisecond // of the request's time, and what an answer may take beyond it
+
+// A request that must not run twice is sent again only where the attempt before surely never ran; never are two out.
+func TestWhatIsUnsafeToRepeatRunsOnce(t *testing.T) {
+	for name := range wrongs(nil) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := wrongs(&atomic.Int64{})[name]
+			status, body, took, l := played(t, buy, w)
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			assert.Equal(t, 1, l.ran, "times that it ran")
+			assert.Equal(t, 1, l.most, "attempts out at once")
+			assert.False(t, l.again, "the connection is not used again")
+			assert.Less(t, took, inTime)
+			if w.ran {
+				assert.Equal(t, 1, l.came)
+				assert.Equal(t, http.StatusBadGateway, status, "it may have run: no refusal")
+			} else {
+				assert.Equal(t, "200 ok", fmt.Sprint(status, " ", body), "it never ran: sent again")
+			}
+		})
+	}
+}
+
+// What is refused, never comes up or breaks before its last byte never ran, and is sent again whatever it is.
+func TestWhatNeverLeftWholeIsSentAgain(t *testing.T) {
+	for name, fails := range map[string]func(nc *net.TCPConn) (net.Conn, error){
+		"refused":          func(nc *net.TCPConn) (net.Conn, error) { nc.Close(); return nil, syscall.ECONNREFUSED },
+		"never up":         func(nc *net.TCPConn) (net.Conn, error) { nc.Close(); return nil, os.ErrDeadlineExceeded },
+		"cut amid a write": func(nc *net.TCPConn) (net.Conn, error) { return &halfway{nc}, nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := &ledger{came: 1} // none does wrong but the connection
+			g := decided(t, l.serve(wrong{}), l.serve(wrong{}))
+			var dials atomic.Int32
+			registry := g.cfg.Discovery
+			g.network.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+				nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+				if err == nil && addr != registry && dials.Add(1) == 1 {
+					return fails(nc.(*net.TCPConn))
+				}
+				return nc, err
+			}
+			g.serve(t)
+			g.ready(t)
+			status, body := say(t, dialled(t, g.addr), buy)
+			assert.Equal(t, "200 ok", fmt.Sprint(status, " ", body))
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			assert.Equal(t, 1, l.ran)
+		})
+	}
+}
+
+// halfway is a connection that is reset amid the first write.
+type halfway struct{ *net.TCPConn }
+
+func (h *halfway) Write(p []byte) (int, error) {
+	n, _ := h.TCPConn.Write(p[:len(p)/2])
+	resets(h.TCPConn)
+	return n, syscall.ECONNRESET
+}
+
+// One that may run again gets its answer elsewhere, or is given up in its time; what goes wrong costs its connection alone.
+func TestABrokenAnswerCostsItsConnectionAlone(t *testing.T) {
+	for _, request := range []string{strings.Replace(look, "1500m", "4000m", 1), keyed} {
+		for name := range wrongs(nil) {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				var taken atomic.Int64
+				status, body, took, l := played(t, request, wrongs(&taken)[name])
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				assert.False(t, l.again, "the connection is not used again")
+				assert.Less(t, took, inTime)
+				assert.Less(t, taken.Load(), int64(64<<20))
+				assert.Equal(t, "200 ok", fmt.Sprint(status, " ", body), "also where nobody can tell: a hedge goes out")
+			})
+		}
+	}
+}
+
+// A keyed request is not sent again once its backends may have forgotten the key, counted from the attempt's begin.
+func TestAKeyIsNotReliedOnPastItsWindow(t *testing.T) {
+	late := wrong{func(nc net.Conn) {
+		time.Sleep(350 * time.Millisecond) // the window is 300 ms, and must be over
+		resets(nc)
+	}, true, false}
+	status, _, _, l := played(t, strings.Replace(keyed, "/book", "/brief", 1), late)
+	l.mu.Lock()
+	assert.Equal(t, 1, l.came)
+	l.mu.Unlock()
+	assert.NotEqual(t, http.StatusOK, status)
+	status, body, _, l := played(t, keyed, late)
+	assert.Equal(t, "200 ok", fmt.Sprint(status, " ", body), "a longer window")
+	assert.Equal(t, 2, l.came)
+}
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -14,7 +14,10 @@
 	toEnd // with the connection
 )
 
-const longestLine = 256 // bytes in a chunk's size line or a trailer
+const (
+	longestLine    = 256  // bytes in a chunk's size line or a trailer
+	longestTrailer = 8192 // bytes in all trailers: as a head. One without end would be read for as long as its peer writes
+)
 
 // body hands out what it is fed without its framing.
 type body struct {
@@ -24,6 +27,7 @@
 	inLine  bool // a size line is awaited, else a chunk's data
 	closing bool // the line after a chunk's data is awaited
 	trailer bool // the last chunk has come
+	trailed int  // bytes behind it
 }
 
 func newBody(length int64, isChunked bool) body {
@@ -75,6 +79,9 @@
 func (b *body) took(line []byte) (done bool, err error) {
 	switch {
 	case b.trailer:
+		if b.trailed += len(line); b.trailed > longestTrailer {
+			return false, errChunk
+		}
 		return len(line) == 0, nil
 	case b.closing:
 		b.closing = false
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -450,6 +451,10 @@
 			return err
 		}
 		switch {
+		case slices.ContainsFunc(s.Classes[:i], func(q Class) bool { return q.Name == p.Name }):
+			return fault(under+"name", "%q is another's already", p.Name)
+		case !(p.Share > 0):
+			return fault(under+"share", "%g: none of its requests would come", p.Share)
 		case !(p.WorkMs > 0):
 			return fault(under+"work_ms", "%g", p.WorkMs)
 		case !(p.ContractMs > 0):
@@ -465,6 +470,8 @@
 		switch {
 		case p.Name == "":
 			return fault(under+"name", "missing")
+		case slices.ContainsFunc(s.Plans[:i], func(q Plan) bool { return q.Name == p.Name }):
+			return fault(under+"name", "%q is another's already", p.Name)
 		case !(p.PerS > 0):
 			return fault(under+"per_s", "%g", p.PerS)
 		case !(p.Depth >= float64(s.Load.MostUnits)):
--- a/lab/scenario/scenario_test.go
+++ b/lab/scenario/scenario_test.go
@@ -25,18 +25,22 @@
 	_, err := Read([]byte(small))
 	require.NoError(t, err)
 	for more, key := range map[string]string{
-		"\n[load]\nshape = \"zigzag\"":                                        `"load.shape"`,
-		"\n[load]\nshaep = \"wave\"":                                          `"load.shaep"`,
-		"\n[fleet]\ndoors = 0":                                                `"fleet.doors"`,
-		"\n[net]\njitter = 2.0":                                               `"net.jitter"`,
-		"\n[net]\nsame_ms = [3.0, 1.0]":                                       `"net.same_ms"`,
-		"\n[[fault]]\nkind = \"gremlins\"\nat_s = 1.0\nfor_s = 1.0":           `"fault[0].kind"`,
-		"\n[[fault]]\nkind = \"hang\"\nat_s = 1.0":                            `"fault[0].for_s"`,
-		"\n[[fault]]\nkind = \"hang\"\nat_s = 99.0\nfor_s = 1.0":              `"fault[0].at_s"`,
-		"\n[[fault]]\nkind = \"slow\"\nat_s = 1.0\nfor_s = 1.0\nmuch = 0.5":   `"fault[0].much"`,
-		"\n[[fault]]\nkind = \"counter_down\"\nat_s = 1.0\nfor_s = 1.0":       `counter.on is false`,
-		"\n[[fault]]\nkind = \"zone_cut\"\nat_s = 1.0\nfor_s = 1.0\nzone = 7": `"fault[0].zone"`,
-		"\n[day]\nseconds = nan":                                              `"day.seconds"`,
+		"\n[load]\nshape = \"zigzag\"":                                                                          `"load.shape"`,
+		"\n[load]\nshaep = \"wave\"":                                                                            `"load.shaep"`,
+		"\n[fleet]\ndoors = 0":                                                                                  `"fleet.doors"`,
+		"\n[net]\njitter = 2.0":                                                                                 `"net.jitter"`,
+		"\n[net]\nsame_ms = [3.0, 1.0]":                                                                         `"net.same_ms"`,
+		"\n[[fault]]\nkind = \"gremlins\"\nat_s = 1.0\nfor_s = 1.0":                                             `"fault[0].kind"`,
+		"\n[[fault]]\nkind = \"hang\"\nat_s = 1.0":                                                              `"fault[0].for_s"`,
+		"\n[[fault]]\nkind = \"hang\"\nat_s = 99.0\nfor_s = 1.0":                                                `"fault[0].at_s"`,
+		"\n[[fault]]\nkind = \"slow\"\nat_s = 1.0\nfor_s = 1.0\nmuch = 0.5":                                     `"fault[0].much"`,
+		"\n[[fault]]\nkind = \"counter_down\"\nat_s = 1.0\nfor_s = 1.0":                                         `counter.on is false`,
+		"\n[[fault]]\nkind = \"zone_cut\"\nat_s = 1.0\nfor_s = 1.0\nzone = 7":                                   `"fault[0].zone"`,
+		"\n[[profile]]\nname = \"look\"\nwork_ms = 5.0\ncontract_ms = 50.0\nouter_ms = 200.0":                   `"profile[1].name"`,
+		"\n[[profile]]\nname = \"b\"\nshare = -1.0\nwork_ms = 5.0\ncontract_ms = 50.0\nouter_ms = 200.0":        `"profile[1].share"`,
+		"\n[[profile]]\nname = \"b\"\nsemantics = \"odd\"\nwork_ms = 5.0\ncontract_ms = 50.0\nouter_ms = 200.0": `"profile[1].semantics"`,
+		"\n[[plan]]\nname = \"basic\"\nper_s = 2.0\ndepth = 4.0":                                                `"plan[1].name"`,
+		"\n[day]\nseconds = nan":                                                                                `"day.seconds"`,
 	} {
 		_, err := Read([]byte(small + more))
 		assert.ErrorContains(t, err, key, more)
--- a/lab/stand/beside.go
+++ b/lab/stand/beside.go
@@ -18,6 +18,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sys/unix"
 
+	"github.com/swifthall/swifthall/internal/loopback"
 	"github.com/swifthall/swifthall/internal/registry"
 	"github.com/swifthall/swifthall/lab/load"
 	"github.com/swifthall/swifthall/lab/model"
@@ -171,12 +172,9 @@
 	if err := d.fault.Load(); err != nil {
 		return "", nil, *err
 	}
-	free, err := d.f.listen("127.0.0.1:0")
-	if err != nil {
+	if at, err = loopback.Free(); err != nil {
 		return "", nil, err
 	}
-	at = free.Addr().String()
-	free.Close()
 	if len(b.Proxy) == 0 {
 		return "", nil, &PartyError{"reverse proxy", "no program", nil}
 	}
--- a/lab/stand/door.go
+++ b/lab/stand/door.go
@@ -18,6 +18,7 @@
 
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/frontdoor"
+	"github.com/swifthall/swifthall/internal/loopback"
 	"github.com/swifthall/swifthall/internal/registry"
 	"github.com/swifthall/swifthall/lab/model"
 	"github.com/swifthall/swifthall/lab/rival"
@@ -44,12 +45,10 @@
 
 func newDoor(f *fleet, number int) (*door, error) {
 	d := &door{f: f, number: number, discovery: newDiscovery()}
-	free, err := f.listen("127.0.0.1:0")
-	if err != nil {
+	var err error
+	if d.listen, err = loopback.Free(); err != nil { // it is taken only when the door starts, and again when it is restarted
 		return nil, err
 	}
-	d.listen = free.Addr().String()
-	free.Close()
 	d.clients = &clients{f: f, to: d.listen, out: map[int]context.CancelFunc{}}
 	ln, err := f.listen("127.0.0.1:0")
 	if err != nil {
