Cold backends: a laboratory counts starts over all doors; a fleet that has lost its warm ones goes by what they took

Need: the term that doors together start 2 x root of N + 2 at most beyond a cold backend's budget of N, whatever each sees.

Build: lab/cold, fleets of real decisions in virtual time around backends that start anew, and a checker that counts by true times and knows no door: 6, 20, 30 and 300 doors; many requests in a window and less than one a door, doors that restart amid the ramp, told half, a tenth or ten times the fleet, bursts, no warm backend left. The planted fault (a door that takes a cold backend for a warm one) is found.

Cause: policy.go, warmRate, gave 0 there, and coldRoom went by the number of doors told.

--- /dev/null
+++ b/lab/cold/cold_test.go
@@ -0,0 +1,115 @@
+package cold
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/policy"
+)
+
+var seeds = flag.Int("seeds", 6, "days of each kind")
+
+// day is one where a fifth of the backends start anew, each warm one taking so many requests in a window.
+func day(doors int, inWindow float64, seed uint64) Day {
+	const backends, window = 20, 1500.0
+	return Day{Doors: doors, Told: doors, Backends: backends, Starting: 4, PerMs: inWindow * backends / window, Burst: 1, StartMs: 20e3, Ms: 36e3,
+		NoticeMs: 1500, LatencyMs: 60, Window: window, Multiple: 2, ColdFrom: 0.16, ColdForMs: 12e3, Seed: seed}
+}
+
+func decided(d *Day) func(int, uint64) gate.Decider {
+	return func(number int, seed uint64) gate.Decider { return policy.New(d.Terms(number), seed) }
+}
+
+// sum is what the checker found over all days of a kind.
+type sum struct {
+	starts, excesses, days int // days with any
+	share, over            float64
+	first                  string
+}
+
+func plays(of func(seed uint64) Day, with func(*Day) func(int, uint64) gate.Decider) (all sum) {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	next := make(chan uint64)
+	for range runtime.GOMAXPROCS(0) {
+		wait.Go(func() {
+			for seed := range next {
+				d, c := of(seed), Checker{}
+				d.Play(&c, with(&d))
+				mu.Lock()
+				all.starts, all.excesses = all.starts+c.Cold, all.excesses+len(c.Excesses)
+				all.share, all.over = max(all.share, c.MostShare), max(all.over, c.MostOver)
+				if len(c.Excesses) > 0 {
+					all.days++
+					all.first = fmt.Sprintf("seed %d: %+v", seed, c.Excesses[0])
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for seed := range uint64(*seeds) {
+		next <- seed + 1
+	}
+	close(next)
+	wait.Wait()
+	return all
+}
+
+// Beyond the budget N of a cold backend the doors together start 2 x root of N + 2 at most, whatever each of them sees: many
+// requests in a window or less than one, doors that restart amid the ramp, a fleet that is not as large as was told, bursts.
+func TestTheDoorsTogetherSpareColdBackends(t *testing.T) {
+	for _, doors := range []int{6, 20, 30, 300} {
+		for _, c := range []struct {
+			name     string
+			inWindow float64
+			change   func(*Day)
+		}{
+			{"many in a window", 30, nil},
+			{"less than one a door", float64(doors) / 40, nil},
+			{"doors restart amid the ramp", 30, func(d *Day) { d.Restarts, d.RestartMs = 0.7, 8e3 }},
+			{"told a tenth of the fleet", 30, func(d *Day) { d.Told = max(1, d.Doors/10) }},
+			{"told ten times the fleet", 30, func(d *Day) { d.Told = d.Doors * 10 }},
+			{"bursts", 30, func(d *Day) { d.Burst = 5 }},
+			{"none is warm", 30, func(d *Day) { d.Starting = d.Backends }},
+			{"none is warm, told half of the fleet", 30, func(d *Day) { d.Starting, d.Told = d.Backends, d.Doors/2 }},
+			{"none is warm, told a tenth of the fleet", 30, func(d *Day) { d.Starting, d.Told = d.Backends, max(1, d.Doors/10) }},
+			{"none is warm, told a tenth, members known", 30, func(d *Day) { d.Starting, d.Told, d.Members = d.Backends, max(1, d.Doors/10), true }},
+			{"all restart amid the ramp, told a tenth", 30, func(d *Day) { d.Restarts, d.RestartMs, d.Told = 1, 500, max(1, d.Doors/10) }},
+		} {
+			t.Run(fmt.Sprint(doors, " doors, ", c.name), func(t *testing.T) {
+				s := plays(func(seed uint64) Day {
+					d := day(doors, c.inWindow, seed)
+					if c.change != nil {
+						c.change(&d)
+					}
+					return d
+				}, decided)
+				t.Logf("%d days: %d starts at cold backends, at most %.2f of a budget and %.1f beyond one; %d windows over the limit, on %d days %s",
+					*seeds, s.starts, s.share, s.over, s.excesses, s.days, s.first)
+				assert.Zero(t, s.excesses)
+				assert.NotZero(t, s.starts, "they are tried")
+			})
+		}
+	}
+}
+
+// A door that thinks a cold backend warm is the planted fault, and the checker finds it.
+func TestAPlantedFaultIsFound(t *testing.T) {
+	for _, doors := range []int{6, 300} {
+		s := plays(func(seed uint64) Day { return day(doors, 30, seed) }, func(d *Day) func(int, uint64) gate.Decider {
+			return func(number int, seed uint64) gate.Decider {
+				terms := d.Terms(number)
+				terms.ColdFrom, terms.FallMultiple = 1, 20
+				return policy.New(terms, seed)
+			}
+		})
+		t.Logf("%d doors: %d windows over the limit, on %d of %d days", doors, s.excesses, s.days, *seeds)
+		assert.NotZero(t, s.excesses)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -735,7 +735,8 @@
 	return f.coldLeft[b] > 0 && d.now > d.born+d.terms.FallWindow
 }
 
-// warmRate is the work that warm backends take from this door, for a backend of b's size.
+// warmRate is the work that warm backends take from this door, for a backend of b's size; where none is warm, what they took
+// when some were last. Without that a fleet that has lost them all would go by the number of doors it was told.
 func (d *Door) warmRate(b int) float64 {
 	f := &d.fleet
 	size := 0.0
@@ -744,10 +745,10 @@
 			size += f.size[c]
 		}
 	}
-	if size == 0 {
-		return 0
+	if size > 0 {
+		f.warmRate = f.work * math.Exp((f.workAt-d.now)/workSpan) / workSpan / size
 	}
-	return f.work * math.Exp((f.workAt-d.now)/workSpan) / workSpan / size * f.size[b]
+	return f.warmRate * f.size[b]
 }
 
 // send wants a request out at a backend.
@@ -768,6 +769,7 @@
 	if d.warmth(b) >= 1 {
 		f.work = f.work*math.Exp((f.workAt-d.now)/workSpan) + d.low(o.class)
 		f.workAt = d.now
+		d.warmRate(b)
 	}
 	d.touch(i)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -139,6 +139,7 @@
 	queue      []float64     // waiting as reported
 	work       float64       // work sent lately to warm backends, decaying, ms of work
 	workAt     float64       // clock of that figure, ms
+	warmRate   float64       // of it, to a warm backend of size 1, ms of work per ms, when one was last known
 	coldLeft   []int         // requests that it may still get in a window while it is cold
 	coldUntil  []float64     // end of that window, ms
 	mark       []float64     // place on the ring that all doors have in common, 0 to 1
