--- a/config/config.go
+++ b/config/config.go
@@ -35,8 +35,9 @@
 
 // One rule bounds how late a door hears what discovery could have told it, whatever came before: a watch that falls silent
 // is noticed after Silence, and then a call may fail and the next one must be answered, each after ConnectTimeout at most
-// for its connection, FirstWord for its first byte, and Redial for the pause behind it. The sum stays within toldWithin.
+// for its connection, FirstWord for its first byte, and the longest pause behind it. The sum stays within toldWithin.
 const (
+	RedialGrows    = 5   // times Redial, up to which the pause between failed calls doubles
 	toldWithin     = 6e3 // ms after which what discovery has told counts as known
 	firstWordMost  = 1e3 // an agent answers at once; over that it is down, and the next dial may find it back
 	firstWordLeast = 100 // less would give up an answer that is on its way
@@ -44,7 +45,7 @@
 
 // told is that sum, ms.
 func (p *Pace) told(connectTimeout float64) float64 {
-	return p.Silence + 2*(connectTimeout+p.FirstWord+p.Redial)
+	return p.Silence + 2*(connectTimeout+p.FirstWord+RedialGrows*p.Redial)
 }
 
 // Pace holds the carrier's own times, ms. The key "pace" overrides the defaults.
@@ -56,7 +57,7 @@
 	Silence     float64 `json:"silence_ms"`      // a watch silent for longer is dialled again
 	FirstWord   float64 `json:"first_word_ms"`   // and so is one that has not begun to answer for longer
 	DeadCounter float64 `json:"dead_counter_ms"` // a counter connection that owes an answer for longer is closed
-	Redial      float64 `json:"redial_ms"`       // rest between failed dials of discovery or the counter
+	Redial      float64 `json:"redial_ms"`       // rest between failed dials of the counter, and the first between those of discovery
 	Linger      float64 `json:"linger_ms"`       // new connections are served for this long after the call to stop
 }
 
@@ -354,6 +355,6 @@
 	p.Silence = or(p.Silence, 3e3) // a watch says something every 2 s
 	p.DeadCounter = or(p.DeadCounter, 10*l.CounterTimeout)
 	p.Redial = or(p.Redial, 100)
-	p.FirstWord = or(p.FirstWord, max(firstWordLeast, min(firstWordMost, (toldWithin-p.Silence)/2-l.ConnectTimeout-p.Redial)))
+	p.FirstWord = or(p.FirstWord, max(firstWordLeast, min(firstWordMost, (toldWithin-p.Silence)/2-l.ConnectTimeout-RedialGrows*p.Redial)))
 	p.Linger = or(p.Linger, 700) // clients come for up to 0.4 s, and may for 0.3 s more
 }
--- a/frontdoor/fleet.go
+++ b/frontdoor/fleet.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
 	"github.com/swifthall/swifthall/internal/index"
 	"github.com/swifthall/swifthall/internal/pool"
@@ -125,9 +126,10 @@
 func (c *core) follow(ctx context.Context, addr string, version int64, number int) {
 	defer time.AfterFunc(span(c.cfg.Deal.ConnectTimeout), func() { c.post(asked{}) }).Stop()
 	well, dice := true, rand.New(rand.NewPCG(c.cfg.Seed, uint64(number)))
+	pause := c.cfg.Pace.Redial
 	for ctx.Err() == nil {
-		err := c.watch(ctx, addr, version, func(l registry.List) {
-			version = l.Version
+		err := c.watch(ctx, addr, version, dice, func(l registry.List) {
+			version, pause = l.Version, c.cfg.Pace.Redial
 			c.post(listed{l, number})
 			if !well {
 				well = true
@@ -139,12 +141,18 @@
 			well = false
 			c.log.WithError(err).Warn("fleet watch ended")
 		}
-		// Apart, or the doors that lost discovery together would call on it together.
-		rest(ctx, c.cfg.Pace.Redial*(1-redialJitter*dice.Float64()))
+		rest(ctx, sooner(pause, redialJitter, dice))
+		pause = min(2*pause, config.RedialGrows*c.cfg.Pace.Redial)
 	}
 }
 
-const redialJitter = 0.5 // most of the pause between dials that chance takes off it
+// Doors that lose discovery together would call on it together ever after: chance takes so much of each time at most.
+const (
+	redialJitter  = 0.5 // of a pause, or of the time for the first byte
+	silenceJitter = 0.2 // of the time that a watch may be silent; what is left is over the 2 s in which it says something
+)
+
+func sooner(ms, most float64, dice *rand.Rand) float64 { return ms * (1 - most*dice.Float64()) }
 
 func rest(ctx context.Context, ms float64) {
 	select {
@@ -154,7 +162,7 @@
 }
 
 // watch follows the list over one connection.
-func (c *core) watch(ctx context.Context, addr string, version int64, heard func(registry.List)) error {
+func (c *core) watch(ctx context.Context, addr string, version int64, dice *rand.Rand, heard func(registry.List)) error {
 	if !c.budget.take(0) {
 		return errNoSocket
 	}
@@ -170,15 +178,15 @@
 	if _, err := nc.Write(registry.AppendWatch(buf, addr, version)); err != nil {
 		return err
 	}
-	return c.readWatch(nc, buf[:pool.Size], heard)
+	return c.readWatch(nc, buf[:pool.Size], dice, heard)
 }
 
-func (c *core) readWatch(nc net.Conn, buf []byte, heard func(registry.List)) error {
+func (c *core) readWatch(nc net.Conn, buf []byte, dice *rand.Rand, heard func(registry.List)) error {
 	var w registry.Watch
-	patience := c.cfg.Pace.FirstWord
+	patience := sooner(c.cfg.Pace.FirstWord, redialJitter, dice)
 	for {
 		nc.SetReadDeadline(time.Now().Add(span(patience)))
-		patience = c.cfg.Pace.Silence
+		patience = sooner(c.cfg.Pace.Silence, silenceJitter, dice)
 		n, err := nc.Read(buf)
 		done, fault := w.Feed(buf[:n], heard)
 		switch {
