Quotas beside a policy that sees them late, deployments and customers apart: measured and tested

Two deployments in one process with other classes, plans and limits, two customers at each: apart. A forgotten customer's index starts clean. Both held before; no code of the door is changed.

The first try at the rival crashed the laboratory: its doors share a book, and were asked at once. They are asked one by one, as the oracle's.

--- a/frontdoor/terms_test.go
+++ b/frontdoor/terms_test.go
@@ -287,3 +287,44 @@
 	assert.Equal(t, "200 ok", fmt.Sprint(status, " ", body), "a longer window")
 	assert.Equal(t, 2, l.came)
 }
+
+// Two deployments in one process, and two customers at each: classes, units, limits and buckets stay apart.
+func TestTwoDeploymentsInOneProcessStayApart(t *testing.T) {
+	good := func() func(net.Conn) { return (&ledger{came: 1}).serve(wrong{}) }
+	one, other := decided(t, good()), decided(t, good())
+	for _, g := range []*rig{one, other} {
+		terms := &g.cfg.Deal.Terms
+		terms.Plans = []gate.Plan{{Price: 1, Rate: 1e-9, Depth: 2}} // two units for ever
+		terms.Classes = terms.Classes[:1]
+	}
+	other.cfg.Deal.Classes, other.cfg.Deal.Plans, other.cfg.Deal.MostUnits = map[string]int{"see": 0}, map[string]int{"house": 0}, 2
+	one.cfg.Deal.Classes = map[string]int{"look": 0}
+	asks := map[*rig]string{one: look, other: strings.NewReplacer("/look", "/see", "team", "house").Replace(look)}
+	conns := map[*rig]net.Conn{}
+	for _, g := range []*rig{one, other} {
+		g.decider = policy.New(g.cfg.Deal.Terms, 1)
+		g.serve(t)
+		g.ready(t)
+		conns[g] = dialled(t, g.addr)
+	}
+	ask := func(g *rig, text string) int {
+		status, _ := say(t, conns[g], text)
+		return status
+	}
+	n := 0
+	next := func(g *rig, customer string) string {
+		n++
+		return strings.NewReplacer("a1", fmt.Sprint("n", n), "0000000000000001", customer).Replace(asks[g])
+	}
+	for _, g := range []*rig{one, other} {
+		for _, customer := range []string{"0000000000000001", "0000000000000002"} {
+			assert.Equal(t, http.StatusOK, ask(g, next(g, customer)))
+			assert.Equal(t, http.StatusOK, ask(g, next(g, customer)))
+			assert.Equal(t, http.StatusTooManyRequests, ask(g, next(g, customer)), "its own two units are used, whatever others do")
+		}
+	}
+	assert.Equal(t, http.StatusNotFound, ask(one, next(other, "0000000000000003")), "the other's class")
+	assert.Equal(t, http.StatusBadRequest, ask(one, strings.Replace(next(one, "0000000000000003"), "team", "house", 1)), "the other's plan")
+	assert.Equal(t, http.StatusBadRequest, ask(other, strings.Replace(next(other, "0000000000000003"), "units=1", "units=3", 1)), "its own most")
+	assert.NotEqual(t, http.StatusBadRequest, ask(one, strings.Replace(next(one, "0000000000000003"), "units=1", "units=3", 1)))
+}
--- a/lab/model/deal.go
+++ b/lab/model/deal.go
@@ -87,8 +87,26 @@
 	return s.w.truth.take(s.w, s.d.customers.ID(customer), plan, units)
 }
 
+func (s sight) TakeLate(customer, plan int, units, lateMs float64) bool {
+	return s.w.truth.takeLate(s.w, s.d.id, s.d.customers.ID(customer), plan, units, lateMs)
+}
+
 // truth holds the customers' true quotas, for deciders that may see them.
-type truth struct{ of map[int]level }
+type truth struct {
+	of   map[int]level
+	late map[int]*lately
+}
+
+// lately is a quota as it was some time ago, and what has been taken since.
+type lately struct {
+	was   level
+	taken []taking
+}
+
+type taking struct {
+	at, units float64
+	door      int
+}
 
 type level struct{ units, at float64 }
 
@@ -109,3 +127,31 @@
 	t.of[customer] = l
 	return has
 }
+
+func (t *truth) takeLate(w *World, door, customer, plan int, units, lateMs float64) bool {
+	p := &w.s.Plans[plan]
+	if t.late == nil {
+		t.late = map[int]*lately{}
+	}
+	k := t.late[customer]
+	if k == nil {
+		k = &lately{was: level{p.Depth, w.now - lateMs}}
+		t.late[customer] = k
+	}
+	to := func(at float64) float64 { return min(p.Depth, k.was.units+p.PerS/1000*(at-k.was.at)) }
+	for len(k.taken) > 0 && k.taken[0].at <= w.now-lateMs {
+		k.was = level{to(k.taken[0].at) - k.taken[0].units, k.taken[0].at}
+		k.taken = k.taken[1:]
+	}
+	left := to(w.now)
+	for _, n := range k.taken {
+		if n.door == door {
+			left -= n.units
+		}
+	}
+	if left < units {
+		return false
+	}
+	k.taken = append(k.taken, taking{w.now, units, door})
+	return true
+}
--- a/lab/model/world.go
+++ b/lab/model/world.go
@@ -34,6 +34,8 @@
 	Work(class int) float64
 	// Take takes units from the customer's true quota, if it holds them.
 	Take(customer, plan int, units float64) bool
+	// TakeLate does likewise, by what the quota truly held so many ms ago and what this door has taken since.
+	TakeLate(customer, plan int, units, lateMs float64) bool
 }
 
 // Stream numbers of the world's chance; each party draws from its own, so that one's draws do not move another's.
--- a/lab/rival/rival.go
+++ b/lab/rival/rival.go
@@ -1,4 +1,5 @@
-// Package rival holds the deciders that the project's own are measured against: a floor, a textbook and an oracle.
+// Package rival holds the deciders that the project's own are measured against: a floor, a textbook, an oracle, and the
+// textbook with true quotas seen late.
 package rival
 
 import (
@@ -17,10 +18,11 @@
 	Floor     = "floor"
 	Textbook  = "textbook"
 	Oracle    = "oracle"
+	Late      = "late"
 )
 
 // Names lists them all.
-var Names = []string{Swifthall, Floor, Textbook, Oracle}
+var Names = []string{Swifthall, Floor, Textbook, Oracle, Late}
 
 // Makers has a maker for each name.
 var Makers = map[string]model.Maker{
@@ -31,6 +33,9 @@
 	Textbook: {New: func(t gate.Terms, seed uint64, _ model.Sight) gate.Decider {
 		return &textbook{base: newBase(t, seed)}
 	}},
+	Late: {Shared: true, New: func(t gate.Terms, seed uint64, s model.Sight) gate.Decider {
+		return &textbook{base: newBase(t, seed), sight: s}
+	}},
 	Oracle: {Shared: true, New: func(t gate.Terms, seed uint64, s model.Sight) gate.Decider {
 		return newOracle(t, seed, s)
 	}},
@@ -202,7 +207,8 @@
 type textbook struct {
 	base
 	buckets []bucket
-	retries float64 // that the budget still holds
+	retries float64     // that the budget still holds
+	sight   model.Sight // where it sees the true quotas late, in place of an even slice
 }
 
 type bucket struct {
@@ -214,6 +220,7 @@
 const (
 	budgetShare = 0.1 // retries for each request
 	budgetMost  = 10  // retries that the budget holds at most
+	lateSight   = 2e3 // ms by which the true state is seen late: as a meter's word with a common period
 )
 
 func (t *textbook) Decide(now float64, events []gate.Event) []gate.Action {
@@ -247,6 +254,12 @@
 	if p.Rate == 0 {
 		return 0
 	}
+	if t.sight != nil {
+		if t.sight.TakeLate(e.Customer, e.Plan, e.Units, lateSight) {
+			return 0
+		}
+		return e.Units / p.Rate
+	}
 	k, part := &t.buckets[e.Customer], 1/float64(max(1, e.Spread))
 	if !k.known || k.plan != e.Plan {
 		*k = bucket{level: p.Depth * part, at: now, plan: e.Plan, known: true}
--- a/lab/stand/stand.go
+++ b/lab/stand/stand.go
@@ -67,7 +67,7 @@
 		return nil, &UnplayableError{Says: fmt.Sprintf("policy %q: a door's program decides by itself", p.Policy), Do: "Leave --policy or --door out."}
 	}
 	if p.Binary == "" {
-		if p.Policy == rival.Oracle {
+		if p.Policy == rival.Oracle || p.Policy == rival.Late {
 			return nil, &UnplayableError{Says: "the oracle sees the true state, which no door on sockets can", Do: "Play the oracle with --on sim."}
 		}
 		if _, known := rival.Makers[p.Policy]; !known {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"slices"
 	"testing"
 
@@ -113,6 +114,24 @@
 	assert.Equal(t, []gate.Action{gate.Forget{Customer: 0}}, d.forgets)
 }
 
+// The index of a customer that was forgotten goes to another, who finds nothing of the first.
+func TestAForgottenCustomersIndexStartsClean(t *testing.T) {
+	d := door(2)
+	d.arrive(arriving(0, idempotent, capped))
+	k := &d.buckets[0]
+	k.level, k.ceiling, k.others, k.heard, k.trim, k.barred, k.barredUnits = -5, -5, 1, d.now, 0.2, 1e12, 1
+	k.count = counting{window: 7, granted: 9, owed: 3, calling: true}
+	k.promised, k.promisedUnits, k.open, k.out = 0, 0, 0, 0
+	d.live, d.now = nil, d.now+idleDrop+1
+	d.forget()
+	d.forgets = nil
+	d.now += 1
+	d.arrive(gate.Request{Op: 1, Class: idempotent, Plan: plain, TTL: 3000, Units: 1, Spread: 2, First: 1})
+	fresh := bucket{known: true, plan: plain, first: 1, spread: 2, level: 12, filled: d.now, store: 12, trim: 1, heard: math.Inf(-1), set: 2,
+		phase: 0, open: 1, demand: 1 / demandSpan, promised: d.buckets[0].promised, promisedUnits: 1}
+	assert.Equal(t, fresh, d.buckets[0])
+}
+
 func TestANewCustomersSliceHasFilledSinceTheDoorWasBorn(t *testing.T) {
 	d := door(1)
 	d.born = d.now - 2000
