--- a/lab/stand/stand.go
+++ b/lab/stand/stand.go
@@ -68,7 +68,7 @@
 	}
 	if p.Binary == "" {
 		if p.Policy == rival.Oracle || p.Policy == rival.Late {
-			return nil, &UnplayableError{Says: "the oracle sees the true state, which no door on sockets can", Do: "Play the oracle with --on sim."}
+			return nil, &UnplayableError{Says: "policy " + p.Policy + " sees the true state, which no door on sockets can", Do: "Play it with --on sim."}
 		}
 		if _, known := rival.Makers[p.Policy]; !known {
 			return nil, &run.PolicyError{Name: p.Policy, Known: rival.Names}
