--- a/lab/model/clients.go
+++ b/lab/model/clients.go
@@ -208,18 +208,18 @@
 	burstMore = 2500 // and at most on top
 )
 
-// shape is the share of the most that is asked now.
-func (c *clients) shape(w *World) float64 {
+// shape is the share of the most that is asked at a clock. It is the arrival's own, not the world's, which may run late.
+func (c *clients) shape(at float64) float64 {
 	x := 0.0
 	switch l := &c.s.Load; l.Shape {
 	case "wave":
-		x = l.Swing * math.Sin(2*math.Pi*w.now/waveSpan)
+		x = l.Swing * math.Sin(2*math.Pi*at/waveSpan)
 	case "ramp":
-		x = l.Swing * (2*w.now/(c.s.Day.Seconds*1000) - 1)
+		x = l.Swing * (2*at/(c.s.Day.Seconds*1000) - 1)
 	case "bursts":
-		if w.now >= c.burstTill {
+		if at >= c.burstTill {
 			c.burstHigh = !c.burstHigh
-			c.burstTill = w.now + burstLow + burstMore*c.dice.Float64()
+			c.burstTill = at + burstLow + burstMore*c.dice.Float64()
 		}
 		x = -l.Swing
 		if c.burstHigh {
@@ -236,7 +236,7 @@
 		if w.closing || k.stamp != d.m {
 			return
 		}
-		if c.dice.Float64() < c.shape(w) {
+		if c.dice.Float64() < c.shape(d.at) {
 			c.ask(w, d.n, d.at)
 		}
 		c.plan(w, d.n, d.at)
@@ -291,7 +291,8 @@
 
 const hotCustomers = 3
 
-func (c *clients) strike(w *World, h *hurt) {
+// strike is told the clock at which the fault was due, which a late world has passed.
+func (c *clients) strike(w *World, h *hurt, at float64) {
 	f := h.fault
 	switch f.Kind {
 	case "burst", "strangers", "hot_customers":
@@ -301,7 +302,7 @@
 		}
 		if x.rate > 0 {
 			c.extras = append(c.extras, x)
-			w.at(w.now+c.dice.ExpFloat64()/x.rate, due{kind: dueExtra, n: len(c.extras) - 1})
+			w.at(at+c.dice.ExpFloat64()/x.rate, due{kind: dueExtra, n: len(c.extras) - 1})
 		}
 	case "shift":
 		share := f.Share
--- a/lab/model/faults.go
+++ b/lab/model/faults.go
@@ -70,7 +70,7 @@
 		})
 		w.strikeDoors(h)
 	case scenario.Clientele:
-		w.clients.strike(w, h)
+		w.clients.strike(w, h, f.AtS*1000)
 	default:
 		if f.Kind == "counter_empty" {
 			w.counter.empty()
--- a/lab/model/outer.go
+++ b/lab/model/outer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -130,6 +131,7 @@
 			d := w.q.pop()
 			behind = max(behind, now-d.at)
 			w.now = max(w.now, d.at)
+			w.closing = w.closing || d.at >= end // while it runs late, what fell due past the end is popped with the day's own
 			w.step(&d)
 			now = clock()
 		}
@@ -140,7 +142,7 @@
 			progress(min(1, now/end))
 		}
 		if len(w.q.heap) > 0 {
-			timer.Reset(time.Duration((w.q.heap[0].at - now) * 1e6))
+			timer.Reset(time.Duration(math.Ceil((w.q.heap[0].at - now) * 1e6))) // cut down, it would fire before what is due
 		}
 		select {
 		case do := <-w.posted:
