Refusals and the window of repeats: each mend seen red; a check that never ran is gone

The figure ranges of lab/scenario refuse a share below 0 before scenario.go:456 could; that case was dead. What was not seen red before was tried with each mend taken out: a negative fraction (config/deal.go) and the earlier of two attempts that may have run (policy.go, by) passed unseen; both have a case now, and are red without their lines. The others were red: window, deadline, names missing and twice in config and in scenarios, the time by which a repeat must begin, keyed alone, proven attempts apart.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -78,6 +78,7 @@
 		`"settings.profiles[0].name"`:           {`"name":"read"`, `"name":""`},
 		`"settings.profiles[1].name"`:           {`"profiles":[`, `"profiles":[{"name":"read","aim":1,"give_up":2,"semantics":"idempotent"},`},
 		`"settings.profiles[1].fraction"`:       {`"profiles":[`, `"profiles":[{"name":"other","fraction":0.5,"aim":1,"give_up":2,"semantics":"idempotent"},`},
+		`"settings.profiles[0].fraction"`:       {`"name":"read"`, `"name":"read","fraction":-0.5`},
 		`"settings.tariffs[1].name"`:            {`"tariffs":[`, `"tariffs":[{"name":"basic","rate":2,"depth":8},`},
 		`"settings.limits.max_attempts"`:        {`"max_attempts":6`, `"max_attempts":0`},
 		`"settings.limits.retry_after": string`: {`"retry_after":true`, `"retry_after":"yes"`},
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -453,8 +453,6 @@
 		switch {
 		case slices.ContainsFunc(s.Classes[:i], func(q Class) bool { return q.Name == p.Name }):
 			return fault(under+"name", "%q is another's already", p.Name)
-		case !(p.Share > 0):
-			return fault(under+"share", "%g: none of its requests would come", p.Share)
 		case !(p.WorkMs > 0):
 			return fault(under+"work_ms", "%g", p.WorkMs)
 		case !(p.ContractMs > 0):
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -211,6 +211,8 @@
 		d.ended(gate.Ended{Attempt: 1, Result: gate.Skipped, Use: -1})
 		d.send(0, 2)
 		assert.Equal(t, want, d.by(&d.ops[0], 2), "one that never ran moves nothing")
+		d.ended(gate.Ended{Attempt: 2, Result: gate.Reset, Use: -1})
+		assert.Equal(t, want, d.by(&d.ops[0], 3), "of two that may have run, the earlier one's group forgets first")
 	}
 	d := sentOnce(keyedAnywhere, 0)
 	d.ended(gate.Ended{Result: gate.Unreachable, Use: -1})
