Terms: sockets full of idle clients, clients gone in a pause, settings across SIGHUP: shown

Read term by term against the tests; three had no test of their own though the code keeps them:

- 256 sockets full of idle clients with discovery down: forty new clients get answers over backends that must be dialled each time, the counter is dialled, discovery's return is heard, five who are owed an answer get it (frontdoor/terms_test.go).
Red with no part kept (budget.go) and with no idle client closed in a crowd (frontdoor.go accept).
Red without policy.go's Vanished.

--- a/frontdoor/terms_test.go
+++ b/frontdoor/terms_test.go
@@ -327,4 +327,91 @@
 	assert.Equal(t, http.StatusBadRequest, ask(one, strings.Replace(next(one, "0000000000000003"), "team", "house", 1)), "the other's plan")
 	assert.Equal(t, http.StatusBadRequest, ask(other, strings.Replace(next(other, "0000000000000003"), "units=1", "units=3", 1)), "its own most")
 	assert.NotEqual(t, http.StatusBadRequest, ask(one, strings.Replace(next(one, "0000000000000003"), "units=1", "units=3", 1)))
+	one.door.Reload(other.cfg) // SIGHUP with a file of the other's: addresses are taken, nothing else
+	assert.Equal(t, http.StatusTooManyRequests, ask(one, next(one, "0000000000000001")), "what was used stays used")
+	assert.Equal(t, http.StatusOK, ask(one, next(one, "0000000000000004")), "its own class and plan, and a customer's own units")
+	assert.Equal(t, http.StatusNotFound, ask(one, next(other, "0000000000000004")))
+	assert.Equal(t, http.StatusBadRequest, ask(one, strings.Replace(next(one, "0000000000000004"), "team", "house", 1)))
+	assert.Equal(t, http.StatusTooManyRequests, ask(other, next(other, "0000000000000002")), "the other has heard of nothing")
+}
+
+// Idle clients hold all the sockets that clients may have, and discovery is down. New clients get their answers from
+// backends that have to be dialled, the counter is called on a connection that has to be dialled, discovery's return is
+// heard, and who is owed an answer gets it.
+func TestSocketsFullOfIdleClientsKeepNobodyOut(t *testing.T) {
+	const busy, fresh, sockets = 5, 40, 256
+	may, came := make(chan struct{}), make(chan struct{}, busy)
+	backend := standIn(t, func(nc net.Conn) { // every answer is its connection's last: each request needs a socket
+		defer nc.Close()
+		req, err := http.ReadRequest(bufio.NewReader(nc))
+		if err != nil {
+			return
+		}
+		if strings.HasPrefix(req.Header.Get("X-Txn"), "busy") {
+			came <- struct{}{}
+			<-may
+		}
+		io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok")
+	})
+	calls := make(chan struct{}, 999)
+	counter := func(nc net.Conn) { // so does each call
+		defer nc.Close()
+		if _, err := nc.Read(make([]byte, 4096)); err == nil {
+			io.WriteString(nc, "$1\r\n1\r\n")
+			calls <- struct{}{}
+		}
+	}
+	var down atomic.Bool
+	asks, watches := make(chan string, 999), make(chan net.Conn, 9)
+	tells := registryOf(backend, asks, func(nc net.Conn) { watches <- nc })
+	g := decided(t, resets)
+	g.cfg.Discovery = standIn(t, func(nc net.Conn) {
+		if down.Load() {
+			nc.Close()
+			return
+		}
+		tells(nc)
+	})
+	g.cfg.Counter, g.cfg.Sockets = standIn(t, counter), sockets
+	g.cfg.Pace.IdleClient = 3600e3
+	g.cfg.Deal.LongestWait = 3600e3
+	terms := &g.cfg.Deal.Terms
+	terms.Counter, terms.Hedging, terms.Plans = true, false, []gate.Plan{{Price: 1, Rate: 1, Depth: 1000}}
+	g.decider = policy.New(*terms, 1)
+	g.serve(t)
+	g.ready(t)
+	await(t, asks, "the first watch")
+	ask := func(nc net.Conn, id string) int {
+		status, _ := say(t, nc, named(id))
+		return status
+	}
+	var owed []net.Conn
+	for i := range busy {
+		nc := dialled(t, g.addr)
+		_, err := io.WriteString(nc, strings.Replace(named(fmt.Sprint("busy", i)), "1500m", "3600000m", 1))
+		require.NoError(t, err)
+		owed = append(owed, nc)
+		await(t, came, "the backend")
+	}
+	down.Store(true)
+	(await(t, watches, "the watch")).Close()
+	for i := 0; !g.door.core.budget.short(g.door.core.budget.kept); i++ {
+		require.Less(t, i, sockets)
+		status, _ := say(t, dialled(t, g.addr), "GET /health/live HTTP/1.1\r\nHost: d\r\n\r\n")
+		require.Equal(t, http.StatusOK, status)
+	}
+	for len(calls) > 0 {
+		<-calls
+	}
+	for i := range fresh { // each stays, and idles
+		nc := dialled(t, g.addr)
+		require.Equal(t, http.StatusOK, ask(nc, fmt.Sprint("fresh", i)), "new client %d", i)
+	}
+	await(t, calls, "a call of the counter")
+	down.Store(false)
+	assert.Equal(t, "/registry/instances?stream=1&index=41", await(t, asks, "discovery's return"))
+	close(may)
+	for _, nc := range owed {
+		assert.Equal(t, http.StatusOK, heard(t, nc).Status, "nobody who is owed an answer is cut off")
+	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1074,3 +1074,48 @@
 	}
 	assert.Greater(t, sent, 50)
 }
+
+// A client that has gone gets no further attempt and no hedge: neither one that was held, nor one whose attempt fails
+// afterwards, nor one whose attempt stays out. Each would have got one had it stayed.
+func TestNothingBeginsForAClientThatHasGone(t *testing.T) {
+	const step = 10.
+	backends := gate.Fleet{}
+	for b := range 4 {
+		backends.Entries = append(backends.Entries, gate.Entry{Backend: b, Zone: b % 2, Cell: b, Size: 1})
+	}
+	for name, c := range map[string]struct {
+		backends int
+		then     func(sent int) gate.Event // after its client has gone
+	}{
+		"held":           {0, func(int) gate.Event { return backends }},
+		"reset":          {4, func(int) gate.Event { return gate.Ended{Result: gate.Reset, Use: -1} }},
+		"unreachable":    {4, func(int) gate.Event { return gate.Ended{Result: gate.Unreachable, Use: -1} }},
+		"full":           {4, func(int) gate.Event { return gate.Ended{Result: gate.Full, Use: -1} }},
+		"without a word": {4, func(int) gate.Event { return gate.Woken{} }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, gone := range []bool{true, false} {
+				d := door(c.backends)
+				sends := 0
+				decide := func(events ...gate.Event) {
+					for _, a := range d.Decide(d.now+step, events) {
+						if _, is := a.(gate.Send); is {
+							sends++
+						}
+					}
+				}
+				decide(arriving(0, idempotent, plain))
+				before := sends
+				require.Equal(t, min(1, c.backends), before)
+				if gone {
+					decide(gate.Vanished{Op: 0})
+				}
+				decide(c.then(before))
+				for range 250 {
+					decide()
+				}
+				assert.Equal(t, gone, sends == before, "%d attempts more", sends-before)
+			}
+		})
+	}
+}
