Change calendar: the module that decides who must agree, when nothing may begin, and what goes back

Changes with windows, waves, soak, preconditions and postconditions; approvals bound to a digest; freezes once or by RRULE in a named zone, told as instants so that coordinators with other tables of zones decide alike; migrations whose steps go back newest first; agreed time by a majority's clocks; budgets, conflicts, free time, what is in the way.

Found by the model on the way, each mended: an edit kept what had been observed for what it replaced; an observation from the instant before the last wave counted as one after it; readings of clocks from before an outage put agreed time behind by as long as it had lasted; one halted amid its watch ended without being resumed.

rrule-go is no part of the platform's door: no door's binary imports calendar.

--- /dev/null
+++ b/calendar/find.go
@@ -0,0 +1,209 @@
+package calendar
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+)
+
+// InTheWay is the first thing that keeps an entry from beginning now; nil where nothing does. Its remedy says who can clear it.
+func (s *State) InTheWay(e *Entry) error {
+	switch e.Stage {
+	case Drafted:
+		return &StageError{e.ID, e.Stage, "begun"}
+	case Waiting:
+		if err := s.lacks(e); err != nil {
+			return err
+		}
+	case Approved, Due:
+	default:
+		return &StageError{e.ID, e.Stage, "begun"}
+	}
+	if s.Doubt != "" {
+		return &ClockError{s.Doubt}
+	}
+	if s.WallMs < e.Window.FromMs {
+		return &EarlyError{e.ID, e.Window.FromMs}
+	}
+	if end := e.Window.ToMs + e.LateMs; s.WallMs+e.Needs() > end || s.WallMs >= end {
+		return &ShortError{e.ID, end - s.WallMs, e.Needs()}
+	}
+	for _, id := range e.After {
+		if a := s.Entries[id]; a != nil && a.Stage != Done {
+			return &AfterError{e.ID, id, a.Stage}
+		}
+	}
+	if f := s.frozen(e, s.WallMs); f != nil {
+		return &FrozenError{f.ID, f.Name, f.until(s.WallMs), f.Who}
+	}
+	if name, seen := e.unobserved(e.Preconditions, s.WallMs-sightFor); name != "" {
+		return &PreconditionError{e.ID, name, seen}
+	}
+	under := 0
+	for _, id := range slices.Sorted(maps.Keys(s.Entries)) {
+		o := s.Entries[id]
+		if !s.holds(o) || o.Migration != 0 && o.Migration == e.Migration && !o.Stage.under() {
+			continue
+		}
+		if s.touch(&o.Subject, &e.Subject) {
+			return &BusyError{e.ID, id, o.Stage, o.Author}
+		}
+		if o.Kind == e.Kind && o.Stage.under() {
+			under++
+		}
+	}
+	for _, b := range s.Budgets {
+		if b.Kind == e.Kind && under >= b.Most {
+			return &FullError{b, under}
+		}
+	}
+	return nil
+}
+
+// holds tells whether an entry has its subject: while it is under way, and as a done step until its migration is over, or the way
+// back could not end where the migration began.
+func (s *State) holds(e *Entry) bool {
+	return e.Stage.under() || e.Stage == Done && s.live(e.Migration)
+}
+
+// Conflict is something that a change meets in its window.
+type Conflict struct {
+	With uint64 // entry or freeze; 0 for none
+	Says string
+}
+
+// Conflicts tells what a change would meet in its window, and where there would be room instead. id is its own entry; 0 for none.
+func (s *State) Conflicts(c *Change, id uint64, most int) (met []Conflict, instead []Span) {
+	if c.Needs() > c.Window.ToMs-c.Window.FromMs {
+		met = append(met, Conflict{0, fmt.Sprintf("the window is %s, its waves take %s", lasting(c.Window.ToMs-c.Window.FromMs), lasting(c.Needs()))})
+	}
+	for _, other := range slices.Sorted(maps.Keys(s.Entries)) {
+		o := s.Entries[other]
+		if span, has := s.has(o); has && other != id && s.touch(&o.Subject, &c.Subject) && span.meets(c.Window) {
+			met = append(met, Conflict{other, fmt.Sprintf("%s %q has %s then", o.Kind, o.Name, o.Subject.String())})
+		}
+	}
+	for _, fid := range slices.Sorted(maps.Keys(s.Freezes)) {
+		f := s.Freezes[fid]
+		if spans := s.during(f, c.Window); s.applies(f, c) && len(spans) > 0 && len(gaps(spans, c.Window, c.Needs())) == 0 {
+			met = append(met, Conflict{fid, fmt.Sprintf("freeze %q leaves no %s of it", f.Name, lasting(c.Needs()))})
+		}
+	}
+	for _, b := range s.Budgets {
+		if full := s.full(b, id); b.Kind == c.Kind && slices.ContainsFunc(full, c.Window.meets) {
+			met = append(met, Conflict{0, fmt.Sprintf("%d of kind %s have part of it already, %d may be under way", b.Most, b.Kind, b.Most)})
+		}
+	}
+	if len(met) > 0 {
+		instead = s.Next(c, id, most)
+	}
+	return met, instead
+}
+
+// has is the time that an entry has part of the fleet, as far as is known.
+func (s *State) has(e *Entry) (Span, bool) {
+	switch {
+	case e.Stage.planned() && e.Stage != Drafted:
+		return Span{e.Window.FromMs, e.Window.ToMs + e.LateMs}, true
+	case s.holds(e) && !e.Stage.under():
+		return Span{min(s.WallMs, e.Window.FromMs), s.Migrations[e.Migration].untilMs(s)}, true
+	case e.Stage.under(): // one that is past its window lasts as long as its waves, at least
+		return Span{min(s.WallMs, e.Window.FromMs), max(e.Window.ToMs+e.LateMs, s.WallMs+max(1, e.left()))}, true
+	}
+	return Span{}, false
+}
+
+// during lists a freeze's spans that meet a window.
+func (s *State) during(f *Freeze, w Span) (spans []Span) {
+	for _, p := range f.Spans {
+		if p.meets(w) {
+			spans = append(spans, p)
+		}
+	}
+	if f.When.Every != "" && w.ToMs > f.ThroughMs {
+		spans = append(spans, Span{f.ThroughMs, math.Inf(1)})
+	}
+	return spans
+}
+
+// full lists when a budget is used up by others.
+func (s *State) full(b Budget, but uint64) (spans []Span) {
+	type edge struct {
+		at  float64
+		add int
+	}
+	var edges []edge
+	for id, e := range s.Entries {
+		if span, has := s.has(e); has && id != but && e.Kind == b.Kind {
+			edges = append(edges, edge{span.FromMs, 1}, edge{span.ToMs, -1})
+		}
+	}
+	slices.SortFunc(edges, func(a, b edge) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.add, b.add)) })
+	n := 0
+	for _, e := range edges {
+		was := n >= b.Most
+		n += e.add
+		switch is := n >= b.Most; {
+		case is && !was:
+			spans = append(spans, Span{e.at, math.Inf(1)})
+		case was && !is:
+			spans[len(spans)-1].ToMs = e.at
+		}
+	}
+	return slices.DeleteFunc(spans, func(p Span) bool { return p.FromMs >= p.ToMs })
+}
+
+// Next finds free time for a change, from now on: no freeze that it must heed, nobody else on its subject, no budget used up,
+// and long enough for its waves. None means that there is none as far as is looked ahead.
+func (s *State) Next(c *Change, id uint64, most int) []Span {
+	ahead := Span{s.WallMs, s.WallMs + longestFor}
+	var taken []Span
+	for other, o := range s.Entries {
+		if span, has := s.has(o); has && other != id && s.touch(&o.Subject, &c.Subject) {
+			taken = append(taken, span)
+		}
+	}
+	for _, f := range s.Freezes {
+		if s.applies(f, c) {
+			taken = append(taken, s.during(f, ahead)...)
+		}
+	}
+	for _, b := range s.Budgets {
+		if b.Kind == c.Kind {
+			taken = append(taken, s.full(b, id)...)
+		}
+	}
+	free := gaps(taken, ahead, c.Needs())
+	return free[:min(most, len(free))]
+}
+
+// gaps lists what is left of a span beside others, in pieces of some length at least.
+func gaps(taken []Span, in Span, least float64) (free []Span) {
+	slices.SortFunc(taken, func(a, b Span) int { return cmp.Compare(a.FromMs, b.FromMs) })
+	at := in.FromMs
+	put := func(to float64) {
+		if to = min(to, in.ToMs); to > at && to-at >= least {
+			free = append(free, Span{at, to})
+		}
+	}
+	for _, p := range taken {
+		put(p.FromMs)
+		at = max(at, p.ToMs)
+	}
+	put(in.ToMs)
+	return free
+}
+
+// lasting words a time that something takes.
+func lasting(ms float64) string {
+	switch m := ms / 60e3; {
+	case m < 1:
+		return fmt.Sprintf("%.0f s", ms/1000)
+	case m < 120:
+		return fmt.Sprintf("%.0f min", m)
+	default:
+		return fmt.Sprintf("%.1f h", m/60)
+	}
+}
