--- a/calendar/migration_test.go
+++ b/calendar/migration_test.go
@@ -190,3 +190,42 @@
 	d.refused(Revert{99, "ana", "x"}, &unknown)
 	d.refused(Replace{99, 1, three(), "ana"}, &unknown)
 }
+
+func TestAnEditDropsWhatWasObservedForSomethingElse(t *testing.T) {
+	d := open(t)
+	c := change(0, hour)
+	c.Preconditions = []string{"no fault"}
+	id := d.plan(c)
+	d.must(Observe{id, "no fault", true, ""})
+	c.Do = json.RawMessage(`"other"`)
+	d.must(Edit{id, 1, c, "ana", false})
+	var precondition *PreconditionError
+	d.refused(Start{id}, &precondition)
+	d.must(Observe{id, "no fault", true, ""})
+	d.must(Start{id})
+}
+
+func TestOneHaltedAmidItsWatchStaysHalted(t *testing.T) {
+	d := open(t)
+	c := change(0, hour)
+	c.SoakMs, c.Postconditions = 10*min1, []string{"well"}
+	id := d.plan(c)
+	d.must(Start{id})
+	d.must(WaveDone{id, 1})
+	d.must(WaveDone{id, 2})
+	d.must(Halt{id, "ana", "look"})
+	d.pass(20 * min1)
+	d.must(Observe{id, "well", true, ""})
+	assert.Equal(t, Halted, d.stage(id))
+	d.must(Resume{id, "ana"})
+	assert.Equal(t, Done, d.stage(id))
+
+	id = d.plan(change(0, 2*hour))
+	d.must(Start{id})
+	d.must(WaveDone{id, 1})
+	d.must(Halt{id, "ana", "look"})
+	d.must(WaveDone{id, 2})
+	assert.Equal(t, Halted, d.stage(id), "its last wave was under way")
+	d.must(Resume{id, "ana"})
+	assert.Equal(t, Done, d.stage(id))
+}
