A request behind an answer is not taken for one ahead of it

The test is right.

Cause, frontdoor/client.go: an answer's writer says that it has left only after its write (answer: write, then cl.wrote). A client may have the answer and send its next request in between. The reader still took an answer to be owed (settle), held 8 KiB of what came (read), called the rest ahead of that answer and marked the connection as spilt: with the answer gone it ended the connection, orderly and without a word, and the request (65 kB in the test) was neither sent on nor answered.

Mend: the writer says before its first byte that the answer is leaving; a reader whose room is used up then waits for the writer in place of passing over.

--- a/frontdoor/client.go
+++ b/frontdoor/client.go
@@ -17,14 +17,15 @@
 
 // client is one client connection. Its goroutine reads, and ends it; answers are written by one goroutine each.
 type client struct {
-	c     *core
-	nc    net.Conn
-	wrote chan struct{} // an answer has left
-	shut  atomic.Bool   // no more requests are wanted on it
-	ahead atomic.Bool   // its reader holds bytes that wait for an answer to leave
-	spilt atomic.Bool   // more came ahead of an answer than is held: that answer is the last
-	ended atomic.Bool   // its last answer has left, or could not: nothing more is taken from it
-	began float64       // clock, ms
+	c      *core
+	nc     net.Conn
+	wrote  chan struct{} // an answer has left
+	shut   atomic.Bool   // no more requests are wanted on it
+	ahead  atomic.Bool   // its reader holds bytes that wait for an answer to leave
+	spilt  atomic.Bool   // more came ahead of an answer than is held: that answer is the last
+	ended  atomic.Bool   // its last answer has left, or could not: nothing more is taken from it
+	leaves atomic.Bool   // the answer owed is being written: what comes may come behind it
+	began  float64       // clock, ms
 
 	mu       sync.Mutex
 	woken    bool // the reader is wanted, whatever else it waits for
@@ -127,11 +128,16 @@
 func (r *reading) settle(cl *client) {
 	select {
 	case <-cl.wrote:
-		r.owed = false
+		r.left(cl)
 	default:
 	}
 }
 
+func (r *reading) left(cl *client) {
+	cl.leaves.Store(false)
+	r.owed = false
+}
+
 // read reads on, also while an answer is owed: a client that leaves is noticed behind whatever it sent. What comes ahead
 // of the answer is held as far as there is room, and then passed over.
 func (cl *client) read(r *reading) bool {
@@ -150,10 +156,17 @@
 		}
 		return err == nil || cl.goOn(r, err)
 	}
+	// A client may have its answer, and send its next request, before the answer's writer has said that it is written: that is
+	// not ahead of it. Taken for so, a large one would end the connection with no answer.
+	if cl.leaves.Load() {
+		<-cl.wrote
+		r.left(cl)
+		return true
+	}
 	cl.spilt.Store(true)
 	if r.passed >= mostPassed {
 		<-cl.wrote
-		r.owed = false
+		r.left(cl)
 		return true
 	}
 	over := pool.Get()[:pool.Size]
@@ -270,6 +283,7 @@
 
 // answer writes a request's answer. Behind the last one the reader ends the connection.
 func (cl *client) answer(answer []byte, last bool) {
+	cl.leaves.Store(true)
 	if well := cl.write(answer); !well || last {
 		cl.ended.Store(true)
 		if !well {
--- a/frontdoor/crossing_test.go
+++ b/frontdoor/crossing_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/pool"
 )
 
 // Crossings: a request, an answer, a signal or the end of a connection comes between two lines of the door. The door has
@@ -34,6 +35,7 @@
 
 const (
 	beforeWrite step = "before a write"
+	afterWrite  step = "after a write"
 	afterShut   step = "between shutdown and close"
 	beforeClose step = "before close"
 )
@@ -46,7 +48,9 @@
 
 func (s *stopping) Write(p []byte) (int, error) {
 	s.at(beforeWrite)
-	return s.TCPConn.Write(p)
+	n, err := s.TCPConn.Write(p)
+	s.at(afterWrite)
+	return n, err
 }
 
 func (s *stopping) CloseWrite() error {
@@ -581,3 +585,66 @@
 type endless struct{}
 
 func (endless) Read(p []byte) (int, error) { return copy(p, bytes.Repeat([]byte("x"), len(p))), nil }
+
+// A client has its answer, and sends its next request, before the answer's writer says that it is written. What comes then is not
+// ahead of that answer: more of it than the door holds ended the connection, and its client got nothing.
+func TestARequestBehindAnAnswerIsNotAheadOfIt(t *testing.T) {
+	c, _ := owned(t)
+	wrote, goOn := make(chan struct{}), make(chan struct{})
+	far, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer far.Close()
+	nc := dialled(t, far.Addr().String())
+	near, err := far.Accept()
+	require.NoError(t, err)
+	defer near.Close()
+	cl := newClient(c, &stopping{near.(*net.TCPConn), func(s step) {
+		if s == afterWrite {
+			close(wrote)
+			<-goOn
+		}
+	}})
+	r := bringing(strings.Repeat("x", pool.Size))
+	r.owed = true
+	go cl.answer([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), false)
+	await(t, wrote, "the answer's write")
+	assert.Equal(t, http.StatusOK, heard(t, nc).Status, "its client has it")
+	on := make(chan bool)
+	go func() { on <- cl.read(r) }()
+	close(goOn)
+	assert.True(t, await(t, on, "the reader"))
+	assert.False(t, cl.spilt.Load())
+	assert.False(t, r.owed)
+	assert.Len(t, r.rest, pool.Size, "nothing of it is lost")
+}
+
+// The same from end to end: each answer is at its client before its writer goes on, and each next request is larger than what is
+// held ahead of an answer.
+func TestLargeRequestsInTheInstantOfAnAnswerAreServed(t *testing.T) {
+	const body, times = 20000, 20
+	g := rigged(t, backendOf(open()), sends(nil))
+	held := make(chan chan struct{}, times)
+	g.at = func(s step) {
+		if s == afterWrite {
+			let := make(chan struct{})
+			held <- let
+			<-let
+		}
+	}
+	g.serve(t)
+	for !g.door.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	nc := dialled(t, g.addr)
+	for i := range times {
+		text := strings.Replace(strings.Replace(named(fmt.Sprint("n", i)), "GET /look", "POST /book", 1), "\r\n\r\n",
+			fmt.Sprintf("\r\nIdempotency-Key: k%d\r\nContent-Length: %d\r\n\r\n", i, body), 1) + strings.Repeat("x", body)
+		_, err := io.WriteString(nc, text)
+		require.NoError(t, err)
+		if i > 0 { // the next one has been sent; the writer of the answer before goes on
+			close(await(t, held, "the answer before"))
+		}
+		require.Equal(t, http.StatusOK, heard(t, nc).Status, "request %d", i)
+	}
+	close(await(t, held, "the last answer"))
+}
