Reading over: one stand-in for tests on sockets, one look at what is asked about, one refill

Nothing behaves otherwise; no assertion has changed, and neither the module nor the network code.

- frontdoor and internal/serving had the same listening stand-in in their tests: internal/loopback/loopbacktest.Serve serves both.
- calendar: approve and refuse looked at entry, stage and digest in the same words (asked); window end and lateness were added up in seven places (deadline); Conflicts worked out spans of freezes, and entries of budgets, that are not about the change at all.
- lab/model: a quota's refill stood twice, for the true state and for the one that is seen late (level.refilled).

--- a/calendar/calendar.go
+++ b/calendar/calendar.go
@@ -81,7 +81,7 @@
 	Kind           Kind            `json:"kind"`
 	Subject        Subject         `json:"subject"`
 	Window         Span            `json:"window"`                   // it begins in it, with time enough left
-	LateMs         float64         `json:"late_ms,omitempty"`        // past the window by which it may begin all the same, where it could not before
+	LateMs         float64         `json:"late_ms,omitempty"`        // past the window, in which it may still run
 	After          []uint64        `json:"after,omitempty"`          // entries that must be done before
 	Waves          int             `json:"waves"`                    // 1 or more
 	WaveMs         float64         `json:"wave_ms"`                  // that one takes, as measured
@@ -95,6 +95,9 @@
 // Needs is the time that it takes, its watch with it.
 func (c *Change) Needs() float64 { return float64(c.Waves)*c.WaveMs + c.SoakMs }
 
+// deadline is when it must be over: its window's end, with the lateness that it allows itself.
+func (c *Change) deadline() float64 { return c.Window.ToMs + c.LateMs }
+
 // Digest names what would be done: approvals are bound to it. A change that would do anything else, or at another time, has
 // another.
 func (c *Change) Digest() string {
@@ -643,15 +646,25 @@
 	return r.Subject.check(at + "subject")
 }
 
-func (s *State) approve(c Approve) (uint64, error) {
-	e := s.Entries[c.ID]
+// asked finds an entry that somebody is asked about, if it would still do what the digest names.
+func (s *State) asked(id uint64, digest, to string) (*Entry, error) {
+	e := s.Entries[id]
 	switch {
 	case e == nil:
-		return 0, &UnknownError{"entry", c.ID}
+		return nil, &UnknownError{"entry", id}
 	case e.Stage != Waiting && e.Stage != Approved && e.Stage != Due:
-		return 0, &StageError{e.ID, e.Stage, "approved"}
-	case c.Digest != e.Digest():
-		return 0, &ChangedError{"entry", e.ID, 0, e.Revision, s.last(e.ID)}
+		return nil, &StageError{id, e.Stage, to}
+	case digest != e.Digest():
+		return nil, &ChangedError{"entry", id, 0, e.Revision, s.last(id)}
+	}
+	return e, nil
+}
+
+func (s *State) approve(c Approve) (uint64, error) {
+	e, err := s.asked(c.ID, c.Digest, "approved")
+	switch {
+	case err != nil:
+		return 0, err
 	case c.Who == "":
 		return 0, &FormError{"who", "missing"}
 	case c.Who == e.Author:
@@ -664,14 +677,10 @@
 }
 
 func (s *State) refuse(c Refuse) (uint64, error) {
-	e := s.Entries[c.ID]
+	e, err := s.asked(c.ID, c.Digest, "refused")
 	switch {
-	case e == nil:
-		return 0, &UnknownError{"entry", c.ID}
-	case e.Stage != Waiting && e.Stage != Approved && e.Stage != Due:
-		return 0, &StageError{e.ID, e.Stage, "refused"}
-	case c.Digest != e.Digest():
-		return 0, &ChangedError{"entry", e.ID, 0, e.Revision, s.last(e.ID)}
+	case err != nil:
+		return 0, err
 	case c.Who == "" || c.Why == "":
 		return 0, &FormError{"why", "a refusal needs a name and a reason"}
 	}
@@ -737,7 +746,7 @@
 	} else if (e.Stage == Approved || e.Stage == Due) && s.lacks(e) != nil {
 		s.move(e, Waiting, "", "an approval lapsed, or a rule asks for more")
 	}
-	if e.Stage.planned() && s.WallMs >= e.Window.ToMs+e.LateMs {
+	if e.Stage.planned() && s.WallMs >= e.deadline() {
 		s.move(e, Missed, "", "its window passed")
 		return
 	}
@@ -755,7 +764,7 @@
 	switch {
 	case e.Stage == Running && f != nil && f.Sends == SendsBack && len(e.Rollback) > 0:
 		s.move(e, RollingBack, "", "freeze "+f.Name)
-	case e.Stage == Halted && f == nil && e.Window.ToMs+e.LateMs-s.WallMs >= e.left():
+	case e.Stage == Halted && f == nil && e.deadline()-s.WallMs >= e.left():
 		s.move(e, Running, "", "the freeze is over")
 	}
 }
--- a/calendar/find.go
+++ b/calendar/find.go
@@ -27,7 +27,7 @@
 	if s.WallMs < e.Window.FromMs {
 		return &EarlyError{e.ID, e.Window.FromMs}
 	}
-	if end := e.Window.ToMs + e.LateMs; s.WallMs+e.Needs() > end || s.WallMs >= end {
+	if end := e.deadline(); s.WallMs+e.Needs() > end || s.WallMs >= end {
 		return &ShortError{e.ID, end - s.WallMs, e.Needs()}
 	}
 	for _, id := range e.After {
@@ -87,12 +87,15 @@
 	}
 	for _, fid := range slices.Sorted(maps.Keys(s.Freezes)) {
 		f := s.Freezes[fid]
-		if spans := s.during(f, c.Window); s.applies(f, c) && len(spans) > 0 && len(gaps(spans, c.Window, c.Needs())) == 0 {
+		if !s.applies(f, c) {
+			continue
+		}
+		if spans := s.during(f, c.Window); len(spans) > 0 && len(gaps(spans, c.Window, c.Needs())) == 0 {
 			met = append(met, Conflict{fid, fmt.Sprintf("freeze %q leaves no %s of it", f.Name, lasting(c.Needs()))})
 		}
 	}
 	for _, b := range s.Budgets {
-		if full := s.full(b, id); b.Kind == c.Kind && slices.ContainsFunc(full, c.Window.meets) {
+		if b.Kind == c.Kind && slices.ContainsFunc(s.full(b, id), c.Window.meets) {
 			met = append(met, Conflict{0, fmt.Sprintf("%d of kind %s have part of it already, %d may be under way", b.Most, b.Kind, b.Most)})
 		}
 	}
@@ -106,11 +109,11 @@
 func (s *State) has(e *Entry) (Span, bool) {
 	switch {
 	case e.Stage.planned() && e.Stage != Drafted:
-		return Span{e.Window.FromMs, e.Window.ToMs + e.LateMs}, true
+		return Span{e.Window.FromMs, e.deadline()}, true
 	case s.holds(e) && !e.Stage.under():
 		return Span{min(s.WallMs, e.Window.FromMs), s.Migrations[e.Migration].untilMs(s)}, true
 	case e.Stage.under(): // one that is past its window lasts as long as its waves, at least
-		return Span{min(s.WallMs, e.Window.FromMs), max(e.Window.ToMs+e.LateMs, s.WallMs+max(1, e.left()))}, true
+		return Span{min(s.WallMs, e.Window.FromMs), max(e.deadline(), s.WallMs+max(1, e.left()))}, true
 	}
 	return Span{}, false
 }
--- a/calendar/migration.go
+++ b/calendar/migration.go
@@ -25,7 +25,7 @@
 func (m *Migration) untilMs(s *State) (ms float64) {
 	for _, id := range m.Steps {
 		if e := s.Entries[id]; e != nil {
-			ms = max(ms, e.Window.ToMs+e.LateMs)
+			ms = max(ms, e.deadline())
 		}
 	}
 	return max(ms, s.WallMs+1)
@@ -64,7 +64,7 @@
 			return &FormError{under + "rollback", "each step of a migration has a way back"}
 		case len(c.After) > 0:
 			return &FormError{under + "after", "a step waits for the one before it"}
-		case i > 0 && c.Window.ToMs+c.LateMs < steps[i-1].Window.FromMs+steps[i-1].Needs()+c.Needs():
+		case i > 0 && c.deadline() < steps[i-1].Window.FromMs+steps[i-1].Needs()+c.Needs():
 			return &FormError{under + "window", "it would be over before the step before it is done"}
 		}
 	}
--- a/frontdoor/core_test.go
+++ b/frontdoor/core_test.go
@@ -18,6 +18,7 @@
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
 	"github.com/swifthall/swifthall/internal/http1"
+	"github.com/swifthall/swifthall/internal/loopback/loopbacktest"
 	"github.com/swifthall/swifthall/internal/pool"
 	"github.com/swifthall/swifthall/internal/registry"
 )
@@ -311,7 +312,7 @@
 // it would have its effect unanswered, and a repeat of the client's would have it twice.
 func TestNothingIsTakenBehindAConnectionsLastAnswer(t *testing.T) {
 	c, _ := owned(t)
-	cl := newClient(c, dialled(t, standIn(t, keep)))
+	cl := newClient(c, dialled(t, loopbacktest.Serve(t, keep)))
 	cl.answer(http1.AppendAnswer(nil, http.StatusOK, 0, nil, true), true)
 	r := bringing(look)
 	r.owed = true
@@ -410,7 +411,7 @@
 // a call would have no end, and the reply to the next connection's first would be taken for its.
 func TestACallIsNotLoadedOntoAConnectionThatHasEnded(t *testing.T) {
 	c, _ := owned(t)
-	conn := newCounterConn(c, standIn(t, func(nc net.Conn) { nc.Close() }))
+	conn := newCounterConn(c, loopbacktest.Serve(t, func(nc net.Conn) { nc.Close() }))
 	nc, how := conn.connect(t.Context())
 	require.Equal(t, endWell, how)
 	for conn.up() != nil { // its reader sees the end and is over
@@ -459,7 +460,7 @@
 	} {
 		c, _ := owned(t)
 		far := make(chan net.Conn, 2)
-		c.backends[0].addr = standIn(t, func(nc net.Conn) { far <- nc })
+		c.backends[0].addr = loopbacktest.Serve(t, func(nc net.Conn) { far <- nc })
 		near := dialled(t, c.backends[0].addr)
 		raw, err := near.(syscall.Conn).SyscallConn()
 		require.NoError(t, err)
@@ -574,7 +575,7 @@
 	stopped := false
 	old.stop = func() { stopped = true }
 	asks := make(chan string, 9)
-	next := standIn(t, registryOf("127.0.0.1:7", asks, keep))
+	next := loopbacktest.Serve(t, registryOf("127.0.0.1:7", asks, keep))
 	reloaded{next, "127.0.0.1:2"}.take(c)
 	assert.Equal(t, "/registry/instances?stream=1", <-asks, "the whole list, at once")
 	assert.Equal(t, []string{"127.0.0.1:2", "127.0.0.1:2"}, []string{c.counters[0].addr, c.counters[1].addr})
--- a/frontdoor/crossing_test.go
+++ b/frontdoor/crossing_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/loopback/loopbacktest"
 	"github.com/swifthall/swifthall/internal/pool"
 )
 
@@ -137,7 +138,7 @@
 func rigged(t *testing.T, backend func(net.Conn), d gate.Decider) *rig {
 	g := &rig{cfg: settled(), decider: d}
 	g.cfg.Sockets, g.cfg.Pace.Linger = 1000, 100
-	g.cfg.Discovery = standIn(t, registryOf(standIn(t, backend), make(chan string, 99), keep))
+	g.cfg.Discovery = loopbacktest.Serve(t, registryOf(loopbacktest.Serve(t, backend), make(chan string, 99), keep))
 	return g
 }
 
@@ -479,7 +480,7 @@
 // A wish that the reader look at its connection is not lost to a deadline that the reader sets just then.
 func TestAWishIsNotLostToADeadline(t *testing.T) {
 	c, _ := owned(t)
-	cl := newClient(c, dialled(t, standIn(t, keep)))
+	cl := newClient(c, dialled(t, loopbacktest.Serve(t, keep)))
 	cl.wake()
 	cl.limit(time.Time{}) // the line after, in the reader
 	ended := make(chan error, 1)
@@ -495,7 +496,7 @@
 	c, _ := owned(t)
 	c.cfg.Pace.FirstWord, c.cfg.Pace.Silence = 20, 3600e3
 	asks := make(chan string, 99)
-	c.cfg.Discovery = standIn(t, func(nc net.Conn) {
+	c.cfg.Discovery = loopbacktest.Serve(t, func(nc net.Conn) {
 		if req, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
 			asks <- req.RequestURI
 		}
@@ -511,8 +512,8 @@
 	t.Cleanup(func() { close(hung) })
 	events := make(chan gate.Event, 9999)
 	g := rigged(t, backendOf(hung), sends(events))
-	backend := standIn(t, backendOf(hung))
-	g.cfg.Discovery = standIn(t, registryOf(backend, asks, func(nc net.Conn) { down <- nc }))
+	backend := loopbacktest.Serve(t, backendOf(hung))
+	g.cfg.Discovery = loopbacktest.Serve(t, registryOf(backend, asks, func(nc net.Conn) { down <- nc }))
 	g.cfg.Sockets, g.cfg.Deal.LongestWait = 100, 3600e3
 	g.cfg.Pace.IdleClient, g.cfg.Pace.Linger = 3600e3, 3600e3 // none of them gives way
 	g.serve(t)
@@ -576,7 +577,7 @@
 // What was passed over leaves a gap: nothing behind it is read as a request.
 func TestNothingIsReadBehindAGap(t *testing.T) {
 	c, _ := owned(t)
-	cl := newClient(c, dialled(t, standIn(t, keep)))
+	cl := newClient(c, dialled(t, loopbacktest.Serve(t, keep)))
 	cl.spilt.Store(true) // after its answer was worded, which does not say that it is the last
 	assert.False(t, cl.step(bringing(look)))
 	assert.Empty(t, c.notes)
--- a/frontdoor/serve_test.go
+++ b/frontdoor/serve_test.go
@@ -18,26 +18,10 @@
 
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/loopback/loopbacktest"
 	"github.com/swifthall/swifthall/policy"
 )
 
-// standIn answers every connection to a port of its own by a function.
-func standIn(t *testing.T, serve func(nc net.Conn)) (addr string) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(nc)
-		}
-	}()
-	return ln.Addr().String()
-}
-
 // backendOf answers requests with their body, or "hi", once it may.
 func backendOf(may <-chan struct{}) func(net.Conn) {
 	return func(nc net.Conn) {
@@ -103,7 +87,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0") // the door's own from here on: nobody else can have its port meanwhile
 	require.NoError(t, err)
 	cfg.Listen, cfg.Sockets = ln.Addr().String(), 1000 // short of sockets only where a test means it
-	cfg.Discovery = standIn(t, registryOf(standIn(t, backendOf(may)), make(chan string, 9), keep))
+	cfg.Discovery = loopbacktest.Serve(t, registryOf(loopbacktest.Serve(t, backendOf(may)), make(chan string, 9), keep))
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	end := make(chan error, 1)
@@ -172,7 +156,7 @@
 
 func TestNothingIsGatheredAheadOfAnAnswer(t *testing.T) {
 	c, _ := owned(t)
-	cl := newClient(c, dialled(t, standIn(t, keep)))
+	cl := newClient(c, dialled(t, loopbacktest.Serve(t, keep)))
 	r := bringing("GET /health/live HTTP/1.1\r\n")
 	r.owed = true
 	assert.True(t, cl.step(r))
@@ -192,7 +176,7 @@
 func TestAnIdleConnectionThatIsClosedIsReadOnceMore(t *testing.T) {
 	c, _ := owned(t)
 	come := make(chan struct{})
-	nc := dialled(t, standIn(t, func(nc net.Conn) {
+	nc := dialled(t, loopbacktest.Serve(t, func(nc net.Conn) {
 		<-come
 		cl := newClient(c, nc)
 		cl.close()
@@ -246,7 +230,7 @@
 func TestABrokenWatchGoesOnFromItsVersion(t *testing.T) {
 	c, _ := owned(t)
 	asks := make(chan string, 9)
-	c.cfg.Discovery = standIn(t, registryOf("127.0.0.1:1", asks, func(nc net.Conn) { nc.Close() }))
+	c.cfg.Discovery = loopbacktest.Serve(t, registryOf("127.0.0.1:1", asks, func(nc net.Conn) { nc.Close() }))
 	go c.follow(t.Context(), c.cfg.Discovery, 0, 0)
 	assert.Equal(t, "/registry/instances?stream=1", <-asks)
 	assert.Equal(t, "/registry/instances?stream=1&index=41", <-asks)
@@ -256,7 +240,7 @@
 	c, _ := owned(t)
 	c.cfg.Pace.Silence = 20
 	asks := make(chan string, 9)
-	c.cfg.Discovery = standIn(t, registryOf("127.0.0.1:1", asks, keep))
+	c.cfg.Discovery = loopbacktest.Serve(t, registryOf("127.0.0.1:1", asks, keep))
 	go c.follow(t.Context(), c.cfg.Discovery, 0, 0)
 	<-asks
 	assert.Equal(t, "/registry/instances?stream=1&index=41", <-asks)
@@ -264,7 +248,7 @@
 
 func TestTheCounterIsCalledInOrderAndDialledAgain(t *testing.T) {
 	c, _ := owned(t)
-	c.cfg.Counter = standIn(t, func(nc net.Conn) {
+	c.cfg.Counter = loopbacktest.Serve(t, func(nc net.Conn) {
 		defer nc.Close() // after one reply
 		nc.Read(make([]byte, 4096))
 		io.WriteString(nc, "$3\r\n2.5\r\n")
--- a/frontdoor/terms_test.go
+++ b/frontdoor/terms_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/loopback/loopbacktest"
 	"github.com/swifthall/swifthall/policy"
 )
 
@@ -129,9 +130,9 @@
 	g.cfg.Deal.Classes = map[string]int{"look": 0, "book": 1, "buy": 2, "brief": 3}
 	list := ""
 	for i, b := range backends {
-		list += fmt.Sprintf(`,{"instanceId":"s%d","hostPort":%q,"lifecycle":"Ready","weight":1}`, i, standIn(t, b))
+		list += fmt.Sprintf(`,{"instanceId":"s%d","hostPort":%q,"lifecycle":"Ready","weight":1}`, i, loopbacktest.Serve(t, b))
 	}
-	g.cfg.Discovery = standIn(t, func(nc net.Conn) {
+	g.cfg.Discovery = loopbacktest.Serve(t, func(nc net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
 			line := `{"generation":41,"reset":true,"instances":[` + list[1:] + `]}`
 			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(line)+1, line)
@@ -341,7 +342,7 @@
 func TestSocketsFullOfIdleClientsKeepNobodyOut(t *testing.T) {
 	const busy, fresh, sockets = 5, 40, 256
 	may, came := make(chan struct{}), make(chan struct{}, busy)
-	backend := standIn(t, func(nc net.Conn) { // every answer is its connection's last: each request needs a socket
+	backend := loopbacktest.Serve(t, func(nc net.Conn) { // every answer is its connection's last: each request needs a socket
 		defer nc.Close()
 		req, err := http.ReadRequest(bufio.NewReader(nc))
 		if err != nil {
@@ -365,14 +366,14 @@
 	asks, watches := make(chan string, 999), make(chan net.Conn, 9)
 	tells := registryOf(backend, asks, func(nc net.Conn) { watches <- nc })
 	g := decided(t, resets)
-	g.cfg.Discovery = standIn(t, func(nc net.Conn) {
+	g.cfg.Discovery = loopbacktest.Serve(t, func(nc net.Conn) {
 		if down.Load() {
 			nc.Close()
 			return
 		}
 		tells(nc)
 	})
-	g.cfg.Counter, g.cfg.Sockets = standIn(t, counter), sockets
+	g.cfg.Counter, g.cfg.Sockets = loopbacktest.Serve(t, counter), sockets
 	g.cfg.Pace.IdleClient = 3600e3
 	g.cfg.Deal.LongestWait = 3600e3
 	terms := &g.cfg.Deal.Terms
--- a/internal/serving/process_test.go
+++ b/internal/serving/process_test.go
@@ -20,6 +20,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/swifthall/swifthall/internal/loopback/loopbacktest"
 )
 
 // Doors as processes: this test's program serves as one where it is told to.
@@ -49,25 +51,9 @@
 	may          chan struct{} // closed when it may answer
 }
 
-func listens(t *testing.T, serve func(net.Conn)) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(nc)
-		}
-	}()
-	return ln.Addr().String()
-}
-
 func placed(t *testing.T, discovery func(backend string) func(net.Conn)) *place {
 	p := &place{came: make(chan string, 99), may: make(chan struct{})}
-	backend := listens(t, func(nc net.Conn) {
+	backend := loopbacktest.Serve(t, func(nc net.Conn) {
 		defer nc.Close()
 		for r := bufio.NewReader(nc); ; {
 			req, err := http.ReadRequest(r)
@@ -84,7 +70,7 @@
 	var cfg map[string]any
 	require.NoError(t, json.Unmarshal(raw, &cfg))
 	p.listen = "127.0.0.1:0"
-	cfg["listen"], cfg["discovery"] = p.listen, listens(t, discovery(backend))
+	cfg["listen"], cfg["discovery"] = p.listen, loopbacktest.Serve(t, discovery(backend))
 	raw, err = json.Marshal(cfg)
 	require.NoError(t, err)
 	p.file = filepath.Join(t.TempDir(), "door.json")
--- a/lab/model/deal.go
+++ b/lab/model/deal.go
@@ -110,6 +110,11 @@
 
 type level struct{ units, at float64 }
 
+// refilled is what a quota holds at a later time.
+func (l level) refilled(p *scenario.Plan, at float64) float64 {
+	return min(p.Depth, l.units+p.PerS/1000*(at-l.at))
+}
+
 func (t *truth) take(w *World, customer, plan int, units float64) bool {
 	p := &w.s.Plans[plan]
 	if t.of == nil {
@@ -119,7 +124,7 @@
 	if !known {
 		l = level{p.Depth, w.now}
 	}
-	l.units, l.at = min(p.Depth, l.units+p.PerS/1000*(w.now-l.at)), w.now
+	l.units, l.at = l.refilled(p, w.now), w.now
 	has := l.units >= units
 	if has {
 		l.units -= units
@@ -138,12 +143,11 @@
 		k = &lately{was: level{p.Depth, w.now - lateMs}}
 		t.late[customer] = k
 	}
-	to := func(at float64) float64 { return min(p.Depth, k.was.units+p.PerS/1000*(at-k.was.at)) }
 	for len(k.taken) > 0 && k.taken[0].at <= w.now-lateMs {
-		k.was = level{to(k.taken[0].at) - k.taken[0].units, k.taken[0].at}
+		k.was = level{k.was.refilled(p, k.taken[0].at) - k.taken[0].units, k.taken[0].at}
 		k.taken = k.taken[1:]
 	}
-	left := to(w.now)
+	left := k.was.refilled(p, w.now)
 	for _, n := range k.taken {
 		if n.door == door {
 			left -= n.units
