--- a/calendar/calendar.go
+++ b/calendar/calendar.go
@@ -206,8 +206,8 @@
 type State struct {
 	NowMs        float64               `json:"now_ms"`  // agreed clock: it only grows, and stands still while nobody leads
 	WallMs       float64               `json:"wall_ms"` // agreed time: what a majority's wall clocks show; it only grows
-	Doubt        string                `json:"doubt,omitempty"`
-	Size         int                   `json:"size"` // coordinators
+	Doubt        string                `json:"doubt"`   // why time stands still; empty where it doesn't, which must be written down
+	Size         int                   `json:"size"`    // coordinators
 	Readings     map[string]Reading    `json:"readings,omitempty"`
 	NextID       uint64                `json:"next_id"`
 	Entries      map[uint64]*Entry     `json:"entries"`
@@ -362,14 +362,19 @@
 // Do takes a command in, at a reading of the agreed clock. Its number is an entry's or a freeze's, or the next wave. A command
 // with an error has changed nothing but what time alone changes.
 func (s *State) Do(nowMs float64, c any) (number uint64, err error) {
-	s.NowMs = max(s.NowMs, nowMs)
-	s.tell()
-	s.pass()
+	s.Pass(nowMs)
 	number, err = s.do(c)
 	s.pass()
 	return number, err
 }
 
+// Pass has time pass, up to a reading of the agreed clock.
+func (s *State) Pass(nowMs float64) {
+	s.NowMs = max(s.NowMs, nowMs)
+	s.tell()
+	s.pass()
+}
+
 func (s *State) do(c any) (uint64, error) {
 	switch c := c.(type) {
 	case Plan:
@@ -705,12 +710,17 @@
 	return e.ID, nil
 }
 
+// asks tells whether a rule is about a change.
+func (s *State) asks(r *Rule, c *Change) bool {
+	return (len(r.Kinds) == 0 || slices.Contains(r.Kinds, c.Kind)) && s.touch(&r.Subject, &c.Subject)
+}
+
 // lacks tells what approvals an entry lacks: a rule, and how many so far. The same person counts once for each rule.
 func (s *State) lacks(e *Entry) error {
 	digest := e.Digest()
 	for i := range s.Rules {
 		r := &s.Rules[i]
-		if len(r.Kinds) > 0 && !slices.Contains(r.Kinds, e.Kind) || !s.touch(&r.Subject, &e.Subject) {
+		if !s.asks(r, &e.Change) {
 			continue
 		}
 		last := r.ForMs
--- a/calendar/errors.go
+++ b/calendar/errors.go
@@ -200,6 +200,9 @@
 }
 
 func (e *BusyError) Error() string {
+	if e.ID == 0 {
+		return fmt.Sprintf("entry %d is %s on what this would change", e.Other, e.Stage)
+	}
 	return fmt.Sprintf("entry %d is %s on what entry %d would change", e.Other, e.Stage, e.ID)
 }
 func (e *BusyError) Kind() remedy.Kind { return remedy.Refused }
@@ -269,3 +272,21 @@
 func (e *BegunError) Remedy() string {
 	return fmt.Sprintf("Leave the first steps as they are in the calendar, or revert migration %d and plan anew.", e.ID)
 }
+
+// UnplannedError is a change that an operator gives at once, though a rule asks for approvals of such.
+type UnplannedError struct {
+	Of      Kind
+	Subject string
+	Count   int
+	Roles   []string
+}
+
+func (e *UnplannedError) Error() string {
+	return fmt.Sprintf("a %s of %s asks for %d approvals%s", e.Of, e.Subject, e.Count, ofRoles(e.Roles))
+}
+func (e *UnplannedError) Kind() remedy.Kind { return remedy.Refused }
+
+// Remedy says where they are given.
+func (e *UnplannedError) Remedy() string {
+	return "Plan it in the calendar with swifthall plan, and have it approved; it begins by itself then."
+}
--- a/calendar/find.go
+++ b/calendar/find.go
@@ -41,30 +41,59 @@
 	if name, seen := e.unobserved(e.Preconditions, s.WallMs-sightFor); name != "" {
 		return &PreconditionError{e.ID, name, seen}
 	}
+	return s.taken(e.ID, e.Migration, &e.Change)
+}
+
+// MayBegin is the first thing that keeps a change that nobody has planned from beginning now, as an operator's own drain: a freeze,
+// a rule that asks for approvals, an entry that has its subject, a budget. Where the calendar is empty it asks for nothing.
+func (s *State) MayBegin(k Kind, b Subject) error {
+	c := &Change{Kind: k, Subject: b}
+	for _, id := range slices.Sorted(maps.Keys(s.Freezes)) {
+		f := s.Freezes[id]
+		if !s.applies(f, c) {
+			continue
+		}
+		if s.Doubt != "" {
+			return &ClockError{s.Doubt}
+		}
+		if _, is := f.at(s.WallMs); is {
+			return &FrozenError{f.ID, f.Name, f.until(s.WallMs), f.Who}
+		}
+	}
+	for i := range s.Rules {
+		if r := &s.Rules[i]; s.asks(r, c) {
+			return &UnplannedError{k, b.String(), r.Count, r.Roles}
+		}
+	}
+	return s.taken(0, 0, c)
+}
+
+// taken tells which other entry has what a change touches, or that a budget is used up by others.
+func (s *State) taken(own, migration uint64, c *Change) error {
 	under := 0
 	for _, id := range slices.Sorted(maps.Keys(s.Entries)) {
 		o := s.Entries[id]
-		if !s.holds(o) || o.Migration != 0 && o.Migration == e.Migration && !o.Stage.under() {
+		if !s.Holds(o) || o.Migration != 0 && o.Migration == migration && !o.Stage.under() {
 			continue
 		}
-		if s.touch(&o.Subject, &e.Subject) {
-			return &BusyError{e.ID, id, o.Stage, o.Author}
+		if s.touch(&o.Subject, &c.Subject) {
+			return &BusyError{own, id, o.Stage, o.Author}
 		}
-		if o.Kind == e.Kind && o.Stage.under() {
+		if o.Kind == c.Kind && o.Stage.under() {
 			under++
 		}
 	}
 	for _, b := range s.Budgets {
-		if b.Kind == e.Kind && under >= b.Most {
+		if b.Kind == c.Kind && under >= b.Most {
 			return &FullError{b, under}
 		}
 	}
 	return nil
 }
 
-// holds tells whether an entry has its subject: while it is under way, and as a done step until its migration is over, or the way
+// Holds tells whether an entry has its subject: while it is under way, and as a done step until its migration is over, or the way
 // back could not end where the migration began.
-func (s *State) holds(e *Entry) bool {
+func (s *State) Holds(e *Entry) bool {
 	return e.Stage.under() || e.Stage == Done && s.live(e.Migration)
 }
 
@@ -110,7 +139,7 @@
 	switch {
 	case e.Stage.planned() && e.Stage != Drafted:
 		return Span{e.Window.FromMs, e.deadline()}, true
-	case s.holds(e) && !e.Stage.under():
+	case s.Holds(e) && !e.Stage.under():
 		return Span{min(s.WallMs, e.Window.FromMs), s.Migrations[e.Migration].untilMs(s)}, true
 	case e.Stage.under(): // one that is past its window lasts as long as its waves, at least
 		return Span{min(s.WallMs, e.Window.FromMs), max(e.deadline(), s.WallMs+max(1, e.left()))}, true
--- a/calendar/freeze.go
+++ b/calendar/freeze.go
@@ -153,7 +153,7 @@
 
 func (f *Freeze) until(ms float64) float64 {
 	s, _ := f.at(ms)
-	return s.ToMs
+	return min(s.ToMs, ms+longestFor) // one that is known no further ahead has no end that could be written down
 }
 
 func (s *State) applies(f *Freeze, c *Change) bool {
--- a/config/coordinator.go
+++ b/config/coordinator.go
@@ -22,9 +22,26 @@
 	Routes map[string]string `json:"routes"` // where it reaches others, by name, if not where they say
 	Log    Log               `json:"log"`
 
+	Calendar Told `json:"calendar"`
+
 	Members []NamedAddress `json:"-"` // Peers, taken apart
 }
 
+// Told is who is told what happens in the calendar, besides the log.
+type Told struct {
+	Events string   `json:"events"`  // file that each event is added to, as a line of JSON
+	Hook   []string `json:"hook"`    // command that is run for each, with the line for its input
+	HookMs float64  `json:"hook_ms"` // that it is given
+	Tries  int      `json:"tries"`   // for each, a second apart
+}
+
+const (
+	defaultHookMs = 5e3 // a message to a chat or a mail takes some seconds at most
+	mostHookMs    = 60e3
+	defaultTries  = 5
+	mostTries     = 100
+)
+
 // NamedAddress is "name/address", taken apart.
 type NamedAddress struct{ Name, Address string }
 
@@ -108,6 +125,22 @@
 			bad("routes."+name, "%q is not an IP address with a port", at)
 		}
 	}
+	t := &c.Calendar
+	if t.HookMs == 0 {
+		t.HookMs = defaultHookMs
+	}
+	if t.Tries == 0 {
+		t.Tries = defaultTries
+	}
+	if len(t.Hook) > 0 && t.Hook[0] == "" {
+		bad("calendar.hook", "a command with its arguments is wanted")
+	}
+	if !(t.HookMs >= 1 && t.HookMs <= mostHookMs) {
+		bad("calendar.hook_ms", "%g, 1 to %g are wanted", t.HookMs, mostHookMs)
+	}
+	if t.Tries < 1 || t.Tries > mostTries {
+		bad("calendar.tries", "%d, 1 to %d are wanted", t.Tries, mostTries)
+	}
 	if c.Log.Level == "" {
 		c.Log.Level = "info"
 	}
--- a/coordinator/client/client.go
+++ b/coordinator/client/client.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/swifthall/swifthall/calendar"
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/permits"
 	"github.com/swifthall/swifthall/release"
@@ -26,6 +27,8 @@
 	TryPath     = "/try"
 	AuditPath   = "/audit"
 	MembersPath = "/members"
+
+	CalendarPath = "/calendar"
 )
 
 // Hint is what one that doesn't lead answers: who does, as far as it knows.
@@ -97,6 +100,21 @@
 	Seen     map[string]string       `json:"seen"` // process of each backend
 }
 
+// CalendarQuestion asks for the calendar, and about an entry or a change.
+type CalendarQuestion struct {
+	ID     uint64           `json:"id,omitempty"`     // what is in the way of this entry; or the change's own
+	Change *calendar.Change `json:"change,omitempty"` // what it would meet, and when there is room for it
+	Most   int              `json:"most,omitempty"`   // free windows
+}
+
+// CalendarAnswer answers it.
+type CalendarAnswer struct {
+	Calendar json.RawMessage     `json:"calendar"` // a calendar.State
+	InTheWay permits.Answer      `json:"in_the_way"`
+	Met      []calendar.Conflict `json:"met,omitempty"`
+	Free     []calendar.Span     `json:"free,omitempty"`
+}
+
 const (
 	attempt  = 900 * time.Millisecond // of one question to one coordinator; a leader that is well answers in some ms
 	rest     = 100 * time.Millisecond // between rounds over all of them
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -20,6 +20,7 @@
 	"github.com/hashicorp/raft"
 	"github.com/sirupsen/logrus"
 
+	"github.com/swifthall/swifthall/calendar"
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/coordinator/client"
 	"github.com/swifthall/swifthall/internal/fields"
@@ -54,6 +55,7 @@
 	group  sync.WaitGroup
 	slow   atomic.Int32 // writes in a row that were slow
 	wrong  time.Duration
+	anew   bool // it was restored: what was agreed last may be lost
 
 	mu     sync.Mutex
 	term   *term // while this one leads, and has said so
@@ -71,9 +73,10 @@
 
 func (t *term) now() float64 { return t.base + float64(time.Since(t.began))/1e6 }
 
-// Start begins, by what the store holds, or anew with its peers. Its wall clock is taken to be wrong by so much.
-func Start(cfg config.Coordinator, st store.Store, transport raft.Transport, wrong time.Duration, log logrus.FieldLogger) (*Coordinator, error) {
-	c := &Coordinator{cfg: cfg, log: log, wrong: wrong, failed: make(chan error, 1), done: make(chan struct{}), silent: map[raft.ServerID]time.Time{}}
+// Start begins, by what the store holds, or anew with its peers. Of the options it heeds by how much its wall clock is to be wrong,
+// and whether it was restored.
+func Start(cfg config.Coordinator, st store.Store, transport raft.Transport, o Options, log logrus.FieldLogger) (*Coordinator, error) {
+	c := &Coordinator{cfg: cfg, log: log, wrong: o.Wrong, anew: o.Restore, failed: make(chan error, 1), done: make(chan struct{}), silent: map[raft.ServerID]time.Time{}}
 	c.fsm = &machine{state: permits.New(), failed: c.Failed}
 	rc := c.raftConfig()
 	existing, err := raft.HasExistingState(st, st, st)
@@ -93,6 +96,8 @@
 	c.raft.RegisterObserver(raft.NewObserver(seen, false, nil))
 	c.group.Go(func() { c.observe(seen) })
 	c.group.Go(c.lead)
+	c.group.Go(c.clocks)
+	c.group.Go(c.events)
 	return c, nil
 }
 
@@ -233,6 +238,11 @@
 	if _, err := c.apply(t, permits.Lead{Name: c.cfg.Name, API: c.cfg.API, Epoch: rand.Uint64()>>1 | 1}); err != nil {
 		return
 	}
+	if c.anew && !c.fsm.told() {
+		if _, err := c.apply(t, calendar.Restored{Who: c.cfg.Name}); err != nil {
+			return
+		}
+	}
 	c.set(t)
 	c.log.WithField(fields.Door, c.cfg.Name).Info("leads")
 }
@@ -251,6 +261,7 @@
 	}
 	c.judge(t)
 	c.errands(t)
+	c.schedule(t)
 }
 
 // apply gives a command of the leader's own.
@@ -414,11 +425,8 @@
 			p := client.Place{Permit: *s.Permits[n]}
 			if p.Order && p.Unit.Kind == permits.Backend {
 				p.Waiting = s.Waiting(s.Permits[n])
-				p.Drained = !p.Over && len(p.Waiting) == 0
-			} else if p.Order {
-				u := s.Units["door/"+p.Unit.Name]
-				p.Drained = !p.Over && p.Stage == permits.Out && u != nil && u.Standing != permits.Ready
 			}
+			p.Drained = s.Drained(s.Permits[n])
 			st.Places = append(st.Places, p)
 		}
 	}
@@ -455,6 +463,10 @@
 		return c.elsewhere()
 	}
 	var err error
+	c.fsm.read(func(s *permits.State) { err = s.Calendar.MayBegin(calendar.Coordinators, calendar.Subject{Scope: calendar.Fleet}) })
+	if err != nil {
+		return &CalendarError{err}
+	}
 	if ch.Add {
 		err = c.raft.AddVoter(raft.ServerID(ch.Name), raft.ServerAddress(ch.Address), 0, memberFor).Error()
 	} else {
@@ -485,9 +497,16 @@
 
 // machine is the state behind raft.
 type machine struct {
-	mu     sync.Mutex
-	state  *permits.State
-	failed func(error)
+	mu       sync.Mutex
+	state    *permits.State
+	restored bool // the calendar has heard of a restore since this process began
+	failed   func(error)
+}
+
+func (m *machine) told() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.restored
 }
 
 func (m *machine) read(do func(*permits.State)) {
@@ -505,6 +524,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if _, is := cmd.Do.(calendar.Restored); is {
+		m.restored = true
+	}
 	return m.state.Apply(cmd)
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -36,6 +37,8 @@
 	store store.Store
 	layer raft.StreamLayer
 	trans *raft.NetworkTransport
+
+	options Options
 	api   *httptest.Server
 }
 
@@ -60,10 +63,15 @@
 	}
 	p.trans = Transport(p.layer, nil, quiet())
 	p.layer = nil
-	var err error
-	p.Coordinator, err = Start(p.cfg, p.store, p.trans, 0, quiet())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p.cfg.API = ln.Addr().String()
+	p.Coordinator, err = Start(p.cfg, p.store, p.trans, p.options, quiet())
 	require.NoError(t, err)
-	p.api = httptest.NewServer(p.Handler())
+	p.api = httptest.NewUnstartedServer(p.Handler())
+	p.api.Listener.Close()
+	p.api.Listener = ln
+	p.api.Start()
 	t.Cleanup(p.end)
 }
 
@@ -71,7 +79,7 @@
 	var members []config.NamedAddress
 	for i := range n {
 		p := fresh(t, fmt.Sprint("c-", i))
-		members = append(members, config.NamedAddress{Name: p.cfg.Name, Address: p.cfg.Listen})
+		members = append(members, named(p))
 		all = append(all, p)
 	}
 	for _, p := range all {
@@ -81,6 +89,10 @@
 	return all
 }
 
+func named(p *peer) config.NamedAddress {
+	return config.NamedAddress{Name: p.cfg.Name, Address: p.cfg.Listen}
+}
+
 func fresh(t *testing.T, name string) *peer {
 	at, err := loopback.Free() // it is taken again after a restart
 	require.NoError(t, err)
--- a/coordinator/errors.go
+++ b/coordinator/errors.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/swifthall/swifthall/coordinator/client"
@@ -102,3 +103,34 @@
 func (e *RouteError) Remedy() string {
 	return "Nothing, where it can be reached as it says; else name it in the key \"routes\"."
 }
+
+// CalendarError is a change of the coordinators that the calendar doesn't let through.
+type CalendarError struct{ Cause error }
+
+func (e *CalendarError) Error() string     { return remedy.Because("coordinators", e.Cause) }
+func (e *CalendarError) Unwrap() error     { return e.Cause }
+func (e *CalendarError) Kind() remedy.Kind { return remedy.Refused }
+
+// Remedy is the calendar's own.
+func (e *CalendarError) Remedy() string {
+	var own remedy.Error
+	if errors.As(e.Cause, &own) {
+		return own.Remedy()
+	}
+	return "Look at the calendar with swifthall calendar."
+}
+
+// EventError is a file or a command that could not be told of an event of the calendar.
+type EventError struct {
+	To    string
+	Cause error
+}
+
+func (e *EventError) Error() string     { return remedy.Because(e.To, e.Cause) }
+func (e *EventError) Unwrap() error     { return e.Cause }
+func (e *EventError) Kind() remedy.Kind { return remedy.Refused }
+
+// Remedy names the keys.
+func (e *EventError) Remedy() string {
+	return "See that the file of \"calendar.events\" can be written, and that the command of \"calendar.hook\" ends with 0 in time; swifthall history has what was not told."
+}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -98,7 +98,7 @@
 		}
 		log.Warn("restored: the peers of the configuration are the only coordinators")
 	}
-	if c, err = Start(cfg, st, transport, o.Wrong, log); err != nil {
+	if c, err = Start(cfg, st, transport, o, log); err != nil {
 		api.Close()
 		return err
 	}
@@ -146,6 +146,7 @@
 		}
 		return st, nil
 	})
+	post(mux, client.CalendarPath, func(q *client.CalendarQuestion) (any, error) { return c.Calendar(q) })
 	mux.HandleFunc("GET "+client.StatusPath, func(w http.ResponseWriter, _ *http.Request) { say(w, http.StatusOK, c.Status()) })
 	mux.HandleFunc("GET "+client.AuditPath, func(w http.ResponseWriter, _ *http.Request) { say(w, http.StatusOK, c.Audit()) })
 	return mux
@@ -173,11 +174,14 @@
 		a, err := answer(&q)
 		var elsewhere *ElsewhereError
 		var members *MembersError
+		var held *CalendarError
 		switch {
 		case errors.As(err, &elsewhere):
 			say(w, http.StatusMisdirectedRequest, elsewhere.Hint)
 		case errors.As(err, &members):
 			say(w, http.StatusBadRequest, client.Hint{Says: members.Error() + ". " + members.Remedy()})
+		case errors.As(err, &held):
+			say(w, http.StatusBadRequest, client.Hint{Says: held.Error() + ". " + held.Remedy()})
 		case err != nil:
 			say(w, http.StatusServiceUnavailable, client.Hint{Says: err.Error()})
 		default:
--- /dev/null
+++ b/permits/calendar_test.go
@@ -0,0 +1,581 @@
+package permits
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/swifthall/swifthall/calendar"
+	"github.com/swifthall/swifthall/release"
+)
+
+const hour = 3600e3
+
+// onTime has agreed time: three coordinators tell their clocks, which show now and some years.
+func (s *site) onTime() {
+	for i := range 3 {
+		s.do(fmt.Sprint("clock", i), calendar.Clock{Name: fmt.Sprint("c", i), WallMs: wallAt + s.now, Size: 3})
+	}
+}
+
+const wallAt = 1.8e12
+
+func (s *site) later(ms float64) {
+	s.now += ms
+	s.onTime()
+}
+
+func undo() json.RawMessage { return json.RawMessage(`{"undo":true}`) }
+
+func window(fromMs, toMs float64) calendar.Span {
+	return calendar.Span{FromMs: wallAt + fromMs, ToMs: wallAt + toMs}
+}
+
+func drainOf(k Kind, name string, forMs float64) calendar.Change {
+	return calendar.Change{Name: "drain " + name, Kind: calendar.Drain, Subject: drained(k, name), Window: window(0, hour), Waves: 1, WaveMs: 60e3, Rollback: undo(),
+		Do: json.RawMessage(fmt.Sprintf(`{"drain":{"kind":%q,"name":%q,"for_s":%g}}`, k, name, forMs/1e3))}
+}
+
+const otherDigest = "00000000000000000000000000000000000000000000000000000000000000aa"
+
+func releaseOf(name string) calendar.Change {
+	return calendar.Change{Name: name, Kind: calendar.Configuration, Subject: calendar.Subject{Scope: calendar.Doors}, Window: window(0, hour), Waves: 2, WaveMs: 60e3, Rollback: undo(),
+		Do: json.RawMessage(fmt.Sprintf(`{"release":{"name":%q,"changes":"configuration","digest":%q,"waves":[{"count":1},{"rest":true}]}}`, name, otherDigest))}
+}
+
+func (s *site) planned(t *testing.T, c calendar.Change) uint64 {
+	t.Helper()
+	a := s.do("ana", calendar.Plan{Change: c, Who: "ana"})
+	require.NoError(t, a.Err)
+	s.onTime()
+	return a.Number
+}
+
+// begun has the leader begin whatever may.
+func (s *site) begun(t *testing.T) (ids []uint64) {
+	for {
+		id, any := s.StartsNext()
+		if !any {
+			return ids
+		}
+		require.NoError(t, s.do("leader", calendar.Start{ID: id}).Err)
+		ids = append(ids, id)
+	}
+}
+
+func (s *site) stage(id uint64) calendar.Stage { return s.Calendar.Entries[id].Stage }
+
+// take has doors run what the release gives, or what they ran before.
+func (s *site) take(doors ...int) {
+	for _, i := range doors {
+		runs := release.Runs{}
+		if _, digest, is := s.Release.Wanted(unit(i).Name); is {
+			runs[release.Configuration] = digest
+		} else {
+			runs = s.Release.Runs[unit(i).Name]
+		}
+		s.do(unit(i).Name+"/h", release.Took{Door: unit(i).Name, Runs: runs})
+	}
+}
+
+func (s *site) judge(wave int, says release.Says) error {
+	return s.do("leader", release.Judged{Number: 1, Wave: wave, Verdict: release.Verdict{Says: says, Why: "seen"}}).Err
+}
+
+func TestAnEntryGoesOutWithItsDrainAndComesBack(t *testing.T) {
+	s := withBackends(3)
+	id := s.planned(t, drainOf(Backend, "b0", 10*60e3))
+	blocked := s.planned(t, drainOf(Backend, "b1", 0))
+	assert.Equal(t, []uint64{id}, s.begun(t), "one backend may be out")
+	assert.Equal(t, calendar.Running, s.stage(id))
+	assert.Equal(t, calendar.Due, s.stage(blocked))
+	var denied *DeniedError
+	require.ErrorAs(t, s.WhyNot(blocked), &denied)
+	assert.ErrorAs(t, s.do("leader", calendar.Start{ID: blocked}).Err, &denied, "the start itself looks as well")
+	assert.Equal(t, calendar.Due, s.stage(blocked))
+	held, change := s.Withheld()
+	assert.Equal(t, []string{"b0"}, held)
+	for i := range 3 {
+		s.did(i, change)
+	}
+	assert.Equal(t, calendar.Running, s.stage(id), "it stays out for its time")
+	s.later(10 * 60e3)
+	held, change = s.Withheld()
+	assert.Empty(t, held)
+	assert.Equal(t, calendar.Running, s.stage(id), "it is not back so far")
+	for i := range 3 {
+		s.did(i, change)
+	}
+	s.backend("b0", Ready)
+	assert.Equal(t, calendar.Done, s.stage(id))
+	assert.Empty(t, s.Runs)
+	for _, b := range []string{"b0", "b1", "b2"} {
+		s.backend(b, Ready)
+	}
+	assert.Equal(t, []uint64{blocked}, s.begun(t))
+	_, change = s.Withheld()
+	for i := range 3 {
+		s.did(i, change)
+	}
+	assert.Equal(t, calendar.Done, s.stage(blocked), "without a time it is done once it is out")
+	held, _ = s.Withheld()
+	assert.Equal(t, []string{"b1"}, held, "and stays so")
+}
+
+func TestAReleaseOfAnEntryGoesByItsWaves(t *testing.T) {
+	s := newSite(4)
+	id := s.planned(t, releaseOf("r"))
+	assert.Equal(t, []uint64{id}, s.begun(t))
+	r := s.Release.Find("r")
+	require.Equal(t, release.Running, r.Stage)
+	assert.Equal(t, fmt.Sprint("calendar ", id), r.Who)
+	s.take(0)
+	require.NoError(t, s.judge(0, release.GoOn))
+	assert.Equal(t, 1, s.Calendar.Entries[id].Wave)
+	s.take(1, 2, 3)
+	require.NoError(t, s.judge(1, release.GoOn))
+	assert.Equal(t, calendar.Done, s.stage(id))
+	assert.Equal(t, release.Done, r.Stage)
+}
+
+// A freeze that is laid over a release lets it finish its wave. That the next one begins with the verdict itself must not let a
+// door of it through before anybody has looked at the freeze.
+func TestAFreezeHoldsAReleaseBetweenItsWavesAndNoDoorSlipsThrough(t *testing.T) {
+	s := newSite(4)
+	id := s.planned(t, releaseOf("r"))
+	s.begun(t)
+	freeze := calendar.Freeze{Name: "evening", Subject: calendar.Subject{Scope: calendar.Fleet}, Spans: []calendar.Span{window(60e3, 10*60e3)}, Sends: calendar.FinishesWave, Who: "bea", Why: "match"}
+	require.NoError(t, s.do("bea", calendar.SetFreeze{Freeze: freeze}).Err)
+	s.later(60e3)
+	assert.Equal(t, calendar.Running, s.stage(id))
+	s.take(0)
+	require.NoError(t, s.judge(0, release.GoOn))
+	assert.Equal(t, calendar.Halted, s.stage(id))
+	r := s.Release.Find("r")
+	assert.Equal(t, release.Halted, r.Stage, "in the same command")
+	for i := range 4 {
+		_, _, is := s.Release.Wanted(unit(i).Name)
+		assert.False(t, is)
+	}
+	var frozen *calendar.FrozenError
+	require.ErrorAs(t, s.do("op", release.Steer{Name: "r", To: release.ToResume, Who: "cai", Why: "hurry"}).Err, &frozen, "not by the release's own command either")
+	assert.Equal(t, release.Halted, r.Stage)
+	require.NoError(t, s.do("bea", calendar.Thaw{ID: 2, Revision: 1, Who: "bea"}).Err)
+	assert.Equal(t, release.Running, r.Stage, "at once")
+	require.NoError(t, s.do("op", calendar.Halt{ID: id, Who: "cai", Why: "not so"}).Err)
+	assert.Equal(t, release.Halted, r.Stage)
+	s.later(9 * 60e3)
+	assert.Equal(t, calendar.Halted, s.stage(id), "who halted it resumes it")
+	require.NoError(t, s.do("op", release.Steer{Name: "r", To: release.ToResume, Who: "cai", Why: "well"}).Err)
+	assert.Equal(t, calendar.Running, s.stage(id))
+	assert.Equal(t, release.Running, r.Stage)
+	s.take(1, 2, 3)
+	require.NoError(t, s.judge(1, release.GoOn))
+	assert.Equal(t, calendar.Done, s.stage(id))
+}
+
+func TestAFreezeThatEndsHasItsReleaseGoOn(t *testing.T) {
+	s := newSite(4)
+	id := s.planned(t, releaseOf("r"))
+	s.begun(t)
+	require.NoError(t, s.do("bea", calendar.SetFreeze{Freeze: calendar.Freeze{Name: "evening", Subject: calendar.Subject{Scope: calendar.Fleet},
+		Spans: []calendar.Span{window(60e3, 10*60e3)}, Sends: calendar.FinishesWave, Who: "bea", Why: "match"}}).Err)
+	s.later(60e3)
+	s.take(0)
+	require.NoError(t, s.judge(0, release.GoOn))
+	require.Equal(t, calendar.Halted, s.stage(id))
+	s.later(9 * 60e3)
+	assert.Equal(t, calendar.Running, s.stage(id))
+	assert.Equal(t, release.Running, s.Release.Find("r").Stage)
+}
+
+func TestAFreezeThatSendsBackTakesTheReleaseBack(t *testing.T) {
+	s := newSite(4)
+	id := s.planned(t, releaseOf("r"))
+	s.begun(t)
+	s.take(0)
+	require.NoError(t, s.do("bea", calendar.SetFreeze{Freeze: calendar.Freeze{Name: "now", Subject: calendar.Subject{Scope: calendar.Doors}, Spans: []calendar.Span{window(0, hour)},
+		Sends: calendar.SendsBack, Who: "bea", Why: "fire"}}).Err)
+	assert.Equal(t, calendar.RollingBack, s.stage(id))
+	r := s.Release.Find("r")
+	assert.Equal(t, release.Back, r.Stage)
+	s.take(0)
+	assert.Equal(t, release.Returned, r.Stage)
+	assert.Equal(t, calendar.Withdrawn, s.stage(id))
+	assert.Empty(t, s.Runs)
+}
+
+func TestAReleaseThatGoesBackByItselfTakesItsEntryWithIt(t *testing.T) {
+	s := newSite(4)
+	id := s.planned(t, releaseOf("r"))
+	s.begun(t)
+	s.take(0)
+	require.NoError(t, s.judge(0, release.GoBck))
+	assert.Equal(t, calendar.RollingBack, s.stage(id))
+	s.take(0)
+	assert.Equal(t, calendar.Withdrawn, s.stage(id))
+	id = s.planned(t, releaseOf("r2"))
+	s.begun(t)
+	require.NoError(t, s.do("leader", release.Judged{Number: 2, Wave: 0, Verdict: release.Verdict{Says: release.Stop, Why: "odd"}}).Err)
+	assert.Equal(t, calendar.Halted, s.stage(id))
+	assert.Equal(t, "odd", s.Calendar.Entries[id].Says)
+	require.NoError(t, s.do("op", release.Steer{Name: "r2", To: release.ToBack, Who: "cai", Why: "enough"}).Err)
+	assert.Equal(t, calendar.Withdrawn, s.stage(id), "no door had it")
+	assert.Equal(t, release.Returned, s.Release.Find("r2").Stage)
+}
+
+func TestOperatorsOwnChangesPassTheCalendar(t *testing.T) {
+	s := withBackends(3)
+	drain := func(name string) error {
+		return s.do("op", Drain{Kind: Backend, Name: name, Who: "op", Why: "disk"}).Err
+	}
+	require.NoError(t, drain("b0"), "an empty calendar asks for nothing, not even for the time")
+	require.NoError(t, s.do("op", Undrain{Backend, "b0", "op", ""}).Err)
+	_, change := s.Withheld()
+	for i := range 3 {
+		s.did(i, change)
+	}
+	s.backend("b0", Ready)
+	plan := release.Plan{Name: "r", Changes: release.Configuration, Digest: otherDigest, Waves: []release.Wave{{Rest: true}}}
+	rules := calendar.SetRules{Rules: []calendar.Rule{{Kinds: []calendar.Kind{calendar.Configuration}, Subject: calendar.Subject{Scope: calendar.Doors}, Count: 1, Roles: []string{"lead"}}}, Who: "bea"}
+	require.NoError(t, s.do("bea", rules).Err)
+	var unplanned *calendar.UnplannedError
+	require.ErrorAs(t, s.do("op", release.Start{Plan: plan, Who: "op"}).Err, &unplanned)
+	assert.Contains(t, unplanned.Remedy(), "plan")
+	require.NoError(t, s.do("bea", calendar.SetRules{Who: "bea"}).Err)
+	freeze := calendar.Freeze{Name: "all", Kinds: []calendar.Kind{calendar.Drain}, Subject: calendar.Subject{Scope: calendar.Backends}, Spans: []calendar.Span{window(0, hour)},
+		Sends: calendar.FinishesWave, Who: "bea", Why: "match"}
+	a := s.do("bea", calendar.SetFreeze{Freeze: freeze})
+	require.NoError(t, a.Err)
+	var clock *calendar.ClockError
+	require.ErrorAs(t, drain("b0"), &clock, "a freeze and no time: nobody knows")
+	s.onTime()
+	var frozen *calendar.FrozenError
+	require.ErrorAs(t, drain("b0"), &frozen)
+	require.NoError(t, s.do("op", Drain{Kind: Door, Name: "d0", Who: "op", Why: "x"}).Err, "it is about backends")
+	require.NoError(t, s.do("bea", calendar.Thaw{ID: a.Number, Revision: 1, Who: "bea"}).Err)
+	id := s.planned(t, drainOf(Zone, "z1", hour))
+	s.begun(t)
+	require.Equal(t, calendar.Running, s.stage(id), s.WhyNot(id))
+	var busy *calendar.BusyError
+	require.ErrorAs(t, drain("b1"), &busy, "its zone is the entry's")
+	assert.Equal(t, id, busy.Other)
+	assert.NotContains(t, busy.Error(), "entry 0")
+	require.ErrorAs(t, s.do("op", release.Start{Plan: plan, Who: "op"}).Err, &busy)
+	var denied *DeniedError
+	require.ErrorAs(t, drain("b0"), &denied, "the calendar lets it, its budget doesn't")
+}
+
+func TestAMigrationOfDrainsEndsWhereItBegan(t *testing.T) {
+	s := withBackends(3)
+	s.do("op", SetBudgets{Budgets: []Budget{{Kind: Door, MostOut: 2}, {Kind: Backend, MostOut: 3}}})
+	hand := calendar.Change{Name: "cable", Kind: calendar.MigrationStep, Subject: drained(Backend, "b0"), Window: window(0, hour), Waves: 1,
+		Do: json.RawMessage(`{"manual":"move the cable"}`), Rollback: json.RawMessage(`{"manual":"move it back"}`)}
+	a := s.do("ana", calendar.Migrate{Name: "move", Steps: []calendar.Change{drainOf(Backend, "b0", 0), hand, drainOf(Backend, "b1", 0)}, Who: "ana"})
+	require.NoError(t, a.Err)
+	s.onTime()
+	m := s.Calendar.Migrations[a.Number]
+	confirm := func() {
+		_, change := s.Withheld()
+		for i := range 3 {
+			s.did(i, change)
+		}
+	}
+	assert.Equal(t, m.Steps[:1], s.begun(t))
+	confirm()
+	assert.Equal(t, m.Steps[1:2], s.begun(t))
+	require.NoError(t, s.do("ana", calendar.WaveDone{ID: m.Steps[1], Wave: 1}).Err)
+	assert.Equal(t, m.Steps[2:], s.begun(t))
+	held, _ := s.Withheld()
+	assert.Equal(t, []string{"b0", "b1"}, held)
+	require.NoError(t, s.do("ana", calendar.Revert{ID: m.ID, Who: "ana", Why: "smoke"}).Err)
+	held, _ = s.Withheld()
+	assert.Equal(t, []string{"b0"}, held, "the newest first")
+	assert.Equal(t, calendar.Done, s.stage(m.Steps[1]))
+	confirm()
+	s.backend("b1", Ready)
+	assert.Equal(t, calendar.RollingBack, s.stage(m.Steps[1]), "people say when the cable is back")
+	held, _ = s.Withheld()
+	assert.Equal(t, []string{"b0"}, held)
+	require.NoError(t, s.do("ana", calendar.RolledBack{ID: m.Steps[1]}).Err)
+	held, _ = s.Withheld()
+	assert.Empty(t, held)
+	confirm()
+	s.backend("b0", Ready)
+	assert.Equal(t, calendar.Withdrawn, m.Stage)
+	assert.Empty(t, s.Permits)
+	assert.Empty(t, s.Runs)
+}
+
+// A leader that is lost between "due" and "running" leaves an entry that another begins, and one that is lost right after leaves
+// one that has begun: what is said twice happens once.
+func TestALeaderLostAboutAStartLeavesNothingTwice(t *testing.T) {
+	s := newSite(4)
+	id := s.planned(t, releaseOf("r"))
+	s.do("c1", Lead{Name: "c1", Epoch: 1})
+	_, any := s.StartsNext()
+	assert.False(t, any, "what clocks showed before counts no more")
+	for i := range 4 {
+		s.seen(i, Ready, 1)
+	}
+	s.onTime()
+	start := Command{Caller: "leader c1", Seq: 1, AtMs: s.now, Do: calendar.Start{ID: id}}
+	require.NoError(t, s.Apply(start).Err)
+	require.NoError(t, s.Apply(start).Err, "its answer was lost")
+	s.do("c2", Lead{Name: "c2", Epoch: 1})
+	s.onTime()
+	var stage *calendar.StageError
+	assert.ErrorAs(t, s.do("leader c2", calendar.Start{ID: id}).Err, &stage)
+	assert.Len(t, s.Release.All, 1)
+	assert.Equal(t, 1, s.Calendar.Entries[id].Starts)
+	var disk bytes.Buffer
+	require.NoError(t, s.Save(&disk))
+	again, err := Load(&disk)
+	require.NoError(t, err)
+	s.State = again // a coordinator that comes back from its snapshot
+	s.take(0)
+	require.NoError(t, s.judge(0, release.GoOn))
+	assert.Equal(t, 1, s.Calendar.Entries[id].Wave)
+	s.do("c3", calendar.Restored{Who: "cai"})
+	assert.Equal(t, calendar.Halted, s.stage(id), "a restored state lets nothing go on by itself")
+	assert.Equal(t, release.Halted, s.Release.Find("r").Stage)
+}
+
+func TestAReleaseReplacedUnderItsEntryHaltsIt(t *testing.T) {
+	s := newSite(4)
+	id := s.planned(t, releaseOf("r"))
+	s.begun(t)
+	s.Release.Find("r").Stage = release.Replaced // as by a state from before the calendar
+	s.onTime()
+	assert.Equal(t, calendar.Halted, s.stage(id))
+	require.NoError(t, s.do("op", calendar.RollBack{ID: id, Who: "cai", Why: "gone"}).Err)
+	assert.Equal(t, calendar.RollingBack, s.stage(id), "people look, and say so")
+	require.NoError(t, s.do("op", calendar.RolledBack{ID: id}).Err)
+	assert.Equal(t, calendar.Withdrawn, s.stage(id))
+}
+
+func TestWhatAChangeWouldDoIsRead(t *testing.T) {
+	s := withBackends(4)
+	for key, turn := range map[string]func(c *calendar.Change){
+		"do":         func(c *calendar.Change) { c.Do = json.RawMessage(`{"drain":{"kind":"door","name":"d0"},"manual":"x"}`) },
+		"do ":        func(c *calendar.Change) { c.Do = json.RawMessage(`{"dance":true}`) },
+		"do  ":       func(c *calendar.Change) { c.Do = json.RawMessage(`{"undo":true}`) },
+		"do.drain":   func(c *calendar.Change) { c.Do = json.RawMessage(`{"drain":{"kind":"cellar","name":"d0"}}`) },
+		"do.drain ":  func(c *calendar.Change) { c.Do = json.RawMessage(`{"drain":{"kind":"door","name":"d0","for_s":-1}}`) },
+		"do.release": func(c *calendar.Change) { c.Do = json.RawMessage(`{"release":{"name":"r"}}`) },
+		"rollback":   func(c *calendar.Change) { c.Rollback = nil },
+		"rollback ":  func(c *calendar.Change) { c.Rollback = json.RawMessage(`{"manual":"x"}`) },
+		"rollback  ": func(c *calendar.Change) { c.Rollback = json.RawMessage(`[]`) },
+		"waves":      func(c *calendar.Change) { c.Waves = 2 },
+		"kind":       func(c *calendar.Change) { c.Kind = calendar.Release },
+		"subject":    func(c *calendar.Change) { c.Subject.Names = []string{"d1"} },
+		"subject ":   func(c *calendar.Change) { c.Subject = calendar.Subject{Scope: calendar.Backends} },
+		"subject  ":  func(c *calendar.Change) { c.Subject = calendar.Subject{Scope: calendar.Zone, Names: []string{"z1"}} },
+	} {
+		c := drainOf(Door, "d0", 0)
+		turn(&c)
+		var form *calendar.FormError
+		require.ErrorAs(t, s.do("ana", calendar.Plan{Change: c, Who: "ana"}).Err, &form, key)
+		assert.Equal(t, strings.TrimSpace(key), form.Key)
+		require.ErrorAs(t, s.do("ana", calendar.Migrate{Name: "m", Steps: []calendar.Change{drainOf(Door, "d0", 0), c}, Who: "ana"}).Err, &form, key)
+		assert.Equal(t, "steps[1]."+strings.TrimSpace(key), form.Key)
+	}
+	for _, b := range []calendar.Subject{{Scope: calendar.Fleet}, {Scope: calendar.Zone}, {Scope: calendar.Zone, Names: []string{"z0", "z1"}}, {Scope: calendar.Doors}, {Scope: calendar.Doors, Names: []string{"d1", "d0"}}} {
+		c := drainOf(Door, "d0", 0)
+		c.Subject = b
+		assert.NoError(t, s.do("ana", calendar.Plan{Change: c, Who: "ana", Draft: true}).Err, b)
+	}
+	c := releaseOf("r")
+	c.Kind = calendar.Terms
+	assert.NoError(t, s.do("ana", calendar.Plan{Change: c, Who: "ana", Draft: true}).Err, "terms of plans are in configurations")
+	assert.Empty(t, s.Runs)
+}
+
+func TestWhatFollowsFromWhatIsDoneNeedNotBeWritten(t *testing.T) {
+	s := withBackends(2)
+	for want, bare := range map[string]calendar.Change{
+		"drain backends b0 1 90000":      {Name: "x", Do: json.RawMessage(`{"drain":{"kind":"backend","name":"b0","for_s":90}}`)},
+		"drain zone z1 1 60000":          {Name: "x", Do: json.RawMessage(`{"drain":{"kind":"zone","name":"z1"}}`)},
+		"configuration doors 1 65000":    {Name: "x", Do: json.RawMessage(`{"release":{"name":"r","changes":"configuration","digest":"` + otherDigest + `","waves":[{"rest":true,"watch_s":5}]}}`)},
+		"release backends b0 2 60000":    {Name: "x", Do: json.RawMessage(`{"release":{"name":"r","changes":"backends","doors":["b0"],"waves":[{"count":1},{"rest":true}]}}`)},
+		"release doors 3 7":              {Name: "x", Kind: calendar.Release, Waves: 3, WaveMs: 7, Do: json.RawMessage(`{"release":{"name":"r","changes":"program","digest":"` + otherDigest + `","waves":[{"rest":true}]}}`)},
+		"coordinators plans gold 1 0 no": {Name: "x", Kind: calendar.Coordinators, Subject: calendar.Subject{Scope: calendar.Plans, Names: []string{"gold"}}, Do: json.RawMessage(`{"manual":"x"}`)},
+		"    0 0 no":                     {Name: "x", Do: json.RawMessage(`{"dance":1}`)},
+	} {
+		c := bare
+		c.Window = window(0, hour)
+		Complete(&c)
+		got := fmt.Sprintf("%s %s %d %g", c.Kind, c.Subject.String(), c.Waves, c.WaveMs)
+		if len(c.Rollback) == 0 {
+			got += " no"
+		}
+		assert.Equal(t, strings.Join(strings.Fields(want), " "), strings.Join(strings.Fields(got), " "))
+		if c.Waves == 1 || c.Waves == 2 {
+			assert.NoError(t, s.do("ana", calendar.Plan{Change: c, Who: "ana", Draft: true}).Err, want)
+		}
+	}
+}
+
+func TestAStateFromBeforeTheCalendarIsRead(t *testing.T) {
+	s := newSite(2)
+	raw, err := json.Marshal(s.State)
+	require.NoError(t, err)
+	var all map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal(raw, &all))
+	delete(all, "Calendar")
+	delete(all, "Runs")
+	raw, err = json.Marshal(all)
+	require.NoError(t, err)
+	old, err := json.Marshal(saved{1, sum(raw), raw})
+	require.NoError(t, err)
+	read, err := Load(bytes.NewReader(old))
+	require.NoError(t, err)
+	s.State = read
+	id := s.planned(t, drainOf(Door, "d0", 0))
+	assert.Equal(t, calendar.Due, s.stage(id))
+	zone, known := read.ZoneOf(calendar.Doors, "d1")
+	assert.True(t, known)
+	assert.Equal(t, "z1", zone)
+}
+
+// Every command and error of the calendar has a name in what is written down.
+func TestAllOfTheCalendarIsWorded(t *testing.T) {
+	var none calendar.State
+	for name, typ := range names {
+		if typ.PkgPath() != reflect.TypeOf(none).PkgPath() {
+			continue
+		}
+		v := reflect.New(typ)
+		n, err := wrap(v.Interface())
+		require.NoError(t, err, name)
+		assert.Equal(t, name, n.Is)
+		_, is := v.Interface().(error)
+		assert.Equal(t, strings.HasPrefix(name, "calendar_not_"), is, name)
+		if !is {
+			a := New().Apply(Command{Caller: "x", Seq: 1, Do: v.Elem().Interface()})
+			var unknown *UnknownError
+			assert.False(t, a.Err != nil && assert.ObjectsAreEqual(reflect.TypeOf(unknown), reflect.TypeOf(a.Err)), "%s is not taken", name)
+		}
+	}
+	endless := &calendar.FrozenError{}
+	s := newSite(2)
+	s.onTime()
+	require.NoError(t, s.do("bea", calendar.SetFreeze{Freeze: calendar.Freeze{Name: "daily", Subject: calendar.Subject{Scope: calendar.Fleet}, ThroughMs: wallAt - 1,
+		When: calendar.Recurrence{Begin: "2026-01-01T00:00", Minutes: 1, Every: "FREQ=DAILY", In: "UTC"}, Sends: calendar.FinishesWave, Who: "bea", Why: "x"}}).Err)
+	a := s.do("op", Drain{Kind: Door, Name: "d0", Who: "op", Why: "x"})
+	require.ErrorAs(t, a.Err, &endless, "a recurring freeze that is known no further lasts")
+	_, err := json.Marshal(a)
+	assert.NoError(t, err, "also in an answer")
+}
+
+// Whatever is planned, frozen, taken back, lost or seen: what entries have out is theirs, within the budgets, and nothing is left
+// of one that is over but what it is to leave.
+func TestEntriesAndWhatTheyHaveOutGoTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := withBackends(4)
+		s.do("op", SetBudgets{Budgets: []Budget{{Kind: Door, MostOut: 2}, {Kind: Backend, MostOut: 2}, {Kind: Zone, MostOut: 1}}})
+		releases := 0
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			id := rapid.Uint64Range(1, s.Calendar.NextID).Draw(t, "id")
+			b := rapid.SampledFrom([]string{"b0", "b1", "b2"}).Draw(t, "backend")
+			switch rapid.IntRange(0, 13).Draw(t, "what") {
+			case 0:
+				c := drainOf(Backend, b, rapid.SampledFrom([]float64{0, 60e3}).Draw(t, "for"))
+				c.Window = window(s.now, s.now+hour)
+				s.do("ana", calendar.Plan{Change: c, Who: "ana"})
+			case 1:
+				releases++
+				c := releaseOf(fmt.Sprint("r", releases))
+				c.Window = window(s.now, s.now+hour)
+				s.do("ana", calendar.Plan{Change: c, Who: "ana"})
+			case 2:
+				first, second := drainOf(Backend, b, 0), drainOf(Backend, "b2", 0)
+				first.Window, second.Window = window(s.now, s.now+hour), window(s.now, s.now+hour)
+				s.do("ana", calendar.Migrate{Name: "m", Steps: []calendar.Change{first, second}, Who: "ana"})
+			case 3:
+				s.do("op", calendar.Halt{ID: id, Who: "op", Why: "x"})
+			case 4:
+				s.do("op", calendar.Resume{ID: id, Who: "op"})
+			case 5:
+				s.do("op", calendar.RollBack{ID: id, Who: "op", Why: "x"})
+			case 6:
+				s.do("op", calendar.Revert{ID: id, Who: "op", Why: "x"})
+			case 7:
+				s.do("op", calendar.SetFreeze{Freeze: calendar.Freeze{Name: "f", Subject: calendar.Subject{Scope: calendar.Fleet},
+					Spans: []calendar.Span{window(s.now, s.now+rapid.Float64Range(1, 200e3).Draw(t, "long"))}, Who: "bea", Why: "x",
+					Sends: rapid.SampledFrom([]string{calendar.FinishesWave, calendar.SendsBack}).Draw(t, "sends")}})
+			case 8:
+				_, change := s.Withheld()
+				for i := range 4 {
+					s.did(i, change)
+				}
+				for _, b := range []string{"b0", "b1", "b2"} {
+					s.backend(b, Ready)
+				}
+			case 9:
+				s.take(0, 1, 2, 3)
+			case 10:
+				if n := len(s.Release.All); n > 0 {
+					r := s.Release.All[n-1]
+					s.do("leader", release.Judged{Number: r.Number, Wave: r.Wave, Verdict: release.Verdict{Says: rapid.SampledFrom([]release.Says{release.GoOn, release.GoOn, release.Stop, release.GoBck}).Draw(t, "says")}})
+				}
+			case 11:
+				s.do("op", Drain{Kind: Backend, Name: b, Who: "op", Why: "x"})
+			case 12:
+				s.do("op", Undrain{Backend, b, "op", "x"})
+			case 13:
+				s.do("c", Lead{Name: "c", Epoch: 1})
+				for i := range 4 {
+					s.seen(i, Ready, 1)
+				}
+			}
+			s.later(rapid.Float64Range(0, 90e3).Draw(t, "later"))
+			if next, any := s.StartsNext(); any {
+				require.NoError(t, s.do("leader", calendar.Start{ID: next}).Err, "what is said to have nothing in the way begins")
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				var disk bytes.Buffer
+				require.NoError(t, s.Save(&disk))
+				again, err := Load(&disk)
+				require.NoError(t, err)
+				s.State = again
+			}
+			out, mine := 0, map[uint64]uint64{}
+			for id, run := range s.Runs {
+				e := s.Calendar.Entries[id]
+				require.NotNil(t, e)
+				require.True(t, s.Calendar.Holds(e), "%d is %s", id, e.Stage)
+				for _, n := range run.Permits {
+					require.Zero(t, mine[n])
+					mine[n] = id
+				}
+				if r := s.Release.Number(run.Release); r != nil {
+					live := r.Stage == release.Running || r.Stage == release.Waiting
+					require.False(t, live && (e.Stage == calendar.Halted || e.Stage == calendar.RollingBack), "release %s, entry %s", r.Stage, e.Stage)
+					require.False(t, e.Stage == calendar.Done && r.Stage != release.Done, "release %s", r.Stage)
+				}
+			}
+			for n, p := range s.Permits {
+				if p.Unit.Kind == Backend {
+					out++
+				}
+				require.False(t, strings.HasPrefix(p.Who, "calendar") && !p.Over && p.Unit.Kind == Backend && mine[n] == 0 && s.gaveUp(p), "permit %d of %s is left", n, p.Who)
+			}
+			require.LessOrEqual(t, out, 2)
+		}
+	})
+}
+
+// gaveUp tells whether a permit that stands is of an entry that was taken back.
+func (s *site) gaveUp(p *Permit) bool {
+	var id uint64
+	_, err := fmt.Sscanf(p.Who, "calendar %d", &id)
+	return err != nil || s.Calendar.Entries[id] == nil || s.Calendar.Entries[id].Stage != calendar.Done
+}
--- a/permits/encode.go
+++ b/permits/encode.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/swifthall/swifthall/calendar"
 	"github.com/swifthall/swifthall/release"
 )
 
@@ -23,6 +24,27 @@
 	"note": reflect.TypeFor[Note](), "forget": reflect.TypeFor[Forget](), "halt": reflect.TypeFor[Halt](), "resume": reflect.TypeFor[Resume](),
 	"denied": reflect.TypeFor[DeniedError](), "halted": reflect.TypeFor[HaltedError](), "unknown": reflect.TypeFor[UnknownError](),
 	"stale": reflect.TypeFor[StaleError](), "taken": reflect.TypeFor[TakenError](), "repeat": reflect.TypeFor[RepeatError](),
+	"calendar_plan": reflect.TypeFor[calendar.Plan](), "calendar_edit": reflect.TypeFor[calendar.Edit](),
+	"calendar_approve": reflect.TypeFor[calendar.Approve](), "calendar_refuse": reflect.TypeFor[calendar.Refuse](),
+	"calendar_withdraw": reflect.TypeFor[calendar.Withdraw](), "calendar_declare_emergency": reflect.TypeFor[calendar.DeclareEmergency](),
+	"calendar_set_freeze": reflect.TypeFor[calendar.SetFreeze](), "calendar_extend": reflect.TypeFor[calendar.Extend](),
+	"calendar_thaw": reflect.TypeFor[calendar.Thaw](), "calendar_set_rules": reflect.TypeFor[calendar.SetRules](),
+	"calendar_clock": reflect.TypeFor[calendar.Clock](), "calendar_start": reflect.TypeFor[calendar.Start](),
+	"calendar_wave_done": reflect.TypeFor[calendar.WaveDone](), "calendar_observe": reflect.TypeFor[calendar.Observe](),
+	"calendar_migrate": reflect.TypeFor[calendar.Migrate](), "calendar_replace": reflect.TypeFor[calendar.Replace](),
+	"calendar_revert": reflect.TypeFor[calendar.Revert](), "calendar_halt": reflect.TypeFor[calendar.Halt](),
+	"calendar_resume": reflect.TypeFor[calendar.Resume](), "calendar_roll_back": reflect.TypeFor[calendar.RollBack](),
+	"calendar_rolled_back": reflect.TypeFor[calendar.RolledBack](), "calendar_acknowledge": reflect.TypeFor[calendar.Acknowledge](),
+	"calendar_restored": reflect.TypeFor[calendar.Restored](),
+	"calendar_not_form": reflect.TypeFor[calendar.FormError](), "calendar_not_unknown": reflect.TypeFor[calendar.UnknownError](),
+	"calendar_not_changed": reflect.TypeFor[calendar.ChangedError](), "calendar_not_stage": reflect.TypeFor[calendar.StageError](),
+	"calendar_not_own": reflect.TypeFor[calendar.OwnError](), "calendar_not_approval": reflect.TypeFor[calendar.ApprovalError](),
+	"calendar_not_clock": reflect.TypeFor[calendar.ClockError](), "calendar_not_early": reflect.TypeFor[calendar.EarlyError](),
+	"calendar_not_short": reflect.TypeFor[calendar.ShortError](), "calendar_not_after": reflect.TypeFor[calendar.AfterError](),
+	"calendar_not_frozen": reflect.TypeFor[calendar.FrozenError](), "calendar_not_busy": reflect.TypeFor[calendar.BusyError](),
+	"calendar_not_full": reflect.TypeFor[calendar.FullError](), "calendar_not_no_rollback": reflect.TypeFor[calendar.NoRollbackError](),
+	"calendar_not_precondition": reflect.TypeFor[calendar.PreconditionError](), "calendar_not_begun": reflect.TypeFor[calendar.BegunError](),
+	"calendar_not_unplanned": reflect.TypeFor[calendar.UnplannedError](),
 }
 
 var words = func() map[reflect.Type]string {
@@ -140,8 +162,9 @@
 	return nil
 }
 
-// Version of a state's form. An older one is read, a newer one refused.
-const Version = 1
+// Version of a state's form. An older one is read, a newer one refused: 2 has the calendar, which a release that doesn't know of it
+// would lose.
+const Version = 2
 
 type saved struct {
 	Version int             `json:"version"`
--- a/permits/encode_test.go
+++ b/permits/encode_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/swifthall/swifthall/calendar"
 	"github.com/swifthall/swifthall/release"
 )
 
@@ -28,6 +30,12 @@
 		release.Judged{Number: 1, Verdict: release.Verdict{Says: release.GoOn}}, release.Steer{Name: "r", To: release.ToBack, Who: "op"}, Forget{Door, unit(i).Name, "op", "gone"},
 		Seen{[]Sighting{sight(i, how, life)}}, Seen{[]Sighting{sight(0, Ready, 1), sight(1, Ready, 1), sight(2, Ready, 1), sight(3, Ready, 1)}},
 		Here{sight(i, how, life), number}, Ask{unit(i).Name, Door, "op", "why", 50, uint64(i % 2)}, Confirm{number, life, life * 100}, Withdraw{number},
+		calendar.Clock{Name: fmt.Sprint("c", i%3), WallMs: wallAt + float64(n), Size: 3}, calendar.Plan{Change: drainOf(Door, unit(i).Name, float64(i%2)*5), Who: "ana"},
+		calendar.Plan{Change: releaseOf("r"), Who: "ana"}, calendar.Start{ID: number}, calendar.Halt{ID: number, Who: "op", Why: "x"}, calendar.Resume{ID: number, Who: "op"},
+		calendar.RollBack{ID: number, Who: "op", Why: "x"}, calendar.Withdraw{ID: number, Revision: 1, Who: "op"}, calendar.SetRules{Rules: []calendar.Rule{{Subject: calendar.Subject{Scope: calendar.Doors}, Count: 1}}, Who: "bea"},
+		calendar.SetFreeze{Freeze: calendar.Freeze{Name: "f", Subject: calendar.Subject{Scope: calendar.Doors, Names: []string{unit(i).Name}}, Spans: []calendar.Span{window(float64(n), float64(n)+10)}, Sends: calendar.SendsBack, Who: "bea", Why: "x"}},
+		calendar.Thaw{ID: number, Revision: 1, Who: "bea"}, calendar.Migrate{Name: "m", Steps: []calendar.Change{drainOf(Door, unit(i).Name, 0)}, Who: "ana"}, calendar.Revert{ID: number, Who: "ana", Why: "x"},
+		calendar.Restored{Who: "op"}, calendar.Acknowledge{Number: number},
 		WriteOff{number, "op", "gone"}, Halt{Zone: "z0", Who: "op", Why: "x"}, Resume{Zone: "z0", Who: "op"},
 	}).Draw(t, "do")
 	if rapid.IntRange(0, 9).Draw(t, "repeat") > 0 {
@@ -84,7 +92,7 @@
 	_, err := Load(strings.NewReader(whole))
 	require.NoError(t, err)
 	var newer *VersionError
-	_, err = Load(strings.NewReader(strings.Replace(whole, `"version":1`, `"version":2`, 1)))
+	_, err = Load(strings.NewReader(strings.Replace(whole, `"version":2`, `"version":3`, 1)))
 	require.ErrorAs(t, err, &newer)
 	assert.Contains(t, newer.Remedy(), "newer release")
 	var damaged *SumError
--- a/permits/permits.go
+++ b/permits/permits.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"github.com/swifthall/swifthall/calendar"
 	"github.com/swifthall/swifthall/release"
 )
 
@@ -31,6 +32,9 @@
 	Audit   []Line
 	Release *release.State
 	LastMs  map[string]float64 // when a permit was given or a unit came back, by kind and zone
+
+	Calendar *calendar.State
+	Runs     map[uint64]*Run // what entries of the calendar have under way
 }
 
 // Known is what is known of a unit.
@@ -62,7 +66,10 @@
 
 // New returns the state before the first command: without budgets nothing goes out.
 func New() *State {
-	return &State{Next: 1, Units: map[string]*Known{}, Permits: map[uint64]*Permit{}, Callers: map[string]*Latest{}, LastMs: map[string]float64{}, Release: release.New()}
+	s := &State{Next: 1, Units: map[string]*Known{}, Permits: map[uint64]*Permit{}, Callers: map[string]*Latest{}, LastMs: map[string]float64{}, Release: release.New(),
+		Calendar: calendar.New(), Runs: map[uint64]*Run{}}
+	s.Calendar.See(s)
+	return s
 }
 
 func key(k Kind, name string) string { return string(k) + "/" + name }
@@ -78,6 +85,7 @@
 	s.NowMs, s.WallMs = max(s.NowMs, c.AtMs), max(s.WallMs, c.WallMs)
 	s.lapse()
 	a := s.do(&c)
+	s.follow()
 	s.Callers[c.Caller] = &Latest{c.Seq, s.NowMs, a}
 	return a
 }
@@ -101,6 +109,11 @@
 	case Begin:
 		return s.begin(d)
 	case Drain:
+		if r := s.Release.Number(d.Release); r == nil || !r.Live() { // else it is a step of what has begun
+			if err := s.unplanned(calendar.Drain, drained(d.Kind, d.Name)); err != nil {
+				return Answer{Err: err}
+			}
+		}
 		return s.drain(c, d)
 	case Undrain:
 		return s.undrain(d)
@@ -112,8 +125,16 @@
 		for _, u := range s.Units {
 			u.AtMs = min(u.AtMs, s.NowMs-sightFor-1)
 		}
+		s.tell(calendar.LeaderChanged{})
 		s.note(0, "leads: "+d.Name, d.Name, "")
+	case calendar.Plan, calendar.Edit, calendar.Approve, calendar.Refuse, calendar.Withdraw, calendar.DeclareEmergency, calendar.SetFreeze, calendar.Extend, calendar.Thaw,
+		calendar.SetRules, calendar.Clock, calendar.Start, calendar.WaveDone, calendar.Observe, calendar.Migrate, calendar.Replace, calendar.Revert, calendar.Halt, calendar.Resume,
+		calendar.RollBack, calendar.RolledBack, calendar.Acknowledge, calendar.Restored:
+		return s.schedule(c)
 	case release.Start, release.Took, release.Judged, release.Steer:
+		if own, err := s.ofCalendar(d); own || err != nil {
+			return Answer{Err: err}
+		}
 		n, note, err := s.Release.Do(d, s.known(Door), s.known(Backend))
 		if err != nil {
 			return Answer{Err: err}
--- a/release/release.go
+++ b/release/release.go
@@ -385,7 +385,8 @@
 	}
 }
 
-func (s *State) find(number uint64) *Release {
+// Number finds a release by its number; nil where it is forgotten.
+func (s *State) Number(number uint64) *Release {
 	for _, r := range s.All {
 		if r.Number == number {
 			return r
@@ -395,7 +396,7 @@
 }
 
 func (s *State) judged(c Judged) (string, error) {
-	r := s.find(c.Number)
+	r := s.Number(c.Number)
 	if r == nil || r.Stage != Running || r.Wave != c.Wave {
 		return "", &StageError{Name: fmt.Sprint("release ", c.Number), To: string(c.Verdict.Says)}
 	}
@@ -513,7 +514,7 @@
 // MayTake tells whether a door may go by a release now: it is given something else, and the release isn't halted. back tells
 // that it is on its way back.
 func (s *State) MayTake(number uint64, door string) (back bool, err error) {
-	r := s.find(number)
+	r := s.Number(number)
 	if r == nil {
 		return false, &UnknownError{fmt.Sprint("number ", number)}
 	}
