Commands of the calendar: plan, approve, why, next, freeze, migrate, steer and the rest

Operators see and steer every change to come from the command line: calendar, plan, approve, refuse, emergency, freeze, thaw, rules, migrate, move, withdraw, steer, saw, why, next, history. Files of JSON with local times and zones, examples for each; what follows from what a change does (kind, subject, waves, way back) need not be written. An entry is shown as 7@3, and commands that take 7@3 do nothing if somebody has changed it since; the loser is told what was done last and by whom.

A drain that is a step of a migration ends with it: what was taken out for it comes back when it is done.

--- a/cmd/swifthall-coordinate/commands.go
+++ b/cmd/swifthall-coordinate/commands.go
@@ -31,7 +31,8 @@
 	f.StringVar(&o.who, "who", os.Getenv("USER"), "who asks, for the audit")
 	f.StringVar(&o.why, "why", "", "why, for the audit")
 	f.DurationVar(&o.patience, "patience", 10*time.Second, "for an answer")
-	cmd.AddCommand(coordinate(), o.drain(), o.undrain(), o.status(), o.halt(), o.resume(), o.budgets(), o.writeOff(), o.forget(), o.coordinators(), o.audit(), o.release())
+	cmd.AddCommand(coordinate(), o.drain(), o.undrain(), o.status(), o.halt(), o.resume(), o.budgets(), o.writeOff(), o.forget(), o.coordinators(), o.audit(), o.release(), o.calendar(), o.plan(), o.approve())
+	cmd.AddCommand(o.entryCommands()...)
 	return cmd
 }
 
--- a/cmd/swifthall-coordinate/errors.go
+++ b/cmd/swifthall-coordinate/errors.go
@@ -83,3 +83,70 @@
 func (e *WaitError) Remedy() string {
 	return "Look at those doors: one that is away may still send until it is seen to have ended; swifthall forget door NAME says that it is gone for good."
 }
+
+// ZoneError is a time zone that nobody knows.
+type ZoneError struct {
+	Name  string
+	Cause error
+}
+
+func (e *ZoneError) Error() string {
+	return remedy.Because(fmt.Sprintf("time zone %q", e.Name), e.Cause)
+}
+func (e *ZoneError) Unwrap() error     { return e.Cause }
+func (e *ZoneError) Kind() remedy.Kind { return remedy.Usage }
+
+// Remedy gives an example.
+func (e *ZoneError) Remedy() string { return "Name a zone as Europe/Lisbon, or none for UTC." }
+
+// CalendarFileError is a file for the calendar that can't be read.
+type CalendarFileError struct {
+	Path  string
+	Cause error
+}
+
+func (e *CalendarFileError) Error() string     { return remedy.Because(e.Path, e.Cause) }
+func (e *CalendarFileError) Unwrap() error     { return e.Cause }
+func (e *CalendarFileError) Kind() remedy.Kind { return remedy.Configuration }
+
+// Remedy names the examples.
+func (e *CalendarFileError) Remedy() string {
+	return "Write it as examples/entry.json, freeze.json, rules.json or migration.json; docs/calendar.md explains each key."
+}
+
+// NumberError is a word that is no entry's number.
+type NumberError struct{ Text string }
+
+func (e *NumberError) Error() string {
+	return fmt.Sprintf("%q: a number, or a number with its revision, is wanted", e.Text)
+}
+func (e *NumberError) Kind() remedy.Kind { return remedy.Usage }
+
+// Remedy gives an example.
+func (e *NumberError) Remedy() string {
+	return "Name it as 7 or 7@3; swifthall calendar lists them so."
+}
+
+// MeetsError is a change that would meet something in its window.
+type MeetsError struct{ Name string }
+
+func (e *MeetsError) Error() string     { return e.Name + " is not entered: something is in its way" }
+func (e *MeetsError) Kind() remedy.Kind { return remedy.Refused }
+
+// Remedy says what can be done.
+func (e *MeetsError) Remedy() string {
+	return "Take one of the free windows, or enter it with --anyway: it begins if the way is clear by then."
+}
+
+// StepError is a step of a migration's file that can't be read.
+type StepError struct {
+	Step  int
+	Cause error
+}
+
+func (e *StepError) Error() string     { return remedy.Because(fmt.Sprintf("step %d", e.Step), e.Cause) }
+func (e *StepError) Unwrap() error     { return e.Cause }
+func (e *StepError) Kind() remedy.Kind { return remedy.Configuration }
+
+// Remedy says where to look.
+func (e *StepError) Remedy() string { return "Set that step right, as examples/migration.json has it." }
--- a/cmd/swifthall/commands.go
+++ b/cmd/swifthall/commands.go
@@ -39,7 +39,12 @@
 		{"undrain", "Bring back what was drained"}, {"status", "Show what is out, what is waited for, and who decides"}, {"halt", "Let nothing more go out"},
 		{"resume", "End a halt"}, {"budgets", "Show or set how much may be out at once"}, {"write-off", "Free the place of one that won't come back"},
 		{"forget", "Count a unit no more"}, {"coordinators", "Add or remove coordinators"}, {"audit", "Show who did what"},
-		{"release", "Give doors a new configuration or program, in waves that are watched"}} {
+		{"release", "Give doors a new configuration or program, in waves that are watched"}, {"calendar", "Show the changes to come, under way and over, and the freezes"},
+		{"plan", "Enter a change into the calendar"}, {"approve", "Agree to what an entry would do"}, {"refuse", "Send an entry back to its author"},
+		{"emergency", "Have an entry pass freezes"}, {"freeze", "Lay a freeze: times in which changes don't begin"}, {"thaw", "Take a freeze out"},
+		{"rules", "Show or set who must approve what"}, {"migrate", "Enter a migration, step by step"}, {"move", "Give an entry another window"},
+		{"withdraw", "Take an entry out that has not begun"}, {"steer", "Halt an entry, have it go on or back"}, {"saw", "Tell what was seen of what an entry wants seen"},
+		{"why", "Name the first thing that keeps an entry from beginning"}, {"next", "List the next windows that are free"}, {"history", "Show what has happened in the calendar"}} {
 		cmd.AddCommand(&cobra.Command{Use: c[0], Short: c[1], DisableFlagParsing: true,
 			Long: "Starts swifthall-coordinate, which lies beside this program or on the path; swifthall " + c[0] + " --help lists the flags.",
 			RunE: func(_ *cobra.Command, args []string) error {
--- a/permits/calendar.go
+++ b/permits/calendar.go
@@ -386,6 +386,9 @@
 		for range followMost {
 			e := s.Calendar.Entries[id]
 			if e == nil || !s.Calendar.Holds(e) {
+				if e != nil && e.Migration != 0 && e.Stage == calendar.Done { // what its steps took out was for it
+					s.undrainAll(s.Runs[id], id, "its migration is done")
+				}
 				delete(s.Runs, id)
 				break
 			}
@@ -459,6 +462,20 @@
 	return false
 }
 
+// undrainAll ends what of an entry's drain still stands; false where nothing does.
+func (s *State) undrainAll(run *Run, id uint64, why string) (ended bool) {
+	for _, n := range run.Permits {
+		if p := s.Permits[n]; p != nil && !p.Over {
+			if !ended {
+				s.Change++
+			}
+			ended = true
+			s.end(p, fmt.Sprintf("calendar %d", id), why)
+		}
+	}
+	return ended
+}
+
 func (s *State) followDrain(e *calendar.Entry, run *Run) bool {
 	do, err := action(e.Do)
 	if err != nil || do.Drain == nil {
@@ -471,19 +488,7 @@
 			drained = drained && s.Drained(p)
 		}
 	}
-	undrain := func(why string) bool {
-		ended := false
-		for _, n := range run.Permits {
-			if p := s.Permits[n]; p != nil && !p.Over {
-				if !ended {
-					s.Change++
-				}
-				ended = true
-				s.end(p, fmt.Sprintf("calendar %d", e.ID), why)
-			}
-		}
-		return ended
-	}
+	undrain := func(why string) bool { return s.undrainAll(run, e.ID, why) }
 	switch long := do.Drain.ForS * 1e3; e.Stage {
 	case calendar.Running:
 		switch {
--- a/permits/calendar_test.go
+++ b/permits/calendar_test.go
@@ -314,6 +314,30 @@
 	assert.Empty(t, s.Runs)
 }
 
+// A drain that is a step of a migration is for the migration: once that is done its unit comes back.
+func TestWhatAMigrationTookOutComesBackWhenItIsDone(t *testing.T) {
+	s := withBackends(3)
+	hand := calendar.Change{Name: "cable", Kind: calendar.MigrationStep, Subject: drained(Backend, "b0"), Window: window(0, hour), Waves: 1,
+		Do: json.RawMessage(`{"manual":"move the cable"}`), Rollback: json.RawMessage(`{"manual":"move it back"}`)}
+	a := s.do("ana", calendar.Migrate{Name: "move", Steps: []calendar.Change{drainOf(Backend, "b0", 0), hand}, Who: "ana"})
+	require.NoError(t, a.Err)
+	s.onTime()
+	s.begun(t)
+	_, change := s.Withheld()
+	for i := range 3 {
+		s.did(i, change)
+	}
+	s.begun(t)
+	held, _ := s.Withheld()
+	assert.Equal(t, []string{"b0"}, held)
+	m := s.Calendar.Migrations[a.Number]
+	require.NoError(t, s.do("ana", calendar.WaveDone{ID: m.Steps[1], Wave: 1}).Err)
+	assert.Equal(t, calendar.Done, m.Stage)
+	held, _ = s.Withheld()
+	assert.Empty(t, held)
+	assert.Empty(t, s.Runs)
+}
+
 // A leader that is lost between "due" and "running" leaves an entry that another begins, and one that is lost right after leaves
 // one that has begun: what is said twice happens once.
 func TestALeaderLostAboutAStartLeavesNothingTwice(t *testing.T) {
