The move to another shape as a migration on real processes, halted at each step and taken back

lab migrations plays docs/migration.md's move with clients at every door: watched at one door and then at all, switched in each zone and then everywhere, cleared up, as three releases that are steps of a migration. Meanwhile whichever coordinator leads is killed, one is stopped, one is cut off in one direction or both, and one clock is ten minutes ahead. Judged by what doors have written down that they run and by how they answer a customer beyond its quota, which the two shapes do differently; by clients; by permits left.

--- a/lab/command/drills.go
+++ b/lab/command/drills.go
@@ -188,3 +188,74 @@
 	f.IntVar(&jobs, "jobs", 1, "releases at once")
 	return cmd
 }
+
+func migrations() *cobra.Command {
+	var p procs.Migration
+	var seeds, jobs int
+	var steps []int
+	cmd := &cobra.Command{Use: "migrations", Short: "Play the move to another shape as a migration of the calendar, on real processes", Args: cobra.NoArgs,
+		Long: "The move of docs/migration.md in three steps, with clients at every door, while coordinators are killed, stopped and cut off and one of\n" +
+			"their clocks is ten minutes ahead: whole, and halted at each step and taken back. Exits with 4 if a rule broke.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if seeds < 1 {
+				return &FlagError{Flag: fmt.Sprintf("--seeds %d", seeds), Says: "at least one is wanted"}
+			}
+			if p.Binary == "" {
+				self, err := os.Executable()
+				if err != nil {
+					return &FileError{Path: "this program", Cause: err}
+				}
+				p.Binary = filepath.Join(filepath.Dir(self), "swifthall")
+			}
+			var plays []procs.Migration
+			for i := range seeds {
+				for _, step := range steps {
+					one := p
+					one.Seed, one.HaltAt = p.Seed+uint64(i), step
+					if p.Logs != "" {
+						one.Logs = filepath.Join(p.Logs, fmt.Sprintf("migration-%d-%d", one.Seed, step))
+						if err := os.MkdirAll(one.Logs, 0o755); err != nil {
+							return &FileError{Path: one.Logs, Cause: err}
+						}
+					}
+					plays = append(plays, one)
+				}
+			}
+			t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(t, "seed\thalted at\tbroken\tended\ttook, s\tback after, s\tstrikes\tchanges\tmost out\toperations\tfinished\trejected\tfailed")
+			var broken *procs.MigrationResult
+			var of procs.Migration
+			err := sideBySide(cmd.Context(), plays, jobs, procs.Migration.Play, func(one procs.Migration, r *procs.MigrationResult) error {
+				fmt.Fprintf(t, "%d\t%d\t%d\t%s\t%.1f\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", one.Seed, r.HaltAt, len(r.Breaches), r.Stage, r.TookS, r.BackS, len(r.Strikes), r.Changes, r.MostOut,
+					r.Asked, r.Finished, r.Rejected, r.Failed)
+				for _, b := range r.Breaches {
+					fmt.Fprintf(cmd.ErrOrStderr(), "seed %d, halted at %d: %s: %s\n", one.Seed, r.HaltAt, b.Rule, b.Text)
+				}
+				if len(r.Breaches) > 0 && broken == nil {
+					broken, of = r, one
+				}
+				return nil
+			})
+			t.Flush()
+			if err != nil {
+				return err
+			}
+			if broken != nil {
+				b := broken.Breaches[0]
+				return &ScheduleError{fmt.Sprintf("migration halted at %d", broken.HaltAt), of.Seed, b.Rule, len(broken.Breaches), b.Text}
+			}
+			return nil
+		}}
+	f := cmd.Flags()
+	f.Uint64Var(&p.Seed, "seed", 1, "of clients, clocks and strikes")
+	f.IntVar(&seeds, "seeds", 1, "seeds from there on")
+	f.IntSliceVar(&steps, "halt", []int{0, 1, 2, 3}, "steps at which it is halted and taken back; 0 for the whole")
+	f.IntVar(&p.Doors, "doors", 6, "doors")
+	f.IntVar(&p.Coordinators, "coordinators", 3, "coordinators")
+	f.Float64Var(&p.Rate, "rate", 60, "operations a second that clients ask of each door")
+	f.BoolVar(&p.Quiet, "quiet", false, "nothing strikes")
+	f.StringVar(&p.Binary, "door", "", "the program; swifthall beside this one where empty")
+	f.StringVar(&p.Logs, "logs", "", "folder for logs")
+	f.IntVar(&jobs, "jobs", 1, "plays at once")
+	return cmd
+}
--- a/lab/procs/drill.go
+++ b/lab/procs/drill.go
@@ -131,6 +131,9 @@
 	at     string               // coordinators, as commands name them
 	held   bool                 // doors' listeners are held, so that releases may reach them
 
+	ahead   string          // seconds by which one coordinator's wall clock is ahead; empty for as drawn
+	tariffs json.RawMessage // of all doors, in the place of the site's own
+
 	mu      sync.Mutex
 	cuts    map[[2]string]float64 // until when a way is cut
 	fails   []string
@@ -217,6 +220,10 @@
 	for _, c := range d.coords {
 		c.env = append(c.env, wrongWall(dice))
 	}
+	if d.ahead != "" {
+		c := d.coords[len(d.coords)-1]
+		c.env = append(c.env, serving.WallOffset+"="+d.ahead) // the last of a name counts
+	}
 	fleetAt := make([]string, d.Doors)
 	var seedsAt []string
 	for i := range fleetAt {
@@ -244,6 +251,9 @@
 		}
 		cfg := d.site.Config(p.name, p.serve, i, d.Doors)
 		cfg["log"] = map[string]string{"format": "json", "level": "info"}
+		if d.tariffs != nil {
+			cfg["settings"].(map[string]any)["tariffs"] = d.tariffs
+		}
 		of := map[string]any{"name": "drill", "zone": fmt.Sprint("z", i%drillZones), "listen": fleetAt[i], "peers": seedsAt, "coordinators": through}
 		if d.held {
 			p.dir = filepath.Join(d.dir, "releases-"+p.name)
--- a/lab/procs/real.go
+++ b/lab/procs/real.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -461,9 +462,16 @@
 
 // clients ask of doors for as long as the day lasts: no request waits for membership.
 func clients(ctx context.Context, site *stand.Site, doors map[int]string, rate, end float64) (finish func() ([]*load.Outcome, error)) {
+	return clientsUntil(ctx, site, doors, rate, end, nil)
+}
+
+// clientsUntil ask until they are told that it is enough, or for as long as the day lasts.
+func clientsUntil(ctx context.Context, site *stand.Site, doors map[int]string, rate, end float64, enough <-chan struct{}) (finish func() ([]*load.Outcome, error)) {
 	var runs []load.Run
-	for i, at := range doors {
-		runs = append(runs, asks(site, at, i, rate, end))
+	for _, i := range slices.Sorted(maps.Keys(doors)) {
+		run := asks(site, doors[i], i, rate, end)
+		run.Enough = enough
+		runs = append(runs, run)
 	}
 	return sideways(ctx, runs)
 }
--- a/lab/procs/rollout.go
+++ b/lab/procs/rollout.go
@@ -104,13 +104,7 @@
 		looks.Go(func() { door.probe(over) })
 	}
 	enough := make(chan struct{})
-	var runs []load.Run
-	for i, door := range d.doors {
-		run := asks(d.site, door.serve, i, p.Rate, (rolloutMost+30)*msPerSecond)
-		run.Enough = enough
-		runs = append(runs, run)
-	}
-	served := sideways(ctx, runs)
+	served := clientsUntil(ctx, d.site, doors, p.Rate, (rolloutMost+30)*msPerSecond, enough)
 	err = p.release(d, r)
 	select {
 	case <-time.After(time.Duration(rolloutTail * 1e9)):
