Rehearsals of migrations, the shipped move to another shape, and answers that stay short at ten thousand entries

Files of the calendar are read by a package of their own, permits/planfile, for both programs. examples/shape has docs/migration.md's move as a migration with the three files that its steps release; a test holds their digests and lays each over a door's own file.

The coordinators' answer to a question about one entry holds that entry and those that it waits for, not the whole calendar.

--- a/cmd/swifthall-coordinate/calendar.go
+++ b/cmd/swifthall-coordinate/calendar.go
@@ -6,118 +6,29 @@
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
-	_ "time/tzdata" // freezes are laid in time zones by name, also on machines that have no tables of them
 	"unicode/utf8"
 
 	"github.com/spf13/cobra"
 
 	"github.com/swifthall/swifthall/calendar"
 	"github.com/swifthall/swifthall/coordinator/client"
-	"github.com/swifthall/swifthall/permits"
+	"github.com/swifthall/swifthall/permits/planfile"
 )
 
 // The change calendar: what is to come, who has to agree, and what is in the way.
 
 const (
 	lineMost  = 80                 // columns of a terminal
-	localForm = "2006-01-02T15:04" // as in files,
-	shownForm = "2006-01-02 15:04" // and in what is shown
+	shownForm = "2006-01-02 15:04" // of times that are shown
 	freeMost  = 5                  // windows that are offered
 	aWeek     = 7 * 24 * 3600e3    // ms
 	tabFor    = time.Second        // that completion of a number may take
 )
 
-// entryFile is a change as an operator writes it: local times, seconds.
-type entryFile struct {
-	Name           string           `json:"name"`
-	Kind           calendar.Kind    `json:"kind,omitempty"`     // by what it does, where it is left out,
-	Subject        calendar.Subject `json:"subject,omitzero"`   // and so its subject,
-	Waves          int              `json:"waves,omitempty"`    // its waves,
-	WaveS          float64          `json:"wave_s,omitempty"`   // the time that one takes,
-	Rollback       json.RawMessage  `json:"rollback,omitempty"` // and its way back
-	From           string           `json:"from"`
-	To             string           `json:"to"`
-	In             string           `json:"in,omitempty"` // time zone by name; UTC where it is left out
-	SoakS          float64          `json:"soak_s,omitempty"`
-	LateS          float64          `json:"late_s,omitempty"`
-	After          []uint64         `json:"after,omitempty"`
-	Preconditions  []string         `json:"preconditions,omitempty"`
-	Postconditions []string         `json:"postconditions,omitempty"`
-	Do             json.RawMessage  `json:"do"`
-}
-
-// migrationFile is a migration as an operator writes it.
-type migrationFile struct {
-	Name  string      `json:"name"`
-	In    string      `json:"in,omitempty"`
-	Steps []entryFile `json:"steps"`
-}
-
-// freezeFile is a freeze as an operator writes it.
-type freezeFile struct {
-	Name    string              `json:"name"`
-	Kinds   []calendar.Kind     `json:"kinds,omitempty"`
-	Subject calendar.Subject    `json:"subject"`
-	When    calendar.Recurrence `json:"when"`
-	Sends   string              `json:"sends,omitempty"` // finish wave where it is left out
-}
-
-// rulesFile is all rules and budgets.
-type rulesFile struct {
-	Rules   []calendar.Rule   `json:"rules"`
-	Budgets []calendar.Budget `json:"budgets"`
-}
-
-// change makes the calendar's own of it.
-func (f *entryFile) change(in string) (calendar.Change, error) {
-	c := calendar.Change{Name: f.Name, Kind: f.Kind, Subject: f.Subject, Waves: f.Waves, WaveMs: f.WaveS * 1e3, SoakMs: f.SoakS * 1e3, LateMs: f.LateS * 1e3,
-		After: f.After, Preconditions: f.Preconditions, Postconditions: f.Postconditions, Do: f.Do, Rollback: f.Rollback}
-	if f.In != "" {
-		in = f.In
-	}
-	zone, err := zoneOf(in)
-	if err != nil {
-		return c, err
-	}
-	if c.Window, err = calendar.Window(f.From, f.To, zone); err != nil {
-		return c, err
-	}
-	permits.Complete(&c)
-	return c, nil
-}
-
-func zoneOf(name string) (*time.Location, error) {
-	in, err := time.LoadLocation(name) // UTC for an empty name
-	if err != nil || name == "Local" {
-		return nil, &ZoneError{name, err}
-	}
-	return in, nil
-}
-
-// readFile reads a file of JSON, - for standard input. A key that nothing reads is refused.
-func readFile(cmd *cobra.Command, path string, into any) error {
-	in := cmd.InOrStdin()
-	if path != "-" {
-		f, err := os.Open(path)
-		if err != nil {
-			return &CalendarFileError{path, err}
-		}
-		defer f.Close()
-		in = f
-	}
-	dec := json.NewDecoder(in)
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(into); err != nil {
-		return &CalendarFileError{path, err}
-	}
-	return nil
-}
-
 // numbered reads 7 or 7@3, an entry with the revision that its operator has seen.
 func numbered(text string) (id, revision uint64, err error) {
 	number, seen, has := strings.Cut(text, "@")
@@ -138,7 +49,7 @@
 	}
 	s := calendar.New()
 	if err := json.Unmarshal(a.Calendar, s); err != nil {
-		return nil, nil, &CalendarFileError{"the coordinators' answer", err}
+		return nil, nil, &planfile.FileError{Path: "the coordinators' answer", Cause: err}
 	}
 	return s, &a, nil
 }
@@ -149,7 +60,7 @@
 	if err != nil {
 		return nil, 0, nil, err
 	}
-	s, _, err := o.asks(cmd, client.CalendarQuestion{})
+	s, _, err := o.asks(cmd, client.CalendarQuestion{ID: id, Bare: true})
 	if err != nil {
 		return nil, 0, nil, err
 	}
@@ -179,7 +90,7 @@
 			"as 7@3: number 7, as it is after 3 changes; commands that take 7@3 do nothing if somebody has changed it since.",
 		ValidArgsFunction: o.ids,
 		RunE: func(cmd *cobra.Command, args []string) error {
-			zone, err := zoneOf(in)
+			zone, err := planfile.ZoneOf(in)
 			if err != nil {
 				return err
 			}
@@ -194,7 +105,7 @@
 				showEntry(cmd.OutOrStdout(), s, e, zone)
 				return nil
 			}
-			s, a, err := o.asks(cmd, client.CalendarQuestion{})
+			s, a, err := o.asks(cmd, client.CalendarQuestion{Events: asJSON})
 			if err != nil {
 				return err
 			}
@@ -349,7 +260,7 @@
 
 // meets tells what a change would meet, and when there is room for it; false where that is to keep it out.
 func (o *operator) meets(cmd *cobra.Command, c *calendar.Change, id uint64, in *time.Location) (clear bool, err error) {
-	_, a, err := o.asks(cmd, client.CalendarQuestion{ID: id, Change: c, Most: freeMost})
+	_, a, err := o.asks(cmd, client.CalendarQuestion{ID: id, Change: c, Most: freeMost, Bare: true})
 	if err != nil {
 		return false, err
 	}
@@ -383,18 +294,18 @@
 			"windows that are free; it is entered all the same with --anyway. It begins by itself once its window has, all approvals are\n" +
 			"given and nothing is in the way; swifthall why ID names the first thing that is.",
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var f entryFile
-			if err := readFile(cmd, args[0], &f); err != nil {
+			var f planfile.Entry
+			if err := planfile.Read(args[0], cmd.InOrStdin(), &f); err != nil {
 				return err
 			}
-			c, err := f.change("")
+			c, err := f.Change("")
 			if err != nil {
 				return err
 			}
 			if err := o.named(); err != nil {
 				return err
 			}
-			zone, _ := zoneOf(f.In) // it was read already
+			zone, _ := planfile.ZoneOf(f.In) // it was read already
 			var id, revision uint64
 			if edit != "" {
 				e, seen, _, err := o.one(cmd, edit)
@@ -472,7 +383,7 @@
 			if _, err := o.command(cmd, what); err != nil {
 				return err
 			}
-			s, _, err := o.asks(cmd, client.CalendarQuestion{})
+			s, _, err := o.asks(cmd, client.CalendarQuestion{ID: e.ID, Bare: true})
 			if err == nil && s.Entries[e.ID] != nil {
 				line(cmd.OutOrStdout(), "entry %d is %s", e.ID, s.Entries[e.ID].Stage)
 			}
@@ -496,7 +407,7 @@
 	var from, to, in string
 	move := o.onEntry("move", "Give an entry another window", "Approvals are of the window too: they are asked for anew.",
 		func(cmd *cobra.Command, e *calendar.Entry, revision uint64) (any, error) {
-			zone, err := zoneOf(in)
+			zone, err := planfile.ZoneOf(in)
 			if err != nil {
 				return nil, err
 			}
@@ -557,7 +468,7 @@
 			if err != nil {
 				return err
 			}
-			_, a, err := o.asks(cmd, client.CalendarQuestion{ID: id})
+			_, a, err := o.asks(cmd, client.CalendarQuestion{ID: id, Bare: true})
 			if err != nil {
 				return err
 			}
@@ -572,19 +483,19 @@
 	var most int
 	cmd := &cobra.Command{Use: "next FILE", Short: "List the next windows in which there is room for a change", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var f entryFile
-			if err := readFile(cmd, args[0], &f); err != nil {
+			var f planfile.Entry
+			if err := planfile.Read(args[0], cmd.InOrStdin(), &f); err != nil {
 				return err
 			}
 			if f.From == "" && f.To == "" { // its window is what is asked for
 				f.From, f.To = "2000-01-01T00:00", "2000-01-02T00:00"
 			}
-			c, err := f.change("")
+			c, err := f.Change("")
 			if err != nil {
 				return err
 			}
-			zone, _ := zoneOf(f.In)
-			_, a, err := o.asks(cmd, client.CalendarQuestion{Change: &c, Most: most})
+			zone, _ := planfile.ZoneOf(f.In)
+			_, a, err := o.asks(cmd, client.CalendarQuestion{Change: &c, Most: most, Bare: true})
 			if err == nil {
 				showFree(cmd.OutOrStdout(), a.Free, zone)
 			}
@@ -600,14 +511,14 @@
 		Long: "FILE is of JSON, as examples/freeze.json. What runs when a freeze begins finishes its wave and is halted until it is over, or goes\n" +
 			"back at once with \"sends\": \"send back\".",
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var f freezeFile
-			if err := readFile(cmd, args[0], &f); err != nil {
+			var f planfile.Freeze
+			if err := planfile.Read(args[0], cmd.InOrStdin(), &f); err != nil {
 				return err
 			}
 			if err := o.reason(); err != nil {
 				return err
 			}
-			zone, err := zoneOf(f.When.In)
+			zone, err := planfile.ZoneOf(f.When.In)
 			if err != nil {
 				return err
 			}
@@ -677,10 +588,10 @@
 				if err != nil {
 					return err
 				}
-				return indented(cmd.OutOrStdout(), rulesFile{s.Rules, s.Budgets})
+				return indented(cmd.OutOrStdout(), planfile.Rules{Rules: s.Rules, Budgets: s.Budgets})
 			}
-			var f rulesFile
-			if err := readFile(cmd, args[0], &f); err != nil {
+			var f planfile.Rules
+			if err := planfile.Read(args[0], cmd.InOrStdin(), &f); err != nil {
 				return err
 			}
 			if err := o.named(); err != nil {
@@ -695,8 +606,8 @@
 	var replace string
 	cmd := &cobra.Command{Use: "migrate FILE", Short: "Enter a migration: steps, each after the one before, each with its way back", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var f migrationFile
-			if err := readFile(cmd, args[0], &f); err != nil {
+			var f planfile.Migration
+			if err := planfile.Read(args[0], cmd.InOrStdin(), &f); err != nil {
 				return err
 			}
 			if err := o.named(); err != nil {
@@ -704,7 +615,7 @@
 			}
 			var steps []calendar.Change
 			for i := range f.Steps {
-				c, err := f.Steps[i].change(f.In)
+				c, err := f.Steps[i].Change(f.In)
 				if err != nil {
 					return &StepError{i + 1, err}
 				}
@@ -748,7 +659,7 @@
 					return err
 				}
 			}
-			s, _, err := o.asks(cmd, client.CalendarQuestion{})
+			s, _, err := o.asks(cmd, client.CalendarQuestion{Events: true})
 			if err != nil {
 				return err
 			}
--- a/cmd/swifthall-coordinate/calendar_test.go
+++ b/cmd/swifthall-coordinate/calendar_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -16,18 +18,21 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/swifthall/swifthall/calendar"
+	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/internal/cli"
 	"github.com/swifthall/swifthall/internal/remedy"
+	"github.com/swifthall/swifthall/permits"
+	"github.com/swifthall/swifthall/permits/planfile"
 )
 
 // site is one coordinator, asked by commands alone.
 type site struct {
-	t   *testing.T
+	t   testing.TB
 	dir string
 	at  string
 }
 
-func coordinated(t *testing.T) *site {
+func coordinated(t testing.TB) *site {
 	s := &site{t: t, dir: t.TempDir(), at: "c-1/" + free(t)}
 	raft := free(t)
 	file := s.file("c.json", map[string]any{"name": "c-1", "fleet": "f", "listen": raft, "api": strings.TrimPrefix(s.at, "c-1/"), "data": s.dir, "peers": []string{"c-1/" + raft}, "log": map[string]string{"level": "error"}})
@@ -87,7 +92,7 @@
 func entry(name, subject string, fromIn, toIn time.Duration) map[string]any {
 	now := time.Now().UTC()
 	return map[string]any{"name": name, "kind": "terms", "subject": map[string]any{"scope": "plans", "names": []string{subject}},
-		"from": now.Add(fromIn).Format(localForm), "to": now.Add(toIn).Format(localForm), "wave_s": 30,
+		"from": now.Add(fromIn).Format(planfile.LocalForm), "to": now.Add(toIn).Format(planfile.LocalForm), "wave_s": 30,
 		"do": map[string]any{"manual": "set the rate"}, "rollback": map[string]any{"manual": "set it back"}}
 }
 
@@ -178,7 +183,7 @@
 	require.NoError(t, err)
 	assert.Contains(t, out, "is entry 2")
 	now := time.Now().UTC()
-	freeze := map[string]any{"name": "nights", "subject": map[string]any{"scope": "plans"}, "when": map[string]any{"begin": now.Add(-time.Hour).Format(localForm), "minutes": 24*60 - 1, "every": "FREQ=DAILY", "in": "UTC"}}
+	freeze := map[string]any{"name": "nights", "subject": map[string]any{"scope": "plans"}, "when": map[string]any{"begin": now.Add(-time.Hour).Format(planfile.LocalForm), "minutes": 24*60 - 1, "every": "FREQ=DAILY", "in": "UTC"}}
 	assert.Contains(t, s.ok("freeze", s.file("f.json", freeze), "--why", "sleep"), "is freeze 3, 4")
 	out = s.ok("calendar", "--week", "--in", "Europe/Lisbon")
 	assert.Contains(t, out, "freeze 3@1 ")
@@ -241,22 +246,54 @@
 	s.ok("rules", "../../examples/rules.json")
 	assert.Contains(t, s.ok("freeze", "../../examples/freeze.json", "--why", "matches"), "match evenings")
 	assert.Contains(t, s.ok("next", "../../examples/entry.json"), "free")
-	var m migrationFile
-	cmd := root()
-	require.NoError(t, readFile(cmd, "../../examples/migration.json", &m))
+	var m planfile.Migration
+	require.NoError(t, planfile.Read("../../examples/migration.json", nil, &m))
 	raw, err := os.ReadFile("../../examples/migration.json")
 	require.NoError(t, err)
 	later := filepath.Join(s.dir, "m.json") // whatever the date is
 	require.NoError(t, os.WriteFile(later, []byte(strings.ReplaceAll(string(raw), "2026-12-2", fmt.Sprintf("%d-12-2", time.Now().Year()+1))), 0o600))
 	assert.Contains(t, s.ok("migrate", later), "is migration")
-	var e entryFile
-	require.NoError(t, readFile(cmd, "../../examples/entry.json", &e))
-	c, err := e.change("")
+	var e planfile.Entry
+	require.NoError(t, planfile.Read("../../examples/entry.json", nil, &e))
+	c, err := e.Change("")
 	require.NoError(t, err)
 	assert.Equal(t, calendar.Drain, c.Kind)
 	assert.Equal(t, 1800e3, c.WaveMs)
 }
 
+// docs/migration.md's move to another shape ships as a migration: its digests are of the files beside it, each of which a door takes.
+func TestTheMoveToAnotherShapeShips(t *testing.T) {
+	s := coordinated(t)
+	dir := "../../examples/shape/"
+	var m planfile.Migration
+	require.NoError(t, planfile.Read(dir+"migration.json", nil, &m))
+	own, err := os.ReadFile("../../examples/config.json")
+	require.NoError(t, err)
+	var watched []bool
+	for _, step := range m.Steps {
+		do, err := permits.ReadAction(step.Do)
+		require.NoError(t, err)
+		raw, err := os.ReadFile(dir + step.Name + ".json")
+		require.NoError(t, err)
+		sum := sha256.Sum256(raw)
+		assert.Equal(t, hex.EncodeToString(sum[:]), do.Release.Digest, step.Name)
+		whole, err := config.Over(own, raw)
+		require.NoError(t, err)
+		door, err := config.Read(whole, func(string) string { return "" })
+		require.NoError(t, err, step.Name)
+		watched = append(watched, door.Watch != nil)
+	}
+	assert.Equal(t, []bool{true, true, false}, watched)
+	raw, err := os.ReadFile(dir + "migration.json")
+	require.NoError(t, err)
+	later := filepath.Join(s.dir, "m.json") // whatever the date is
+	require.NoError(t, os.WriteFile(later, []byte(strings.ReplaceAll(string(raw), "2026-12-0", fmt.Sprintf("%d-12-0", time.Now().Year()+1))), 0o600))
+	assert.Contains(t, s.ok("migrate", later), "is migration 1")
+	out := s.ok("calendar", "--all")
+	assert.Contains(t, out, "watch: doors")
+	assert.Contains(t, out, "clear-up: doors")
+}
+
 func TestNumbersAreCompleted(t *testing.T) {
 	s := coordinated(t)
 	s.ok("plan", s.file("a.json", entry("first", "gold", time.Hour, 3*time.Hour)))
@@ -299,6 +336,28 @@
 		assert.ErrorAs(t, err, &wrong, number)
 	}
 	_, err = do("plan", "nowhere.json", "--at", "c/127.0.0.1:1")
-	var file *CalendarFileError
+	var file *planfile.FileError
 	assert.ErrorAs(t, err, &file)
 }
+
+// BenchmarkTenThousandEntries is what an operator waits for where the calendar has ten thousand entries.
+func BenchmarkTenThousandEntries(b *testing.B) {
+	s := coordinated(b)
+	steps := make([]any, 100)
+	for m := range 100 {
+		for i := range steps {
+			e := entry(fmt.Sprintf("entry %d of %d", i, m), fmt.Sprint("plan-", m, "-", i), 100*time.Hour, 200*time.Hour)
+			e["kind"] = "migration"
+			steps[i] = e
+		}
+		s.ok("migrate", s.file("m.json", map[string]any{"name": fmt.Sprint("m", m), "steps": steps}))
+	}
+	for name, args := range map[string][]string{"calendar": {"calendar", "--all"}, "one": {"calendar", "500"}, "status": {"status"},
+		"plan": {"plan", s.file("p.json", entry("x", "y", time.Hour, 3*time.Hour)), "--anyway"}} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				s.ok(args...)
+			}
+		})
+	}
+}
--- a/cmd/swifthall-coordinate/commands_test.go
+++ b/cmd/swifthall-coordinate/commands_test.go
@@ -80,7 +80,7 @@
 	assert.Regexp(t, `backend b-1 +z1 +ready +out +0.2 s ago`, out.String())
 }
 
-func free(t *testing.T) string {
+func free(t testing.TB) string {
 	at, err := loopback.Free()
 	require.NoError(t, err)
 	return at
--- a/cmd/swifthall-coordinate/errors.go
+++ b/cmd/swifthall-coordinate/errors.go
@@ -84,36 +84,6 @@
 	return "Look at those doors: one that is away may still send until it is seen to have ended; swifthall forget door NAME says that it is gone for good."
 }
 
-// ZoneError is a time zone that nobody knows.
-type ZoneError struct {
-	Name  string
-	Cause error
-}
-
-func (e *ZoneError) Error() string {
-	return remedy.Because(fmt.Sprintf("time zone %q", e.Name), e.Cause)
-}
-func (e *ZoneError) Unwrap() error     { return e.Cause }
-func (e *ZoneError) Kind() remedy.Kind { return remedy.Usage }
-
-// Remedy gives an example.
-func (e *ZoneError) Remedy() string { return "Name a zone as Europe/Lisbon, or none for UTC." }
-
-// CalendarFileError is a file for the calendar that can't be read.
-type CalendarFileError struct {
-	Path  string
-	Cause error
-}
-
-func (e *CalendarFileError) Error() string     { return remedy.Because(e.Path, e.Cause) }
-func (e *CalendarFileError) Unwrap() error     { return e.Cause }
-func (e *CalendarFileError) Kind() remedy.Kind { return remedy.Configuration }
-
-// Remedy names the examples.
-func (e *CalendarFileError) Remedy() string {
-	return "Write it as examples/entry.json, freeze.json, rules.json or migration.json; docs/calendar.md explains each key."
-}
-
 // NumberError is a word that is no entry's number.
 type NumberError struct{ Text string }
 
--- a/cmd/swifthall/commands.go
+++ b/cmd/swifthall/commands.go
@@ -29,6 +29,11 @@
 		&cobra.Command{Use: "lab", Short: "The laboratory: play, list, compare, sweep, hunt, load", DisableFlagParsing: true,
 			Long: "Starts swifthall-lab, which lies beside this program or on the path: the laboratory is a program of its own.",
 			RunE: func(_ *cobra.Command, args []string) error { return become(labProgram, args...) }},
+		&cobra.Command{Use: "rehearse", Short: "Play a migration on the site's scenario, simulated, and tell what it would cost", DisableFlagParsing: true,
+			Long: "Starts swifthall-lab, which lies beside this program or on the path; swifthall rehearse --help lists the flags.",
+			RunE: func(_ *cobra.Command, args []string) error {
+				return become(labProgram, append([]string{"rehearse"}, args...)...)
+			}},
 		&cobra.Command{Use: "members", Short: "Show which doors a door of a fleet holds to be here (--watch, --json, --at)", DisableFlagParsing: true,
 			Long: "Starts swifthall-fleet, which lies beside this program or on the path; swifthall members --help lists the flags.",
 			RunE: func(_ *cobra.Command, args []string) error {
--- a/coordinator/calendar.go
+++ b/coordinator/calendar.go
@@ -154,7 +154,21 @@
 	var a client.CalendarAnswer
 	var err error
 	if !c.Read(func(s *permits.State, _ float64) {
-		if a.Calendar, err = json.Marshal(s.Calendar); err != nil {
+		part := *s.Calendar
+		if !q.Events {
+			part.Events = nil
+		}
+		if q.Bare {
+			part.Entries, part.Freezes, part.Migrations = map[uint64]*calendar.Entry{}, nil, nil
+			if e := s.Calendar.Entries[q.ID]; e != nil {
+				for _, id := range append(slices.Clone(e.After), q.ID) {
+					if o := s.Calendar.Entries[id]; o != nil {
+						part.Entries[id] = o
+					}
+				}
+			}
+		}
+		if a.Calendar, err = json.Marshal(&part); err != nil {
 			return
 		}
 		if q.ID != 0 {
--- a/coordinator/calendar_test.go
+++ b/coordinator/calendar_test.go
@@ -30,7 +30,7 @@
 
 func agreed(t *testing.T, c *client.Client) *calendar.State {
 	var a client.CalendarAnswer
-	require.NoError(t, c.Ask(soon(t), client.CalendarPath, client.CalendarQuestion{}, &a))
+	require.NoError(t, c.Ask(soon(t), client.CalendarPath, client.CalendarQuestion{Events: true}, &a))
 	s := calendar.New()
 	require.NoError(t, json.Unmarshal(a.Calendar, s))
 	return s
@@ -141,6 +141,27 @@
 	assert.Equal(t, calendar.Running, agreed(t, c).Entries[id].Stage)
 }
 
+func TestABareAnswerHoldsTheEntryAndWhatItWaitsFor(t *testing.T) {
+	all := peers(t, 1)
+	leader(t, all)
+	c := asker(all)
+	first, second := byHand("a", wall()+3600e3, wall()+7200e3), byHand("b", wall()+3600e3, wall()+7200e3)
+	id := plan(t, c, first)
+	plan(t, c, second)
+	third := byHand("c", wall()+3600e3, wall()+7200e3)
+	third.After = []uint64{id}
+	last := plan(t, c, third)
+	var a client.CalendarAnswer
+	require.NoError(t, c.Ask(soon(t), client.CalendarPath, client.CalendarQuestion{ID: last, Bare: true}, &a))
+	s := calendar.New()
+	require.NoError(t, json.Unmarshal(a.Calendar, s))
+	assert.Len(t, s.Entries, 2)
+	assert.NotNil(t, s.Entries[id])
+	assert.Empty(t, s.Events)
+	assert.NotEmpty(t, agreed(t, c).Events)
+	assert.Len(t, agreed(t, c).Entries, 3, "the state itself has all")
+}
+
 func TestAnEntryThatCantGoOutSaysWhy(t *testing.T) {
 	all := peers(t, 1)
 	leader(t, all)
--- a/coordinator/client/client.go
+++ b/coordinator/client/client.go
@@ -105,6 +105,8 @@
 	ID     uint64           `json:"id,omitempty"`     // what is in the way of this entry; or the change's own
 	Change *calendar.Change `json:"change,omitempty"` // what it would meet, and when there is room for it
 	Most   int              `json:"most,omitempty"`   // free windows
+	Bare   bool             `json:"bare,omitempty"`   // of the calendar, only the entry and those that it waits for: there may be thousands
+	Events bool             `json:"events,omitempty"` // its history too
 }
 
 // CalendarAnswer answers it.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -463,7 +463,9 @@
 		return c.elsewhere()
 	}
 	var err error
-	c.fsm.read(func(s *permits.State) { err = s.Calendar.MayBegin(calendar.Coordinators, calendar.Subject{Scope: calendar.Fleet}) })
+	c.fsm.read(func(s *permits.State) {
+		err = s.Calendar.MayBegin(calendar.Coordinators, calendar.Subject{Scope: calendar.Fleet})
+	})
 	if err != nil {
 		return &CalendarError{err}
 	}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -39,7 +39,7 @@
 	trans *raft.NetworkTransport
 
 	options Options
-	api   *httptest.Server
+	api     *httptest.Server
 }
 
 func (p *peer) end() {
--- a/lab/command/command.go
+++ b/lab/command/command.go
@@ -30,7 +30,7 @@
 func New() *cobra.Command {
 	root := &cobra.Command{Use: "lab", Short: "The laboratory: play scenarios, compare, sweep, hunt, load", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() }}
-	root.AddCommand(play(), list(), accounts(), tallies(), compare(), sweep(), hunt(), loads(), beside(), proxy(), processes(), drills(), coordinators(), rollouts(), migrations())
+	root.AddCommand(play(), list(), accounts(), tallies(), compare(), sweep(), hunt(), loads(), beside(), proxy(), processes(), drills(), coordinators(), rollouts(), migrations(), rehearsal())
 	return root
 }
 
--- a/lab/command/errors.go
+++ b/lab/command/errors.go
@@ -93,3 +93,14 @@
 func (e *ScheduleError) Remedy() string {
 	return fmt.Sprintf("Look at the timeline: swifthall lab procs %s --seed %d --out DIR, then DIR's report.html; schedule.toml there plays it again.", e.Schedule, e.Seed)
 }
+
+// RehearsalError is a rehearsal on which a rule broke.
+type RehearsalError struct{ Says string }
+
+func (e *RehearsalError) Error() string     { return "rules broke at " + e.Says }
+func (e *RehearsalError) Kind() remedy.Kind { return remedy.Refused }
+
+// Remedy says what to look at.
+func (e *RehearsalError) Remedy() string {
+	return "Don't do it so: play the scenario by itself with swifthall lab play, and give the step fewer units at once with --most-out."
+}
--- /dev/null
+++ b/lab/command/rehearse.go
@@ -0,0 +1,72 @@
+package command
+
+import (
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"github.com/swifthall/swifthall/lab/rehearse"
+	"github.com/swifthall/swifthall/lab/scenarios"
+	"github.com/swifthall/swifthall/permits/planfile"
+)
+
+func rehearsal() *cobra.Command {
+	var name string
+	var sets []string
+	var seed uint64
+	var seeds, places, jobs int
+	cmd := &cobra.Command{Use: "rehearse FILE", Short: "Play a migration on a scenario, simulated, and tell what it would cost", Args: cobra.ExactArgs(1),
+		Long: "FILE is a migration as swifthall migrate takes it, --scenario the site's own scenario file or the name of one that ships. Plays the\n" +
+			"day as it is, with each step alone, and with all of them. Times are compressed into the scenario's day, steps one after the\n" +
+			"other; what people do by hand is not played. Exits with 4 if a rule broke.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if seeds < 1 || places < 1 {
+				return &FlagError{Flag: fmt.Sprintf("--seeds %d --most-out %d", seeds, places), Says: "at least one of each is wanted"}
+			}
+			var m planfile.Migration
+			if err := planfile.Read(args[0], cmd.InOrStdin(), &m); err != nil {
+				return err
+			}
+			s, err := changed(name, 0, sets)
+			if err != nil {
+				return err
+			}
+			steps, err := rehearse.Steps(s, m.Steps, places)
+			if err != nil {
+				return err
+			}
+			var all []uint64
+			for i := range seeds {
+				all = append(all, seed+uint64(i))
+			}
+			rows, err := rehearse.Play(cmd.Context(), s, steps, all, jobs)
+			if err != nil {
+				return err
+			}
+			t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintf(t, "%s on %s, simulated, %d seeds\n", m.Name, s.Name, seeds)
+			fmt.Fprintln(t, "step\tG\tleast\tcosts\tlate\tunserved\tof 1000 operations; what is played")
+			broken := ""
+			for _, r := range rows {
+				fmt.Fprintf(t, "%s\t%.3f\t%.3f\t%.3f\t%.1f\t%.1f\t%s\n", r.Name, r.G, r.Least, r.Cost, r.Late, r.Unserved, r.Says)
+				if r.Broken != "" && broken == "" {
+					broken = r.Name + ": " + r.Broken
+				}
+			}
+			t.Flush()
+			if broken != "" {
+				return &RehearsalError{broken}
+			}
+			return nil
+		}}
+	f := cmd.Flags()
+	f.StringVar(&name, "scenario", "calm", "the site's scenario file, or one of those that ship")
+	f.StringArrayVar(&sets, "set", nil, "KEY=VALUE, a key of the scenario file such as fleet.doors=30; may be repeated")
+	f.Uint64Var(&seed, "seed", 1, "of the first day")
+	f.IntVar(&seeds, "seeds", 3, "seeds from there on")
+	f.IntVar(&places, "most-out", 2, "that may be out at once, as the budgets have it")
+	f.IntVar(&jobs, "jobs", 0, "days at once; as many as there are cores where 0")
+	_ = cmd.RegisterFlagCompletionFunc("scenario", cobra.FixedCompletions(scenarios.Names(), cobra.ShellCompDirectiveDefault))
+	return cmd
+}
--- a/permits/calendar.go
+++ b/permits/calendar.go
@@ -77,8 +77,8 @@
 	return calendar.Release
 }
 
-// action reads what an entry does, or how it goes back. A key that nothing reads is refused.
-func action(raw json.RawMessage) (a Action, err error) {
+// ReadAction reads what an entry does, or how it goes back. A key that nothing reads is refused.
+func ReadAction(raw json.RawMessage) (a Action, err error) {
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.DisallowUnknownFields()
 	err = dec.Decode(&a)
@@ -93,7 +93,7 @@
 // Complete fills in what follows from what a change does, where its author left it out: kind, subject, waves and their time, and
 // its way back. A change that can't be read stays as it is; who enters it is told.
 func Complete(c *calendar.Change) {
-	do, err := action(c.Do)
+	do, err := ReadAction(c.Do)
 	if err != nil {
 		return
 	}
@@ -122,7 +122,7 @@
 	bad := func(key, format string, args ...any) error {
 		return &calendar.FormError{Key: key, Says: fmt.Sprintf(format, args...)}
 	}
-	do, err := action(c.Do)
+	do, err := ReadAction(c.Do)
 	if err != nil {
 		return bad("do", "%v", err)
 	}
@@ -137,7 +137,7 @@
 	}
 	var back Action
 	if len(c.Rollback) > 0 {
-		if back, err = action(c.Rollback); err != nil {
+		if back, err = ReadAction(c.Rollback); err != nil {
 			return bad("rollback", "%v", err)
 		}
 	}
@@ -258,7 +258,7 @@
 	if err := s.Calendar.InTheWay(e); err != nil {
 		return Answer{Err: err}
 	}
-	do, err := action(e.Do)
+	do, err := ReadAction(e.Do)
 	if err != nil { // entered by a release that read it
 		return Answer{Err: &calendar.FormError{Key: "do", Says: err.Error()}}
 	}
@@ -311,7 +311,7 @@
 	if err := s.Calendar.InTheWay(e); err != nil {
 		return err
 	}
-	do, err := action(e.Do)
+	do, err := ReadAction(e.Do)
 	switch {
 	case err != nil:
 		return &calendar.FormError{Key: "do", Says: err.Error()}
@@ -477,7 +477,7 @@
 }
 
 func (s *State) followDrain(e *calendar.Entry, run *Run) bool {
-	do, err := action(e.Do)
+	do, err := ReadAction(e.Do)
 	if err != nil || do.Drain == nil {
 		return false
 	}
