--- a/calendar/calendar.go
+++ b/calendar/calendar.go
@@ -232,6 +232,9 @@
 	return &State{NextID: 1, Size: 1, Readings: map[string]Reading{}, Entries: map[uint64]*Entry{}, Freezes: map[uint64]*Freeze{}, Migrations: map[uint64]*Migration{}, Doubt: noClock}
 }
 
+// InUse tells whether anybody has ever used it.
+func (s *State) InUse() bool { return s.Number > 0 }
+
 // See has the state know where units stand. It is no part of what is agreed; whoever applies commands passes what is.
 func (s *State) See(z Zones) { s.zones = z }
 
@@ -311,6 +314,7 @@
 	WaveDone struct {
 		ID   uint64
 		Wave int
+		Who  string `json:",omitempty"` // of people, who did it
 	}
 	// Observe tells what was seen of what an entry wants or shows.
 	Observe struct {
@@ -318,6 +322,7 @@
 		What string
 		Well bool
 		Says string
+		Who  string `json:",omitempty"`
 	}
 	// Migrate enters a migration: steps, each after the one before.
 	Migrate struct {
@@ -352,7 +357,10 @@
 		Who, Why string
 	}
 	// RolledBack says that an entry's way back has been gone.
-	RolledBack struct{ ID uint64 }
+	RolledBack struct {
+		ID  uint64
+		Who string `json:",omitempty"` // of people, who took it back
+	}
 	// Acknowledge says up to which event the receiver has heard.
 	Acknowledge struct{ Number uint64 }
 	// Restored says that this state may lack what happened last: nothing of before starts by itself.
@@ -467,7 +475,7 @@
 		}
 		return 0, s.steer(c.ID, []Stage{Running, Halted}, RollingBack, c.Who, c.Why)
 	case RolledBack:
-		return 0, s.steer(c.ID, []Stage{RollingBack}, Withdrawn, "", takenBack)
+		return 0, s.steer(c.ID, []Stage{RollingBack}, Withdrawn, c.Who, takenBack)
 	case Acknowledge:
 		s.Acknowledged = min(max(s.Acknowledged, c.Number), s.Number)
 	case Restored:
@@ -814,7 +822,7 @@
 		return 0, &StageError{e.ID, e.Stage, fmt.Sprintf("done with wave %d", c.Wave)}
 	default:
 		e.Wave = c.Wave
-		s.note(e.ID, fmt.Sprintf("wave %d of %d done", e.Wave, e.Waves), "", "")
+		s.note(e.ID, fmt.Sprintf("wave %d of %d done", e.Wave, e.Waves), c.Who, "")
 	}
 	if f := s.frozen(e, s.WallMs); e.Stage == Running && e.Wave < e.Waves && f != nil {
 		s.move(e, Halted, "", "freeze "+f.Name)
@@ -856,6 +864,9 @@
 		e.Observations = map[string]Observation{}
 	}
 	e.Observations[c.What] = Observation{c.Well, c.Says, s.WallMs}
+	if c.Who != "" { // programs look again and again
+		s.note(e.ID, fmt.Sprintf("seen %s: %t", c.What, c.Well), c.Who, c.Says)
+	}
 	if e.Stage == Running && e.WavesDoneMs > 0 && !c.Well && slices.Contains(e.Postconditions, c.What) {
 		s.move(e, Halted, "", fmt.Sprintf("%s is not seen: %s", c.What, c.Says))
 	}
--- a/cmd/swifthall-coordinate/calendar.go
+++ b/cmd/swifthall-coordinate/calendar.go
@@ -161,7 +161,7 @@
 }
 
 func showCalendar(out io.Writer, s *calendar.State, subject string, throughMs float64, in *time.Location) {
-	if s.Doubt != "" {
+	if s.Doubt != "" && s.InUse() {
 		line(out, "TIME IS IN DOUBT, nothing begins: %s", s.Doubt)
 	}
 	line(out, "agreed time %s %s", shown(s.WallMs, in), in)
@@ -427,7 +427,7 @@
 	var what, says string
 	saw := o.onEntry("saw", "Tell what was seen of what an entry wants seen", "What was seen before an entry counts for five minutes.",
 		func(_ *cobra.Command, e *calendar.Entry, _ uint64) (any, error) {
-			return calendar.Observe{ID: e.ID, What: what, Well: !not, Says: says}, nil
+			return calendar.Observe{ID: e.ID, What: what, Well: !not, Says: says, Who: o.who}, nil
 		})
 	saw.Flags().StringVar(&what, "what", "", "its name in the entry")
 	saw.Flags().BoolVar(&not, "not", false, "it was looked for, and isn't so")
@@ -446,10 +446,10 @@
 			return calendar.RollBack{ID: e.ID, Who: o.who, Why: o.why}
 		})),
 		o.onEntry("done", "Say that people have done its next wave", "", func(_ *cobra.Command, e *calendar.Entry, _ uint64) (any, error) {
-			return calendar.WaveDone{ID: e.ID, Wave: e.Wave + 1}, nil
+			return calendar.WaveDone{ID: e.ID, Wave: e.Wave + 1, Who: o.who}, nil
 		}),
 		o.onEntry("returned", "Say that people have taken it back", "", func(_ *cobra.Command, e *calendar.Entry, _ uint64) (any, error) {
-			return calendar.RolledBack{ID: e.ID}, nil
+			return calendar.RolledBack{ID: e.ID, Who: o.who}, nil
 		}))
 	return []*cobra.Command{emergency, move, saw, steer,
 		o.onEntry("refuse", "Send an entry back to its author, with a reason", "", why(func(e *calendar.Entry, _ uint64) any {
@@ -530,11 +530,7 @@
 			if z.Sends == "" {
 				z.Sends = calendar.FinishesWave
 			}
-			now := s.WallMs
-			if now == 0 { // nobody has told a clock so far
-				now = float64(time.Now().UnixMilli())
-			}
-			if err := z.Ahead(zone, now); err != nil {
+			if err := z.Ahead(zone, s.WallMs); err != nil {
 				return err
 			}
 			do := calendar.SetFreeze{Freeze: z}
--- a/coordinator/calendar.go
+++ b/coordinator/calendar.go
@@ -47,7 +47,8 @@
 	return permits.Command{Caller: v.caller, Seq: v.seq, Do: do}
 }
 
-// clocks tells this coordinator's wall clock again and again, to whichever leads: agreed time is a majority's.
+// clocks tells this coordinator's wall clock again and again, to whichever leads: agreed time is a majority's. Not before the calendar
+// is used: coordinators of an earlier release don't know the command, and end themselves where they meet it.
 func (c *Coordinator) clocks() {
 	v := c.voice("clock")
 	next := time.NewTimer(clockAgain)
@@ -58,7 +59,9 @@
 			return
 		case <-next.C:
 		}
-		if err := c.tellClock(v); err != nil {
+		if !c.calendarInUse() {
+			next.Reset(clockAgain)
+		} else if err := c.tellClock(v); err != nil {
 			c.log.WithError(err).Debug("this coordinator's clock is not told so far")
 			next.Reset(clockAgain)
 		} else {
@@ -67,6 +70,11 @@
 	}
 }
 
+func (c *Coordinator) calendarInUse() (is bool) {
+	c.fsm.read(func(s *permits.State) { is = s.Calendar.InUse() })
+	return is
+}
+
 func (c *Coordinator) tellClock(v *voice) error {
 	cmd := v.command(calendar.Clock{Name: c.cfg.Name, WallMs: float64(time.Now().Add(c.wrong).UnixMilli()), Size: c.size()})
 	if t := c.current(); t != nil {
@@ -155,6 +163,9 @@
 	var err error
 	if !c.Read(func(s *permits.State, _ float64) {
 		part := *s.Calendar
+		if part.WallMs == 0 { // nobody has told a clock so far: the calendar is empty, and free from now on
+			part.WallMs = float64(time.Now().Add(c.wrong).UnixMilli())
+		}
 		if !q.Events {
 			part.Events = nil
 		}
@@ -175,9 +186,11 @@
 			a.InTheWay.Err = s.WhyNot(q.ID)
 		}
 		if q.Change != nil {
-			a.Met, a.Free = s.Calendar.Conflicts(q.Change, q.ID, q.Most)
+			whole := *s.Calendar
+			whole.WallMs = part.WallMs
+			a.Met, a.Free = whole.Conflicts(q.Change, q.ID, q.Most)
 			if len(a.Met) == 0 {
-				a.Free = s.Calendar.Next(q.Change, q.ID, q.Most)
+				a.Free = whole.Next(q.Change, q.ID, q.Most)
 			}
 		}
 	}) {
--- a/coordinator/calendar_test.go
+++ b/coordinator/calendar_test.go
@@ -36,6 +36,31 @@
 	return s
 }
 
+// onTime has the calendar be in use, and waits until its time is agreed.
+func onTime(t *testing.T, c *client.Client) {
+	give(t, c, "first use", 1, calendar.SetRules{Who: "ana"})
+	within(t, "agreed time", func() bool { return agreed(t, c).Doubt == "" })
+}
+
+// A coordinator of an earlier release ends itself where it meets a command that it doesn't know: nothing of the calendar is said
+// before somebody uses it.
+func TestNothingIsSaidOfACalendarThatNobodyUses(t *testing.T) {
+	all := peers(t, 1)
+	leader(t, all)
+	c := asker(all)
+	ch := byHand("x", wall()+3600e3, wall()+7200e3)
+	var a client.CalendarAnswer
+	require.NoError(t, c.Ask(soon(t), client.CalendarPath, client.CalendarQuestion{Change: &ch, Most: 1}, &a))
+	require.Len(t, a.Free, 1)
+	assert.InDelta(t, wall(), a.Free[0].FromMs, 60e3, "from now on, not from 1970")
+	give(t, c, "op", 1, permits.Note{What: "x"}) // behind whatever a clock would have said
+	before := all[0].raft.AppliedIndex()
+	within(t, "some rounds of sightings, longer than clocks wait", func() bool { return all[0].raft.AppliedIndex() > before+2 })
+	assert.Empty(t, agreed(t, c).Readings)
+	onTime(t, c)
+	assert.NotEmpty(t, agreed(t, c).Readings)
+}
+
 func plan(t *testing.T, c *client.Client, change calendar.Change) uint64 {
 	a := give(t, c, fmt.Sprint("plan ", change.Name), 1, calendar.Plan{Change: change, Who: "ana"})
 	require.NoError(t, a.Err)
@@ -75,7 +100,7 @@
 		return false
 	})
 	c := asker(all)
-	within(t, "agreed time", func() bool { return agreed(t, c).Doubt == "" })
+	onTime(t, c)
 	assert.InDelta(t, wall(), agreed(t, c).WallMs, 10e3)
 	long := plan(t, c, byHand("long", wall()+10*60e3-5e3, wall()+10*60e3+2000)) // by that clock it would be due, and soon missed
 	due := wall() + 6e3
@@ -108,7 +133,7 @@
 	all := peers(t, 1)
 	leader(t, all)
 	c := asker(all)
-	within(t, "agreed time", func() bool { return agreed(t, c).Doubt == "" })
+	onTime(t, c)
 	a := give(t, c, "bea", 1, calendar.SetFreeze{Freeze: calendar.Freeze{Name: "nights", Subject: calendar.Subject{Scope: calendar.Fleet}, ThroughMs: wall() + 1000, Sends: calendar.FinishesWave,
 		When: calendar.Recurrence{Begin: "2026-01-01T22:00", Minutes: 60, Every: "FREQ=DAILY", In: "Europe/Lisbon"}, Who: "bea", Why: "sleep"}})
 	require.NoError(t, a.Err)
@@ -125,7 +150,7 @@
 	all := peers(t, 1)
 	leader(t, all)
 	c := asker(all)
-	within(t, "agreed time", func() bool { return agreed(t, c).Doubt == "" })
+	onTime(t, c)
 	id := plan(t, c, byHand("x", wall()-1000, wall()+60e3))
 	within(t, "it runs", func() bool { return agreed(t, c).Entries[id].Stage == calendar.Running })
 	p := all[0]
@@ -166,7 +191,7 @@
 	all := peers(t, 1)
 	leader(t, all)
 	c := asker(all)
-	within(t, "agreed time", func() bool { return agreed(t, c).Doubt == "" })
+	onTime(t, c)
 	life := give(t, c, "d/1", 1, permits.Begin{Unit: permits.Unit{Kind: permits.Door, Name: "d"}, Process: 1}).Number
 	require.NotZero(t, life)
 	ch := calendar.Change{Name: "x", Kind: calendar.Drain, Subject: calendar.Subject{Scope: calendar.Doors, Names: []string{"d"}}, Window: calendar.Span{FromMs: wall() - 1000, ToMs: wall() + 60e3}, Waves: 1,
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -238,7 +238,7 @@
 	if _, err := c.apply(t, permits.Lead{Name: c.cfg.Name, API: c.cfg.API, Epoch: rand.Uint64()>>1 | 1}); err != nil {
 		return
 	}
-	if c.anew && !c.fsm.told() {
+	if c.anew && c.calendarInUse() && !c.fsm.told() {
 		if _, err := c.apply(t, calendar.Restored{Who: c.cfg.Name}); err != nil {
 			return
 		}
--- a/permits/calendar_test.go
+++ b/permits/calendar_test.go
@@ -372,6 +372,44 @@
 	assert.Equal(t, release.Halted, s.Release.Find("r").Stage)
 }
 
+// The start looks by the time of its own command: what was clear when the leader looked may be over, and then nothing is left out.
+func TestAStartThatComesLateLeavesNothingOut(t *testing.T) {
+	s := withBackends(3)
+	id := s.planned(t, drainOf(Backend, "b0", 0))
+	_, any := s.StartsNext()
+	require.True(t, any)
+	s.now += hour - 10e3 // the command was long on its way; clocks still count for 30 s from what was told last
+	for i := range 3 {
+		s.Calendar.Readings[fmt.Sprint("c", i)] = calendar.Reading{OffsetMs: wallAt, AtMs: s.now - 20e3}
+	}
+	var short *calendar.ShortError
+	require.ErrorAs(t, s.do("leader", calendar.Start{ID: id}).Err, &short)
+	assert.Empty(t, s.Permits)
+	assert.Empty(t, s.Runs)
+}
+
+// A unit that has left the fleet, or never was there, stands in no zone that is known: it is held to be in any.
+func TestAUnitThatNobodyKnowsIsHeldToBeAnywhere(t *testing.T) {
+	s := withBackends(3)
+	c := drainOf(Backend, "b9", 0)
+	c.Subject = calendar.Subject{Scope: calendar.Zone, Names: []string{"z1"}}
+	var form *calendar.FormError
+	require.ErrorAs(t, s.do("ana", calendar.Plan{Change: c, Who: "ana"}).Err, &form, "nobody knows that the zone has it")
+	id := s.planned(t, drainOf(Backend, "b9", 0))
+	var unknown *UnknownError
+	require.ErrorAs(t, s.WhyNot(id), &unknown)
+	require.NoError(t, s.do("bea", calendar.SetFreeze{Freeze: calendar.Freeze{Name: "z1", Subject: calendar.Subject{Scope: calendar.Zone, Names: []string{"z1"}}, Spans: []calendar.Span{window(0, hour)},
+		Sends: calendar.FinishesWave, Who: "bea", Why: "x"}}).Err)
+	var frozen *calendar.FrozenError
+	require.ErrorAs(t, s.WhyNot(id), &frozen)
+	b1 := s.planned(t, drainOf(Backend, "b1", 0))
+	require.ErrorAs(t, s.WhyNot(b1), &frozen)
+	b0 := s.planned(t, drainOf(Backend, "b0", 0))
+	assert.NoError(t, s.WhyNot(b0), "it is known to stand elsewhere")
+	s.do("op", Forget{Kind: Backend, Name: "b0", Who: "op", Why: "gone"})
+	require.ErrorAs(t, s.WhyNot(b0), &frozen, "it has left the fleet")
+}
+
 func TestAReleaseReplacedUnderItsEntryHaltsIt(t *testing.T) {
 	s := newSite(4)
 	id := s.planned(t, releaseOf("r"))
