Calendar: what is said before the first agreed time counts from then; wrong steps are named alike

Seen: an entry approved in the first second of a calendar's use never began, five of five plays on a busy machine. Its approval was of 1970, as no coordinator had told a clock, and had lapsed once they had (calendar/clock.go, tell). What was said before counts as said when time is first agreed.

Read over: the changes of a command were looked at in the order of a map, so that of two wrong steps coordinators could have named different ones, and answers are part of what they agree on (permits/calendar.go, changesOf). What time alone does to the calendar was left out of the audit where it came with another command. The audit went through ten thousand events for each command while an entry ran. A file of the calendar with two values in it lost the second.

--- a/calendar/calendar_test.go
+++ b/calendar/calendar_test.go
@@ -171,6 +171,29 @@
 	assert.Contains(t, d.Entries[id].Says, "lapsed")
 }
 
+// A calendar's first use comes before its first agreed time, by a second or two: what is said then counts from then.
+func TestWhatIsSaidBeforeTheFirstAgreedTimeIsNotOf1970(t *testing.T) {
+	s := New()
+	s.See(units{})
+	do := func(c any) {
+		_, err := s.Do(10, c)
+		require.NoError(t, err)
+	}
+	do(SetRules{Rules: []Rule{{Subject: Subject{Scope: Fleet}, Count: 1}}, Who: "ana"})
+	do(Plan{Change: Change{Name: "x", Kind: Terms, Subject: Subject{Scope: Plans}, Window: Span{noon, noon + hour}, Waves: 1, Do: json.RawMessage(`{}`), Preconditions: []string{"quiet"}}, Who: "ana"})
+	e := s.Entries[1]
+	do(Approve{ID: 1, Digest: e.Digest(), Who: "bea"})
+	do(Observe{ID: 1, What: "quiet", Well: true})
+	for i := range 3 {
+		do(Clock{fmt.Sprint("c", i), noon, 3})
+	}
+	assert.Equal(t, Due, e.Stage, "the approval has not lapsed")
+	assert.NoError(t, s.InTheWay(e), "nor is what was seen old")
+	for _, ev := range s.Events {
+		assert.Equal(t, float64(noon), ev.AtMs, ev.What)
+	}
+}
+
 func TestAFreezeKeepsWhatWouldBeginAndHaltsOrSendsBackWhatRuns(t *testing.T) {
 	for sends, after := range map[string]Stage{FinishesWave: Running, SendsBack: RollingBack} {
 		d := open(t)
--- a/calendar/clock.go
+++ b/calendar/clock.go
@@ -39,6 +39,9 @@
 			s.Doubt = fmt.Sprintf("the clocks are %.0f s behind what was agreed before", behind/1000)
 			return
 		}
+		if s.WallMs == 0 {
+			s.stamp(at)
+		}
 		s.WallMs, s.Doubt = max(s.WallMs, at), ""
 		return
 	}
@@ -47,3 +50,20 @@
 		s.Doubt = fmt.Sprintf("the coordinators' clocks differ by %.0f s", (offsets[len(offsets)-1]-offsets[0])/1000)
 	}
 }
+
+// stamp has what was said before there was any agreed time count as said when it was first agreed: an approval given in the first
+// seconds of a calendar's use would else be of 1970, and have lapsed.
+func (s *State) stamp(at float64) {
+	for _, e := range s.Entries {
+		for i := range e.Approvals {
+			e.Approvals[i].AtMs = max(e.Approvals[i].AtMs, at)
+		}
+		for name, o := range e.Observations {
+			o.AtMs = max(o.AtMs, at)
+			e.Observations[name] = o
+		}
+	}
+	for i := range s.Events {
+		s.Events[i].AtMs = max(s.Events[i].AtMs, at)
+	}
+}
--- a/cmd/swifthall-coordinate/calendar_test.go
+++ b/cmd/swifthall-coordinate/calendar_test.go
@@ -123,6 +123,7 @@
 	s.until("it runs by itself", func() bool { return strings.Contains(s.ok("calendar", "1"), "stage     running") })
 	assert.Contains(t, s.ok("steer", "done", "1"), "entry 1 is done")
 	history := s.ok("history", "1")
+	assert.NotContains(t, history, "1970", "not even of the first second")
 	for _, word := range []string{"planned: gold to 40 a second, ana", "approval, bea: lead", "due -> running", "wave 1 of 1 done, ana", "running -> done"} {
 		assert.Contains(t, history, word)
 	}
@@ -193,6 +194,7 @@
 	require.ErrorAs(t, err, &meets)
 	assert.Contains(t, out, "nights")
 	s.ok("plan", third, "--anyway")
+	s.until("agreed time", func() bool { return !strings.Contains(s.ok("calendar"), "DOUBT") })
 	_, err = s.as("ana", "why", "4")
 	var frozen *calendar.FrozenError
 	require.ErrorAs(t, err, &frozen)
@@ -319,6 +321,7 @@
 		`{"name":"x","from":"yesterday","to":"2090-01-01T00:00"}`: remedy.Refused,
 		`{"name":"x","in":"Nowhere/Land"}`:                        remedy.Usage,
 		`{"name":"x","in":"Local"}`:                               remedy.Usage,
+		`{"name":"x"} {"name":"y"}`:                               remedy.Configuration,
 		`[]`:                                                      remedy.Configuration,
 	} {
 		for _, of := range []string{"plan", "next"} {
--- a/coordinator/calendar.go
+++ b/coordinator/calendar.go
@@ -244,13 +244,16 @@
 func (c *Coordinator) tellEvent(e calendar.Event) bool {
 	c.log.WithFields(logrus.Fields{"event": e.Number, "entry": e.ID, "who": e.Who, "why": e.Why}).Info("calendar: " + e.What)
 	line, _ := json.Marshal(e) // numbers and words
-	for name, tell := range map[string]func([]byte) error{"file": c.toFile, "hook": c.toHook} {
+	for _, receiver := range []struct {
+		name string
+		tell func([]byte) error
+	}{{"file", c.toFile}, {"hook", c.toHook}} {
 		for try := 1; ; try++ {
-			err := tell(line)
+			err := receiver.tell(line)
 			if err == nil {
 				break
 			}
-			c.log.WithError(err).WithFields(logrus.Fields{"event": e.Number, "try": try}).Warn("calendar: the " + name + " was not told")
+			c.log.WithError(err).WithFields(logrus.Fields{"event": e.Number, "try": try}).Warn("calendar: the " + receiver.name + " was not told")
 			if try >= c.cfg.Calendar.Tries {
 				break
 			}
--- a/permits/calendar.go
+++ b/permits/calendar.go
@@ -196,61 +196,75 @@
 
 // schedule takes a command of the calendar in.
 func (s *State) schedule(c *Command) Answer {
-	fail := func(err error) Answer { return Answer{Err: err} }
-	for key, ch := range changesOf(c.Do) {
-		if err := s.checkChange(ch); err != nil {
+	for _, ch := range changesOf(c.Do) {
+		if err := s.checkChange(ch.of); err != nil {
 			if form, is := err.(*calendar.FormError); is {
-				err = &calendar.FormError{Key: key + form.Key, Says: form.Says}
+				err = &calendar.FormError{Key: ch.key + form.Key, Says: form.Says}
 			}
-			return fail(err)
+			return Answer{Err: err}
 		}
 	}
-	before := s.Calendar.Number
-	defer func() { s.recount(before) }()
 	if d, is := c.Do.(calendar.Start); is {
 		return s.startEntry(c, d)
 	}
-	number, err := s.Calendar.Do(s.NowMs, c.Do)
+	number, err := s.inCalendar(c.Do)
 	if err != nil {
-		return fail(err)
+		return Answer{Err: err}
 	}
 	return Answer{Number: number}
 }
 
-// changesOf lists the changes that a command enters, by the key under which its author has them.
-func changesOf(do any) map[string]*calendar.Change {
-	steps := func(all []calendar.Change) map[string]*calendar.Change {
-		of := map[string]*calendar.Change{}
-		for i := range all {
-			of[fmt.Sprintf("steps[%d].", i)] = &all[i]
-		}
-		return of
-	}
+// inCalendar gives the calendar a command; what comes of it stands in the audit.
+func (s *State) inCalendar(do any) (uint64, error) {
+	before := s.Calendar.Number
+	number, err := s.Calendar.Do(s.NowMs, do)
+	s.recount(before)
+	return number, err
+}
+
+// passCalendar has its time pass, so that what is looked at is as it is now.
+func (s *State) passCalendar() {
+	before := s.Calendar.Number
+	s.Calendar.Pass(s.NowMs)
+	s.recount(before)
+}
+
+// keyed is a change with the key under which its author has it.
+type keyed struct {
+	key string
+	of  *calendar.Change
+}
+
+// changesOf lists the changes that a command enters, in their order: of two that are wrong every coordinator names the same.
+func changesOf(do any) (all []keyed) {
+	var steps []calendar.Change
 	switch d := do.(type) {
 	case calendar.Plan:
-		return map[string]*calendar.Change{"": &d.Change}
+		return []keyed{{"", &d.Change}}
 	case calendar.Edit:
-		return map[string]*calendar.Change{"": &d.Change}
+		return []keyed{{"", &d.Change}}
 	case calendar.Migrate:
-		return steps(d.Steps)
+		steps = d.Steps
 	case calendar.Replace:
-		return steps(d.Steps)
+		steps = d.Steps
 	}
-	return nil
+	for i := range steps {
+		all = append(all, keyed{fmt.Sprintf("steps[%d].", i), &steps[i]})
+	}
+	return all
 }
 
 // recount puts what happened in the calendar into the audit: one place tells who did what.
 func (s *State) recount(after uint64) {
-	for _, e := range s.Calendar.Events {
-		if e.Number > after {
-			s.note(0, fmt.Sprintf("calendar %d: %s", e.ID, e.What), e.Who, e.Why)
-		}
+	events := s.Calendar.Events
+	for _, e := range events[max(0, len(events)-int(s.Calendar.Number-after)):] {
+		s.note(0, fmt.Sprintf("calendar %d: %s", e.ID, e.What), e.Who, e.Why)
 	}
 }
 
 // startEntry begins an entry and what it does, both or neither.
 func (s *State) startEntry(c *Command, d calendar.Start) Answer {
-	s.Calendar.Pass(s.NowMs) // what is looked at now is what the start finds
+	s.passCalendar() // what is looked at now is what the start finds
 	e := s.Calendar.Entries[d.ID]
 	if e == nil {
 		return Answer{Err: &calendar.UnknownError{What: "entry", ID: d.ID}}
@@ -283,7 +297,7 @@
 		s.note(0, note, who, e.Name)
 		run.Release = number
 	}
-	number, err := s.Calendar.Do(s.NowMs, d)
+	number, err := s.inCalendar(d)
 	if err != nil {
 		return Answer{Err: err}
 	}
@@ -332,9 +346,7 @@
 
 // unplanned tells what in the calendar keeps a change that isn't in it from beginning now.
 func (s *State) unplanned(k calendar.Kind, b calendar.Subject) error {
-	before := s.Calendar.Number
-	s.Calendar.Pass(s.NowMs)
-	s.recount(before)
+	s.passCalendar()
 	return s.Calendar.MayBegin(k, b)
 }
 
@@ -352,10 +364,10 @@
 			}
 			switch d.To {
 			case release.ToResume:
-				_, err = s.Calendar.Do(s.NowMs, calendar.Resume{ID: id, Who: d.Who})
+				_, err = s.inCalendar(calendar.Resume{ID: id, Who: d.Who})
 				return true, err
 			case release.ToBack:
-				_, err = s.Calendar.Do(s.NowMs, calendar.RollBack{ID: id, Who: d.Who, Why: d.Why})
+				_, err = s.inCalendar(calendar.RollBack{ID: id, Who: d.Who, Why: d.Why})
 				return true, err
 			}
 		}
@@ -382,7 +394,6 @@
 // each command: a wave whose end a freeze has waited for is the last that begins, whoever leads.
 func (s *State) follow() {
 	for _, id := range slices.Sorted(maps.Keys(s.Runs)) {
-		before := s.Calendar.Number
 		for range followMost {
 			e := s.Calendar.Entries[id]
 			if e == nil || !s.Calendar.Holds(e) {
@@ -396,13 +407,12 @@
 				break
 			}
 		}
-		s.recount(before)
 	}
 }
 
 // tell gives the calendar a command that follows from another; one that it can't take any more changes nothing.
 func (s *State) tell(do any) bool {
-	_, err := s.Calendar.Do(s.NowMs, do)
+	_, err := s.inCalendar(do)
 	return err == nil
 }
 
--- a/permits/calendar_test.go
+++ b/permits/calendar_test.go
@@ -460,6 +460,49 @@
 	assert.Empty(t, s.Runs)
 }
 
+// Every coordinator must answer alike: the first wrong step is named, not any of them. Answers are part of what is agreed.
+func TestOfTwoWrongStepsTheFirstIsNamed(t *testing.T) {
+	var steps []calendar.Change
+	for i := range 20 {
+		c := drainOf(Door, fmt.Sprint("d", i), 0)
+		c.Waves = 2
+		steps = append(steps, c)
+	}
+	for range 20 {
+		var form *calendar.FormError
+		require.ErrorAs(t, newSite(2).do("ana", calendar.Migrate{Name: "m", Steps: steps, Who: "ana"}).Err, &form)
+		assert.Equal(t, "steps[0].waves", form.Key)
+	}
+}
+
+// What time alone does to the calendar stands in the audit as well, whatever command it comes with.
+func TestTheAuditHasAllOfTheCalendarOnce(t *testing.T) {
+	s := newSite(4)
+	s.planned(t, releaseOf("r"))
+	s.planned(t, drainOf(Door, "d0", 60e3))
+	s.begun(t)
+	s.take(0)
+	require.NoError(t, s.judge(0, release.GoOn))
+	s.do("op", release.Steer{Name: "r", To: release.ToHalt, Who: "op", Why: "x"})
+	s.do("op", release.Steer{Name: "r", To: release.ToBack, Who: "op", Why: "x"})
+	s.now += 20e3
+	s.do("c", Lead{Name: "c", Epoch: 1})
+	s.later(2 * hour)
+	s.do("op", Drain{Kind: Door, Name: "d1", Who: "op", Why: "x"})
+	var told []string
+	for _, l := range s.Audit {
+		if strings.HasPrefix(l.What, "calendar ") {
+			told = append(told, l.What)
+		}
+	}
+	var happened []string
+	for _, e := range s.Calendar.Events {
+		happened = append(happened, fmt.Sprintf("calendar %d: %s", e.ID, e.What))
+	}
+	assert.Equal(t, happened, told)
+	assert.Contains(t, told, "calendar 2: due -> missed")
+}
+
 func TestWhatFollowsFromWhatIsDoneNeedNotBeWritten(t *testing.T) {
 	s := withBackends(2)
 	for want, bare := range map[string]calendar.Change{
--- a/permits/planfile/errors.go
+++ b/permits/planfile/errors.go
@@ -35,3 +35,12 @@
 func (e *FileError) Remedy() string {
 	return "Write it as examples/entry.json, freeze.json, rules.json or migration.json; docs/calendar.md explains each key."
 }
+
+// FormError is a file that holds something else than one value.
+type FormError struct{ Says string }
+
+func (e *FormError) Error() string     { return e.Says }
+func (e *FormError) Kind() remedy.Kind { return remedy.Configuration }
+
+// Remedy says what is wanted.
+func (e *FormError) Remedy() string { return "Write one object into each file." }
--- a/permits/planfile/planfile.go
+++ b/permits/planfile/planfile.go
@@ -95,7 +95,11 @@
 	}
 	dec := json.NewDecoder(in)
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(into); err != nil {
+	err := dec.Decode(into)
+	if err == nil && dec.More() { // what stands behind it would be lost
+		err = &FormError{"there is more than one value in it"}
+	}
+	if err != nil {
 		return &FileError{path, err}
 	}
 	return nil
