Reading over: one look-up of the program beside, of a revision as it is now, of what a door wrote that it runs

Behaviour, checks and assertions stay as they were. Four commands of the laboratory looked for the program beside their own in the same eight lines (besides); three of the calendar asked for a revision where a bare number was given (asSeen); runs.json was read in two places (party.wrote); two rigs listed their doors' addresses (drill.served). A freeze asked for the whole calendar to know the time.

--- a/cmd/swifthall-coordinate/calendar.go
+++ b/cmd/swifthall-coordinate/calendar.go
@@ -74,6 +74,32 @@
 	return e, revision, s, nil
 }
 
+// asSeen reads 7@3, and for a bare 7 asks how often that has been changed by now; 0 where it isn't there.
+func (o *operator) asSeen(cmd *cobra.Command, text string, now func(s *calendar.State, id uint64) uint64) (id, revision uint64, err error) {
+	if id, revision, err = numbered(text); err != nil || revision != 0 {
+		return id, revision, err
+	}
+	s, _, err := o.asks(cmd, client.CalendarQuestion{})
+	if err != nil {
+		return 0, 0, err
+	}
+	return id, now(s, id), nil
+}
+
+func freezeNow(s *calendar.State, id uint64) uint64 {
+	if f := s.Freezes[id]; f != nil {
+		return f.Revision
+	}
+	return 0
+}
+
+func migrationNow(s *calendar.State, id uint64) uint64 {
+	if m := s.Migrations[id]; m != nil {
+		return m.Revision
+	}
+	return 0
+}
+
 // named is a command that needs its operator's name, and often a reason.
 func (o *operator) named() error {
 	if o.who == "" {
@@ -522,7 +548,7 @@
 			if err != nil {
 				return err
 			}
-			s, _, err := o.asks(cmd, client.CalendarQuestion{})
+			s, _, err := o.asks(cmd, client.CalendarQuestion{Bare: true}) // for the agreed time
 			if err != nil {
 				return err
 			}
@@ -535,12 +561,9 @@
 			}
 			do := calendar.SetFreeze{Freeze: z}
 			if edit != "" {
-				if do.ID, do.Revision, err = numbered(edit); err != nil {
+				if do.ID, do.Revision, err = o.asSeen(cmd, edit, freezeNow); err != nil {
 					return err
 				}
-				if old := s.Freezes[do.ID]; old != nil && do.Revision == 0 {
-					do.Revision = old.Revision
-				}
 			}
 			a, err := o.command(cmd, do)
 			if err == nil {
@@ -555,21 +578,12 @@
 func (o *operator) thaw() *cobra.Command {
 	return &cobra.Command{Use: "thaw ID", Short: "Take a freeze out", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			id, revision, err := numbered(args[0])
-			if err != nil {
-				return err
-			}
 			if err := o.reason(); err != nil {
 				return err
 			}
-			if revision == 0 {
-				s, _, err := o.asks(cmd, client.CalendarQuestion{})
-				if err != nil {
-					return err
-				}
-				if f := s.Freezes[id]; f != nil {
-					revision = f.Revision
-				}
+			id, revision, err := o.asSeen(cmd, args[0], freezeNow)
+			if err != nil {
+				return err
 			}
 			_, err = o.command(cmd, calendar.Thaw{ID: id, Revision: revision, Who: o.who, Why: o.why})
 			return err
@@ -619,19 +633,10 @@
 			}
 			var do any = calendar.Migrate{Name: f.Name, Steps: steps, Who: o.who}
 			if replace != "" {
-				id, revision, err := numbered(replace)
+				id, revision, err := o.asSeen(cmd, replace, migrationNow)
 				if err != nil {
 					return err
 				}
-				if revision == 0 {
-					s, _, err := o.asks(cmd, client.CalendarQuestion{})
-					if err != nil {
-						return err
-					}
-					if m := s.Migrations[id]; m != nil {
-						revision = m.Revision
-					}
-				}
 				do = calendar.Replace{ID: id, Revision: revision, Steps: steps, Who: o.who}
 			}
 			a, err := o.command(cmd, do)
--- a/lab/command/drills.go
+++ b/lab/command/drills.go
@@ -15,6 +15,19 @@
 	"github.com/swifthall/swifthall/lab/procs/check"
 )
 
+// besides names the program that lies beside this one, where a flag has named none.
+func besides(binary *string) error {
+	if *binary != "" {
+		return nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return &FileError{Path: "this program", Cause: err}
+	}
+	*binary = filepath.Join(filepath.Dir(self), "swifthall")
+	return nil
+}
+
 func drills() *cobra.Command {
 	var d procs.Drill
 	var seeds, jobs int
@@ -26,12 +39,8 @@
 			if seeds < 1 {
 				return &FlagError{Flag: fmt.Sprintf("--seeds %d", seeds), Says: "at least one is wanted"}
 			}
-			if d.Binary == "" {
-				self, err := os.Executable()
-				if err != nil {
-					return &FileError{Path: "this program", Cause: err}
-				}
-				d.Binary = filepath.Join(filepath.Dir(self), "swifthall")
+			if err := besides(&d.Binary); err != nil {
+				return err
 			}
 			var plays []procs.Drill
 			for i := range seeds {
@@ -100,12 +109,8 @@
 	var p procs.Pace
 	cmd := &cobra.Command{Use: "coordinators", Short: "Measure coordinators: permits a second, and how long it is until another leads", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if p.Binary == "" {
-				self, err := os.Executable()
-				if err != nil {
-					return &FileError{Path: "this program", Cause: err}
-				}
-				p.Binary = filepath.Join(filepath.Dir(self), "swifthall")
+			if err := besides(&p.Binary); err != nil {
+				return err
 			}
 			r, err := p.Measure(cmd.Context())
 			if err != nil {
@@ -132,12 +137,8 @@
 	cmd := &cobra.Command{Use: "rollouts [KIND...]", Short: "Play releases on real coordinators and doors, with clients at every door",
 		Long: "Each KIND is a release that goes well or doesn't; all where none is named. Exits with 4 if a rule broke.",
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if p.Binary == "" {
-				self, err := os.Executable()
-				if err != nil {
-					return &FileError{Path: "this program", Cause: err}
-				}
-				p.Binary = filepath.Join(filepath.Dir(self), "swifthall")
+			if err := besides(&p.Binary); err != nil {
+				return err
 			}
 			if len(args) == 0 {
 				args = slices.Sorted(maps.Keys(procs.Rollouts))
@@ -200,12 +201,8 @@
 			if seeds < 1 {
 				return &FlagError{Flag: fmt.Sprintf("--seeds %d", seeds), Says: "at least one is wanted"}
 			}
-			if p.Binary == "" {
-				self, err := os.Executable()
-				if err != nil {
-					return &FileError{Path: "this program", Cause: err}
-				}
-				p.Binary = filepath.Join(filepath.Dir(self), "swifthall")
+			if err := besides(&p.Binary); err != nil {
+				return err
 			}
 			var plays []procs.Migration
 			for i := range seeds {
--- a/lab/procs/migration.go
+++ b/lab/procs/migration.go
@@ -9,8 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -94,10 +92,7 @@
 	if err := d.begin(); err != nil {
 		return nil, err
 	}
-	doors := map[int]string{}
-	for i, door := range d.doors {
-		doors[i] = door.serve
-	}
+	doors := d.served()
 	r := &MigrationResult{HaltAt: p.HaltAt}
 	var err error
 	if r.Cold, err = warm(ctx, d.site, doors, p.Rate); err != nil {
@@ -182,14 +177,7 @@
 }
 
 // runs is what a door has written down that it runs of configurations; empty for its own file.
-func (p *party) runs() string {
-	raw, err := os.ReadFile(filepath.Join(p.dir, "runs.json"))
-	var runs map[string]string
-	if err != nil || json.Unmarshal(raw, &runs) != nil {
-		return ""
-	}
-	return runs["configuration"]
-}
+func (p *party) runs() string { return p.wrote()["configuration"] }
 
 // decisions asks each door three times for a customer whose quota holds one request, and writes down how it answers.
 func (d *drill) decisions(round int) (all []string, err error) {
--- a/lab/procs/rollout.go
+++ b/lab/procs/rollout.go
@@ -6,8 +6,10 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,10 +87,7 @@
 	if err := d.begin(); err != nil {
 		return nil, err
 	}
-	doors := map[int]string{}
-	for i, door := range d.doors {
-		doors[i] = door.serve
-	}
+	doors := d.served()
 	r := &RolloutResult{Kind: p.Kind, reached: map[string]bool{}}
 	var err error
 	if r.Cold, err = warm(ctx, d.site, doors, p.Rate); err != nil {
@@ -338,20 +337,29 @@
 	}
 }
 
+// served is where each door is asked.
+func (d *drill) served() map[int]string {
+	doors := map[int]string{}
+	for i, p := range d.doors {
+		doors[i] = p.serve
+	}
+	return doors
+}
+
+// wrote is what a door has written down that it runs, by what may change; nothing where it can't be read.
+func (p *party) wrote() (runs map[string]string) {
+	raw, err := os.ReadFile(filepath.Join(p.dir, "runs.json"))
+	if err != nil || json.Unmarshal(raw, &runs) != nil {
+		return nil
+	}
+	return runs
+}
+
 // runsNew tells whether any door has written down that it runs what a digest names.
 func (d *drill) runsNew(digest string) bool {
-	for _, p := range d.doors {
-		raw, err := os.ReadFile(filepath.Join(p.dir, "runs.json"))
-		var runs map[string]string
-		if err == nil && json.Unmarshal(raw, &runs) == nil {
-			for _, is := range runs {
-				if is == digest {
-					return true
-				}
-			}
-		}
-	}
-	return false
+	return slices.ContainsFunc(d.doors, func(p *party) bool {
+		return slices.Contains(slices.Collect(maps.Values(p.wrote())), digest)
+	})
 }
 
 // steer is what befalls the release amid its second wave.
