--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -10,17 +10,10 @@
 // cases holds the cases by name; each reports whether the rule was broken.
 var cases = map[string]func(r *rig, trouble bool) bool{}
 
-// helpers holds what the project's programs start themselves, by name.
-var helpers = map[string]func(args []string){}
-
 // limit ends a case that takes too long, with all that it started.
 const limit = 112 * time.Second
 
 func main() {
-	if len(os.Args) > 1 && helpers[os.Args[1]] != nil {
-		helpers[os.Args[1]](os.Args[2:])
-		return
-	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
 		os.Exit(2)
--- a/review/rig/stand.go
+++ b/review/rig/stand.go
@@ -137,15 +137,18 @@
 }
 
 // newDeployment draws the addresses and writes the doors' configurations; the figures are those of examples/fleet.json with plans
-// that let the clients of the case through.
-func (r *rig) newDeployment(doors, backends int, co *coordinators) *deployment {
+// that let the clients of the case through. Doors and backends are dealt out among the zones; the last zone has the rest.
+func (r *rig) newDeployment(doors, backends int, co *coordinators, zones ...string) *deployment {
+	if len(zones) == 0 {
+		zones = []string{"a"}
+	}
 	d := &deployment{r: r}
 	disc := r.addr()
 	var known []instance
 	for i := range backends {
 		b := &backend{r: r, name: fmt.Sprintf("b-%d", i+1), addr: r.addr(), work: 30 * time.Millisecond}
 		d.backends = append(d.backends, b)
-		known = append(known, instance{b.name, b.addr, "a", "m1", i, "Ready", 1, 0})
+		known = append(known, instance{b.name, b.addr, zones[min(i, len(zones)-1)], "m1", i, "Ready", 1, 0})
 	}
 	var fleetAddrs, peers []string
 	for i := range doors {
@@ -166,7 +169,7 @@
 				"extra":   map[string]any{"counter": false, "units_top": 8},
 				"limits":  map[string]any{"cancel": true, "second_copies": true, "max_attempts": 4, "retry_after": true, "max_retry_after": 0.5, "conn_idle": 15, "connect_timeout": 0.25},
 				"safety":  map[string]any{"cold_from": 0.25, "cold": 10, "fall_multiple": 4, "tip_after": 1.5}},
-			"fleet": map[string]any{"name": "prod", "zone": "a", "listen": fleetAddrs[i], "peers": peers, "coordinators": strings.Split(co.atFlag, ","), "releases": d.folders[i]}}
+			"fleet": map[string]any{"name": "prod", "zone": zones[min(i, len(zones)-1)], "listen": fleetAddrs[i], "peers": peers, "coordinators": strings.Split(co.atFlag, ","), "releases": d.folders[i]}}
 		d.files = append(d.files, r.file(name+".json", cfg))
 	}
 	d.procs = make([]*proc, doors)
@@ -203,7 +206,7 @@
 	text     string
 }
 
-// clients send requests to one door at a steady rate until ctx ends.
+// clients send requests of several customers to one door at a steady rate until ctx ends.
 func (d *deployment) clients(ctx context.Context, door int, every time.Duration) func() []outcome {
 	cl := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true}, Timeout: 5 * time.Second}
 	var mu sync.Mutex
@@ -211,24 +214,8 @@
 	var group, ticker sync.WaitGroup
 	var n atomic.Int64
 	one := func() {
-		id := fmt.Sprintf("%02x%014x", door+1, n.Add(1))
-		o := outcome{id: id, sent: d.r.ms()}
-		q, _ := http.NewRequest("GET", "http://"+d.doors[door]+fmt.Sprintf("/look?key=%016x", 1+n.Load()%5), nil)
-		q.Header.Set("X-Txn", id)
-		q.Header.Set("X-Tariff", "team")
-		q.Header.Set("X-Remaining", "2000m")
-		q.Header.Set("X-Weight", fmt.Sprintf("units=1,spread=1,first=%d", door))
-		if resp, err := cl.Do(q); err != nil {
-			o.text = err.Error()
-		} else {
-			raw, err := io.ReadAll(resp.Body)
-			resp.Body.Close()
-			o.status, o.text = resp.StatusCode, string(raw)
-			if err != nil {
-				o.status, o.text = 0, err.Error()
-			}
-		}
-		o.at = d.r.ms()
+		k := n.Add(1)
+		o := d.one(cl, door, fmt.Sprintf("%02x%014x", door+1, k), uint64(1+k%5))
 		mu.Lock()
 		all = append(all, o)
 		mu.Unlock()
@@ -251,3 +238,25 @@
 		return all
 	}
 }
+
+// one sends one request and returns what became of it.
+func (d *deployment) one(cl *http.Client, door int, id string, customer uint64) outcome {
+	o := outcome{id: id, sent: d.r.ms()}
+	q, _ := http.NewRequest("GET", "http://"+d.doors[door]+fmt.Sprintf("/look?key=%016x", customer), nil)
+	q.Header.Set("X-Txn", id)
+	q.Header.Set("X-Tariff", "team")
+	q.Header.Set("X-Remaining", "2000m")
+	q.Header.Set("X-Weight", fmt.Sprintf("units=1,spread=1,first=%d", door))
+	if resp, err := cl.Do(q); err != nil {
+		o.text = err.Error()
+	} else {
+		raw, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		o.status, o.text = resp.StatusCode, string(raw)
+		if err != nil {
+			o.status, o.text = 0, err.Error()
+		}
+	}
+	o.at = d.r.ms()
+	return o
+}
