--- a/review/rig/back.go
+++ b/review/rig/back.go
@@ -59,6 +59,7 @@
 		r.fatal("the first door does not change")
 	}
 	if trouble {
+		time.Sleep(300 * time.Millisecond) // its permit has been looked at again, and the new process is not ready yet
 		r.note("DISRUPTION: the release is taken back while its first door is just changing")
 	} else {
 		r.note("the first door runs the release, which is taken back now")
