Review case 3: a door whose lists come indented hears of no change

The watch is decoded line by line, and an indented list ends it at its first line, for good. review/3/run.sh shows a drained backend that goes on getting its third.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x bin/review-rig ] && [ -x bin/swifthall ] || { echo "build first: deploy/balancer.toml, review/build.sh" >&2; exit 2; }
-exec bin/review-rig zone review/3
+exec bin/review-rig indented review/3
--- a/review/rig/stand.go
+++ b/review/rig/stand.go
@@ -136,31 +136,43 @@
 	backends []*backend
 }
 
-// newDeployment draws the addresses and writes the doors' configurations; the figures are those of examples/fleet.json with plans
-// that let the clients of the case through. Doors and backends are dealt out among the zones; the last zone has the rest.
+// newDeployment draws the addresses and writes the configurations of doors that belong to a fleet; the figures are those of
+// examples/fleet.json, with a plan that lets the clients of the case through. Doors and backends are dealt out among the zones; the last
+// zone has the rest.
 func (r *rig) newDeployment(doors, backends int, co *coordinators, zones ...string) *deployment {
 	if len(zones) == 0 {
 		zones = []string{"a"}
 	}
+	var fleetAddrs, peers []string
+	for i := range doors {
+		fleetAddrs = append(fleetAddrs, r.addr())
+		peers = append(peers, fmt.Sprintf("door-%d/%s", i+1, fleetAddrs[i]))
+	}
+	known := &discovery{}
+	return r.deploy(doors, backends, zones, known, func(i int, d *deployment, cfg map[string]any) {
+		d.folders = append(d.folders, filepath.Join(r.dir, fmt.Sprintf("releases-door-%d", i+1)))
+		cfg["fleet"] = map[string]any{"name": "prod", "zone": zones[min(i, len(zones)-1)], "listen": fleetAddrs[i], "peers": peers, "coordinators": strings.Split(co.atFlag, ","), "releases": d.folders[i]}
+	}, func(all []instance) { known.all = all })
+}
+
+// deploy draws the addresses, writes the doors' configurations, and serves discovery and backends. extend adds to a configuration;
+// tell is given the backends.
+func (r *rig) deploy(doors, backends int, zones []string, disc http.Handler, extend func(i int, d *deployment, cfg map[string]any), tell func([]instance)) *deployment {
 	d := &deployment{r: r}
-	disc := r.addr()
+	discAddr := r.addr()
 	var known []instance
 	for i := range backends {
 		b := &backend{r: r, name: fmt.Sprintf("b-%d", i+1), addr: r.addr(), work: 30 * time.Millisecond}
 		d.backends = append(d.backends, b)
 		known = append(known, instance{b.name, b.addr, zones[min(i, len(zones)-1)], "m1", i, "Ready", 1, 0})
 	}
-	var fleetAddrs, peers []string
-	for i := range doors {
-		fleetAddrs = append(fleetAddrs, r.addr())
-		peers = append(peers, fmt.Sprintf("door-%d/%s", i+1, fleetAddrs[i]))
-	}
+	tell(known)
 	for i := range doors {
 		name := fmt.Sprintf("door-%d", i+1)
-		d.doors, d.folders = append(d.doors, r.addr()), append(d.folders, filepath.Join(r.dir, "releases-"+name))
-		cfg := map[string]any{"name": name, "listen": d.doors[i], "discovery": disc, "seed": fmt.Sprintf("8c1f30d27a5be96%d", i),
+		d.doors = append(d.doors, r.addr())
+		cfg := map[string]any{"name": name, "listen": d.doors[i], "discovery": discAddr, "seed": fmt.Sprintf("8c1f30d27a5be96%d", i),
 			"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-			"known":  list{1, true, known},
+			"known":  list{1, true, append([]instance(nil), known...)},
 			"log":    map[string]string{"level": "info", "format": "json"},
 			"settings": map[string]any{"fleet_size": doors, "my_number": i,
 				"profiles": []any{map[string]any{"name": "look", "aim": 0.5, "give_up": 2, "semantics": "idempotent", "late_value": 0.2, "worth": 1},
@@ -168,13 +180,13 @@
 				"tariffs": []any{map[string]any{"name": "team", "rate": 100, "depth": 400, "pays": 1.5}},
 				"extra":   map[string]any{"counter": false, "units_top": 8},
 				"limits":  map[string]any{"cancel": true, "second_copies": true, "max_attempts": 4, "retry_after": true, "max_retry_after": 0.5, "conn_idle": 15, "connect_timeout": 0.25},
-				"safety":  map[string]any{"cold_from": 0.25, "cold": 10, "fall_multiple": 4, "tip_after": 1.5}},
-			"fleet": map[string]any{"name": "prod", "zone": zones[min(i, len(zones)-1)], "listen": fleetAddrs[i], "peers": peers, "coordinators": strings.Split(co.atFlag, ","), "releases": d.folders[i]}}
+				"safety":  map[string]any{"cold_from": 0.25, "cold": 10, "fall_multiple": 4, "tip_after": 1.5}}}
+		extend(i, d, cfg)
 		d.files = append(d.files, r.file(name+".json", cfg))
 	}
 	d.procs = make([]*proc, doors)
 	r.release()
-	r.serve(disc, &discovery{known})
+	r.serve(discAddr, disc)
 	for _, b := range d.backends {
 		r.serve(b.addr, b)
 	}
