--- a/review/rig/snapshot.go
+++ b/review/rig/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,7 +35,13 @@
 
 	// Nothing goes out for now; the release is entered, and waits.
 	co.must(5*time.Second, append([]string{"halt", "--why", "night"}, op...)...)
-	digest := strings.Repeat("5f70bf18", 8) // of a file that was not copied to the doors' folders
+	raw := []byte(`{"settings":{"profiles":[]}}`) // a key that no door takes, as in the releases page's example
+	digest := sha(raw)
+	for _, folder := range d.folders {
+		if err := os.WriteFile(filepath.Join(folder, digest), raw, 0o600); err != nil {
+			r.fatal("%v", err)
+		}
+	}
 	plan := r.file("release.json", map[string]any{"name": "plan-terms", "changes": "configuration", "digest": digest, "waves": []any{map[string]any{"rest": true, "watch_s": 1}}})
 	co.must(5*time.Second, append([]string{"release", "start", plan, "--why", "terms"}, op...)...)
 
