Log of an ended fleet watch shows the object that it broke on, accounts count ended watches

A ListError of a watch now holds the object's length and its first 40 bytes, and the account the field watches_ended.

An answer cut short on its way would have ended as the connection does, and a wrong list would have shown its bytes: what is left is the door's cut at the first line end. Nothing is mended by this commit.

--- a/frontdoor/fleet.go
+++ b/frontdoor/fleet.go
@@ -110,6 +110,11 @@
 	c.updateReady()
 }
 
+// watchEnded reports that a watch has ended, or could not be opened.
+type watchEnded struct{}
+
+func (watchEnded) handle(c *core) { c.tally.watchesEnded++ }
+
 // updateReady updates the door's readiness: it is ready once discovery has been asked and a backend is eligible.
 func (c *core) updateReady() {
 	can := false
@@ -173,9 +178,12 @@
 			}
 			c.post(discoveryAttempted{})
 		})
-		if ctx.Err() == nil && healthy {
-			healthy = false
-			c.log.WithError(err).Warn("fleet watch ended")
+		if ctx.Err() == nil {
+			c.post(watchEnded{})
+			if healthy {
+				healthy = false
+				c.log.WithError(err).Warn("fleet watch ended")
+			}
 		}
 		sleepMs(ctx, shortened(pause, redialJitter, random))
 		pause = min(2*pause, config.MaxRedialFactor*c.cfg.Pace.Redial)
--- a/frontdoor/serve_test.go
+++ b/frontdoor/serve_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/fields"
 	"github.com/swifthall/swifthall/internal/loopback/loopbacktest"
 	"github.com/swifthall/swifthall/policy"
 )
@@ -251,6 +252,19 @@
 	assert.Equal(t, "/registry/instances?stream=1&index=41", <-requests)
 }
 
+// Guards against a door that hears of no change while its log holds a single line.
+func TestAccountCountsEndedWatches(t *testing.T) {
+	c, _ := newTestCore(t)
+	c.cfg.Discovery = loopbacktest.Serve(t, discoveryServer("127.0.0.1:1", make(chan string, 99), func(nc net.Conn) { nc.Close() }))
+	go c.runWatch(t.Context(), c.cfg.Discovery, 0, 0)
+	for c.tally.watchesEnded < 2 {
+		if ended, is := (<-c.events).(watchEnded); is {
+			ended.handle(c)
+		}
+	}
+	assert.Equal(t, 2, c.tally.fields()[fields.Watches])
+}
+
 func TestCounterIsRedialledAfterConnectionEnds(t *testing.T) {
 	c, _ := newTestCore(t)
 	c.cfg.Counter = loopbacktest.Serve(t, func(nc net.Conn) {
--- a/frontdoor/tally.go
+++ b/frontdoor/tally.go
@@ -21,6 +21,7 @@
 	rejected, failed [gate.CauseCount]int
 	differences      [gate.DifferenceCount]int
 	retried          int
+	watchesEnded     int
 	ended            [outcomes]int
 	closed           [closeReasons]int
 	violations       [invariants]int
@@ -45,6 +46,9 @@
 	if t.retried > 0 {
 		f[fields.Retried] = t.retried
 	}
+	if t.watchesEnded > 0 {
+		f[fields.Watches] = t.watchesEnded
+	}
 	for how, n := range t.ended {
 		if n > 0 {
 			f[fields.Ended+outcome(how).String()] = n
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -53,7 +53,10 @@
 		_, err := w.Feed([]byte("HTTP/1.1 200 OK\r\n\r\n"+body), func(List) {})
 		assert.Error(t, err, body)
 	}
+	var cut Watch
+	_, err := cut.Feed([]byte("HTTP/1.1 200 OK\r\n\r\n"+`{"instances":[{"hostPort":"a:1"}]}`+"\n"), func(List) {})
+	assert.ErrorContains(t, err, `in an object of 34 bytes that begins with "{\"instances\":[{\"hostPort\":\"a:1\"}]}"`)
 	w := Watch{line: []byte(strings.Repeat("x", maxObjectBytes))}
-	_, err := w.Feed([]byte("HTTP/1.1 200 OK\r\n\r\nx"), func(List) {})
+	_, err = w.Feed([]byte("HTTP/1.1 200 OK\r\n\r\nx"), func(List) {})
 	assert.ErrorIs(t, err, errLine, "memory is bounded")
 }
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -46,7 +46,7 @@
 			if len(bytes.TrimSpace(w.line)) > 0 {
 				l, err := ReadList(w.line)
 				if err != nil {
-					return err
+					return withObject(err, w.line)
 				}
 				out(l)
 			}
