--- a/frontdoor/fleet.go
+++ b/frontdoor/fleet.go
@@ -262,6 +262,9 @@
 		case done:
 			return errWatchEnded
 		}
+		if w.Stalled() {
+			continue // the blank lines of a stream that stops within an object do not keep its watch
+		}
 		nc.SetReadDeadline(time.Now().Add(duration(shortened(c.cfg.Pace.Silence, silenceJitter, random))))
 	}
 }
--- a/frontdoor/serve_test.go
+++ b/frontdoor/serve_test.go
@@ -252,6 +252,50 @@
 	assert.Equal(t, "/registry/instances?stream=1&index=41", <-requests)
 }
 
+// Guards against a door that goes on sending to a draining backend because its discovery indents lists (review/3).
+func TestDrainIsHeardFromIndentedLists(t *testing.T) {
+	c, _ := newTestCore(t)
+	const list = "{\n  \"generation\": %d,\n  \"reset\": %t,\n  \"instances\": [\n    {\n      \"instanceId\": \"s\",\n      \"lifecycle\": %q\n    }\n  ]\n}\n"
+	requests := make(chan string, 99)
+	c.cfg.Discovery = loopbacktest.Serve(t, func(nc net.Conn) {
+		req, err := http.ReadRequest(bufio.NewReader(nc))
+		if err != nil {
+			return
+		}
+		requests <- req.RequestURI
+		io.WriteString(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for _, text := range []string{fmt.Sprintf(list, 41, true, "Ready"), "\n", fmt.Sprintf(list, 42, false, "Terminating")} {
+			fmt.Fprintf(nc, "%x\r\n%s\r\n", len(text), text)
+		}
+	})
+	go c.runWatch(t.Context(), c.cfg.Discovery, 0, 0)
+	for c.backends[0].status != gate.Draining {
+		if await(t, c.events, "a change").handle(c); c.tally.watchesEnded > 0 {
+			require.Fail(t, "the watch ended")
+		}
+	}
+	assert.False(t, c.backends[0].eligible)
+	assert.Len(t, requests, 1, "both objects came over one watch")
+}
+
+// Guards against a watch that is kept by blank lines after an object was cut off.
+func TestWatchThatStopsWithinAnObjectIsRedialled(t *testing.T) {
+	c, _ := newTestCore(t)
+	c.cfg.Pace.Silence = 50
+	requests := make(chan string, 99)
+	c.cfg.Discovery = loopbacktest.Serve(t, discoveryServer("127.0.0.1:1", requests, func(nc net.Conn) {
+		for text := `{"generation":42,`; ; text = "\n" {
+			if _, err := fmt.Fprintf(nc, "%x\r\n%s\r\n", len(text), text); err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}))
+	go c.runWatch(t.Context(), c.cfg.Discovery, 0, 0)
+	await(t, requests, "the first call")
+	assert.Equal(t, "/registry/instances?stream=1&index=41", await(t, requests, "the next call"))
+}
+
 // Guards against a door that hears of no change while its log holds a single line.
 func TestAccountCountsEndedWatches(t *testing.T) {
 	c, _ := newTestCore(t)
--- a/internal/registry/errors.go
+++ b/internal/registry/errors.go
@@ -43,5 +43,3 @@
 func (e *ListError) Remedy() string {
 	return "Fix the list sent by the server in the key \"discovery\", or the key \"known\": it consists of objects with generation, reset and instances, each with its instanceId."
 }
-
-var errLine = &ListError{Entry: -1, Reason: "line too long"}
