The simulator's adapter splits its input into batches by their brackets, not by lines

Replies stay one line each, errors name the input line as before, and input that ends within a batch is reported.

Seen red before: TestBatchesMaySpanOrShareLines ("input line 1: not a JSON object: unexpected end of JSON input").

Read through for the same cause, and left: internal/http1 (heads and chunk lines end with their line by the standard, bodies by length or chunks), internal/resp (bulk strings by length, the other replies are lines), fleet and raft (their libraries frame by length), the laboratory's readers of our own logs (logrus escapes line ends, one record a line), the coordinators' HTTP bodies and files (read whole).

--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -59,19 +59,19 @@
 	fields
 }
 
-// parseBatch parses one line of input. The returned time is in ms.
-func parseBatch(line []byte) (now float64, parts []part, err error) {
+// parseBatch parses one batch. The returned time is in ms.
+func parseBatch(raw []byte) (now float64, parts []part, err error) {
 	top := fields{}
-	if err := json.Unmarshal(line, &top.m); err != nil {
-		return 0, nil, &FieldError{Reason: "not a JSON object", Cause: err}
+	if err := json.Unmarshal(raw, &top.m); err != nil {
+		return 0, nil, notAnObject(err)
 	}
 	now = required[float64](&top, "t") * msPerSecond
 	raws := required[[]map[string]json.RawMessage](&top, "parts")
 	if top.err != nil {
 		return 0, nil, top.err
 	}
-	for i, raw := range raws {
-		pf := fields{m: raw}
+	for i, rawPart := range raws {
+		pf := fields{m: rawPart}
 		p := part{door: required[int](&pf, "door_id")}
 		msgs := required[[]map[string]json.RawMessage](&pf, "in")
 		if pf.err != nil {
--- a/internal/wire/errors.go
+++ b/internal/wire/errors.go
@@ -33,6 +33,9 @@
 	Cause  error
 }
 
+// notAnObject returns the error for input that is not a JSON object.
+func notAnObject(cause error) error { return &FieldError{Reason: "not a JSON object", Cause: cause} }
+
 func (e *FieldError) Error() string {
 	text := remedy.WithCause(e.Reason, e.Cause)
 	switch {
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -4,14 +4,15 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"math"
 
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/jsonstream"
 )
 
 // Host serves any number of doors, which share no state.
@@ -38,38 +39,49 @@
 	Parts []outPart `json:"parts"`
 }
 
-// Serve replies to each batch until the input ends.
+const inputBufferSize = 64 << 10 // bytes
+
+// Serve replies to each batch until the input ends. A batch ends with its last bracket, wherever its lines end; a reply is one line.
 func (h *Host) Serve(in io.Reader, out io.Writer) error {
-	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriter(out)
+	r, w := bufio.NewReaderSize(in, inputBufferSize), bufio.NewWriter(out)
 	enc := json.NewEncoder(w)
 	enc.SetEscapeHTML(false)
+	batches := jsonstream.Splitter{MaxBytes: math.MaxInt} // the simulator is trusted
 	for n := 1; ; n++ {
-		line, err := r.ReadBytes('\n')
-		if err != nil && !errors.Is(err, io.EOF) {
-			return atPosition(err, "input line %d", n)
-		}
-		ended := err != nil
-		if len(bytes.TrimSpace(line)) > 0 {
-			answer, err := h.batch(line)
+		line, readErr := r.ReadBytes('\n')
+		err := batches.Feed(line, func(raw []byte) error {
+			answer, err := h.batch(raw)
 			if err != nil {
-				return atPosition(err, "input line %d", n)
+				return err
 			}
 			if err := enc.Encode(answer); err != nil {
-				return atPosition(err, "writing the reply to line %d", n)
+				return atPosition(err, "writing the reply")
 			}
 			if err := w.Flush(); err != nil {
-				return atPosition(err, "writing the reply to line %d", n)
+				return atPosition(err, "writing the reply")
 			}
+			return nil
+		})
+		if syntax := (*jsonstream.SyntaxError)(nil); errors.As(err, &syntax) {
+			err = notAnObject(err)
+		}
+		if err != nil {
+			return atPosition(err, "input line %d", n)
 		}
-		if ended {
+		switch {
+		case errors.Is(readErr, io.EOF) && batches.Within():
+			return atPosition(notAnObject(io.ErrUnexpectedEOF), "input line %d", n)
+		case errors.Is(readErr, io.EOF):
 			return nil
+		case readErr != nil:
+			return atPosition(readErr, "input line %d", n)
 		}
 	}
 }
 
 // batch processes one batch.
-func (h *Host) batch(line []byte) (reply, error) {
-	now, parts, err := parseBatch(line)
+func (h *Host) batch(raw []byte) (reply, error) {
+	now, parts, err := parseBatch(raw)
 	if err != nil {
 		return reply{}, err
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -56,6 +56,34 @@
 		`"cap":0.08}},{"SCHEDULE":{"when":9,"cookie":0}},{"REFUSE":{"op_id":"x","not_before_for":0.25}}]}]}`, out)
 }
 
+// Guards against an adapter that ends because a batch of the simulator spans lines, as a door's watch did (review/3).
+func TestBatchesMaySpanOrShareLines(t *testing.T) {
+	spread := strings.NewReplacer("{", "{\n  ", ",", ",\r\n").Replace(batch(born, listed, submit))
+	rejectAll := func(_ float64, events []gate.Event) []gate.Action {
+		if _, arrived := events[len(events)-1].(gate.Request); !arrived {
+			return nil
+		}
+		return []gate.Action{gate.Reject{}}
+	}
+	for name, input := range map[string]string{
+		"spread":        spread,
+		"on one line":   strings.TrimSuffix(batch(born, listed), "\n") + batch(submit),
+		"no line end":   strings.TrimSpace(batch(born, listed, submit)),
+		"blank lines":   "\n\n" + spread + "\n",
+		"as page shows": batch(born, listed, submit),
+	} {
+		out, _, err := serve(rejectAll, input)
+		require.NoError(t, err, name)
+		assert.Contains(t, out, `"REFUSE":{"op_id":"x"`, name)
+		assert.Equal(t, strings.Count(out, "\n"), strings.Count(out, `{"parts"`), "%s: a reply is one line", name)
+	}
+}
+
+func TestInputThatEndsWithinABatchIsReported(t *testing.T) {
+	_, _, err := serve(silent, batch(born, listed)+`{"t":1,`)
+	assert.ErrorContains(t, err, "input line 2: not a JSON object")
+}
+
 func TestEmptyBatchAndRestartInOneBatch(t *testing.T) {
 	starts := 0
 	h := NewHost(&bytes.Buffer{}, func(gate.Terms, uint64) gate.Decider { starts++; return deciderFunc(silent) })
