--- a/lab/soak/discovery.go
+++ b/lab/soak/discovery.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -174,12 +175,30 @@
 	return l, d.version, d.changes, d.down
 }
 
+// indents are the indents of lists by layout; a list without an indent is one line. A list may come indented.
+var indents = []string{"", "  ", "", "\t"}
+
+// chunked returns a list as the chunks of a response. Its layout and the chunk size vary by seed, door and version.
+func (d *discovery) chunked(l listing) (message []byte) {
+	layout := rand.New(rand.NewPCG(d.rig.seed, uint64(l.Generation)<<8|uint64(d.door)))
+	raw, _ := json.Marshal(l)
+	if indent := indents[layout.IntN(len(indents))]; indent != "" {
+		raw, _ = json.MarshalIndent(l, "", indent)
+	}
+	raw = append(raw, '\n')
+	size := 1 + layout.IntN(len(raw))
+	for rest := raw; len(rest) > 0; rest = rest[min(size, len(rest)):] {
+		message = fmt.Appendf(message, "%x\r\n%s\r\n", min(size, len(rest)), rest[:min(size, len(rest))])
+	}
+	return message
+}
+
 // writeList sends a list and records it as notified. Since the door may receive it at any time during the write, ready counts
 // from before the write and draining from after it.
 func (d *discovery) writeList(nc net.Conn, l listing) bool {
-	raw, _ := json.Marshal(l)
+	message := d.chunked(l)
 	before := d.rig.now()
-	if _, err := fmt.Fprintf(nc, "%x\r\n%s\n\r\n", len(raw)+1, raw); err != nil {
+	if _, err := nc.Write(message); err != nil {
 		return false
 	}
 	after := d.rig.now()
