A process that ends at once no longer leaves the running door's listener blocking

Cause: the supervisor passed TCPListener.File to its processes. Passing such a file calls Fd, which makes the open file blocking, and the mode belongs to the open file, not to the process: the running door's next accept blocked in the kernel, where neither deadline nor close wakes it. A new process that got as far as net.FileListener set it back; one that ended before did not.

No others are passed.

Seen red before: TestAProcessThatEndsAtOnceLeavesTheRunningDoorsAcceptInterruptible ("still blocked: close").

--- a/internal/holding/concurrency_test.go
+++ b/internal/holding/concurrency_test.go
@@ -102,7 +102,7 @@
 	s.started = time.Now()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s.ln, err = ln.(*net.TCPListener).File()
+	s.ln, err = inheritable(ln.(*net.TCPListener))
 	require.NoError(t, err)
 	ln.Close()
 	control, err := net.Listen("tcp", "127.0.0.1:0")
@@ -160,6 +160,41 @@
 	}
 }
 
+// Guards against a running door that neither ends at SIGTERM nor answers what it accepts, because a released program that ended at
+// once left the shared listener blocking. The test takes the part of the running door.
+func TestAProcessThatEndsAtOnceLeavesTheRunningDoorsAcceptInterruptible(t *testing.T) {
+	s, _, _ := supervised(t)
+	ln, err := net.FileListener(s.ln) // shares the open file, and so its mode, with s.ln and with every process
+	require.NoError(t, err)
+	accepted, ended := make(chan net.Conn), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- nc
+		}
+	}()
+	program := s.addRelease(t, "#!/bin/sh\nexit 1\n")
+	_, err = s.start(release.Versions{release.Program: program})
+	require.Error(t, err)
+	client, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	(<-accepted).Close() // the next accept is made by the mode that the process left
+	closed := make(chan struct{})
+	go func() { ln.Close(); close(closed) }()
+	for what, done := range map[string]chan struct{}{"close": closed, "accept": ended} {
+		select {
+		case <-done:
+		case <-time.After(timeout):
+			require.Fail(t, "still blocked", what)
+		}
+	}
+}
+
 // The supervisor shuts down while a new process is starting. The process has the listener and may already hold requests of
 // clients, so it is not killed, and the supervisor waits for it.
 func TestShutdownWaitsForAProcessThatIsStarting(t *testing.T) {
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return &frontdoor.ListenError{Address: cfg.Listen, Cause: err}
 	}
-	s.ln, err = ln.(*net.TCPListener).File()
+	s.ln, err = inheritable(ln.(*net.TCPListener))
 	ln.Close() // the duplicated descriptor keeps the socket listening
 	if err != nil {
 		return &frontdoor.ListenError{Address: cfg.Listen, Cause: err}
