A suspension within an accept is no longer taken for an empty listener's queue

What callers saw: a backend was given more time than its client had left.

Cause: the time that a connection stood in the listener's queue is bounded by when the queue was last known to be empty, and an accept that took over 1 ms counted as such a time.

Change: only an accept of over 200 ms shows an empty queue, which is longer than a process may be held up. Below that the kernel is asked for the age of the connection's bytes, as before.

Seen red before: TestRemainingTimeExcludesListenerQueueTimeAfterSuspension (1.499 s told, 0.83 s left with the slack).

--- a/frontdoor/accept.go
+++ b/frontdoor/accept.go
@@ -12,13 +12,13 @@
 )
 
 const (
-	immediateAcceptRetries = 4                     // consecutive failures that are retried without a pause
-	minAcceptBackoff       = time.Millisecond      // first pause after immediateAcceptRetries; it doubles with each failure
-	maxAcceptBackoff       = 20 * time.Millisecond // longest pause: clients are waiting by then
-	socketPollInterval     = 10 * time.Millisecond // time between checks for a free socket during shutdown
-	queuePollTimeout       = 5 * time.Millisecond  // how long an accept waits for the listener's queue during shutdown
-	minBlockedAccept       = time.Millisecond      // an accept that takes longer than this has found the queue empty
-	acceptLogInterval      = time.Second           // time between log lines for failed accepts
+	immediateAcceptRetries = 4                      // consecutive failures that are retried without a pause
+	minAcceptBackoff       = time.Millisecond       // first pause after immediateAcceptRetries; it doubles with each failure
+	maxAcceptBackoff       = 20 * time.Millisecond  // longest pause: clients are waiting by then
+	socketPollInterval     = 10 * time.Millisecond  // time between checks for a free socket during shutdown
+	queuePollTimeout       = 5 * time.Millisecond   // how long an accept waits for the listener's queue during shutdown
+	minBlockedAccept       = 200 * time.Millisecond // an accept that takes longer has found the queue empty; a process may be suspended for 150 ms
+	acceptLogInterval      = time.Second            // time between log lines for failed accepts
 )
 
 // acceptor accepts client connections until the listener is closed.
--- a/frontdoor/remaining_test.go
+++ b/frontdoor/remaining_test.go
@@ -94,3 +94,35 @@
 	require.Equal(t, http.StatusOK, status)
 	await(t, reports, "the request").assertNotOverstated(t, sent)
 }
+
+// suspendedAcceptListener is an exhaustedListener whose accepts take the time for which a process may be suspended.
+type suspendedAcceptListener struct{ exhaustedListener }
+
+func (l *suspendedAcceptListener) Accept() (net.Conn, error) {
+	nc, err := l.exhaustedListener.Accept()
+	if err == nil {
+		time.Sleep(150 * time.Millisecond)
+	}
+	return nc, err
+}
+
+// Guards against a backend that is given more time than its client has left, because a suspension within an accept was taken for
+// an empty queue. The second connection stands in the queue behind the first.
+func TestRemainingTimeExcludesListenerQueueTimeAfterSuspension(t *testing.T) {
+	td, reports := newReportingDoor(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	td.network.Listen = func(context.Context, string) (net.Listener, error) {
+		return &suspendedAcceptListener{exhaustedListener{ln.(*net.TCPListener), time.Now().Add(500 * time.Millisecond)}}, nil
+	}
+	td.start(t)
+	clients := []net.Conn{connect(t, ln.Addr().String()), connect(t, ln.Addr().String())}
+	sent := time.Now()
+	for i, nc := range clients {
+		_, err := io.WriteString(nc, requestWithID(strconv.Itoa(i)))
+		require.NoError(t, err)
+	}
+	for range clients {
+		await(t, reports, "a request").assertNotOverstated(t, sent)
+	}
+}
