--- a/release/release.go
+++ b/release/release.go
@@ -133,6 +133,17 @@
 	Failed      map[string]string `json:"failed,omitempty"` // doors that failed to install it, with the reason
 }
 
+// UnmarshalJSON decodes a release of a saved state. Maps that the encoding left out are empty, as in a release that was never saved.
+func (r *Release) UnmarshalJSON(raw []byte) error {
+	type plain Release // without this method, which would recurse
+	decoded := plain{Previous: map[string]string{}, Failed: map[string]string{}}
+	if err := json.Unmarshal(raw, &decoded); err != nil {
+		return err
+	}
+	*r = Release(decoded)
+	return nil
+}
+
 // Unit is a door or a backend that a release may change.
 type Unit struct {
 	Name string
