--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -78,7 +78,10 @@
 // the options it uses only ClockOffset and Restore.
 func Start(cfg config.Coordinator, st store.Store, transport raft.Transport, options Options, log logrus.FieldLogger) (*Coordinator, error) {
 	c := &Coordinator{cfg: cfg, log: log, clockOffset: options.ClockOffset, restored: options.Restore, failed: make(chan error, 1), done: make(chan struct{}), silentSince: map[raft.ServerID]time.Time{}}
-	c.fsm = &stateMachine{state: permits.New(), fail: c.Fail}
+	var err error
+	if c.fsm, err = newStateMachine(c.Fail, log); err != nil {
+		return nil, err
+	}
 	rc := c.raftConfig()
 	existing, err := raft.HasExistingState(st, st, st)
 	if err != nil {
@@ -106,7 +109,11 @@
 // majority of the coordinators is lost permanently. It is called once, before Start, on each remaining coordinator.
 func Restore(cfg config.Coordinator, st store.Store, transport raft.Transport, log logrus.FieldLogger) error {
 	c := &Coordinator{cfg: cfg, log: log}
-	if err := raft.RecoverCluster(c.raftConfig(), &stateMachine{state: permits.New(), fail: func(error) {}}, st, st, st, transport, serverConfiguration(cfg.Members)); err != nil {
+	fsm, err := newStateMachine(func(error) {}, log)
+	if err != nil {
+		return err
+	}
+	if err := raft.RecoverCluster(c.raftConfig(), fsm, st, st, st, transport, serverConfiguration(cfg.Members)); err != nil {
 		return &StartError{cfg.Name, err}
 	}
 	return nil
@@ -510,9 +517,16 @@
 // stateMachine implements raft.FSM with the state of package permits.
 type stateMachine struct {
 	mu       sync.Mutex
-	state    *permits.State
+	replica  *permits.Replica
 	restored bool        // a calendar.Restored command was applied since this process started
 	fail     func(error) // terminates the coordinator
+	log      logrus.FieldLogger
+}
+
+// newStateMachine returns a state machine with an empty state.
+func newStateMachine(fail func(error), log logrus.FieldLogger) (*stateMachine, error) {
+	replica, err := permits.NewReplica(permits.New())
+	return &stateMachine{replica: replica, fail: fail, log: log}, err
 }
 
 // restoreRecorded reports whether a calendar.Restored command was applied since this process started.
@@ -526,11 +540,11 @@
 func (m *stateMachine) read(do func(*permits.State)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	do(m.state)
+	do(m.replica.State())
 }
 
 // Apply applies a log entry. An entry that this release can't decode must not be skipped, as the states would diverge: the
-// coordinator terminates itself.
+// coordinator terminates itself. An entry that it can decode and not execute changes nothing, on every coordinator alike.
 func (m *stateMachine) Apply(l *raft.Log) any {
 	var cmd permits.Command
 	if err := json.Unmarshal(l.Data, &cmd); err != nil {
@@ -542,7 +556,12 @@
 	if _, is := cmd.Do.(calendar.Restored); is {
 		m.restored = true
 	}
-	return m.state.Apply(cmd)
+	answer, fault := m.replica.Apply(cmd, l.Data)
+	if fault != nil {
+		m.log.WithError(answer.Err).WithFields(logrus.Fields{fields.Who: fault.Command.Caller, fields.Why: fault.Reason, fields.Number: l.Index, fields.Stack: fault.Stack}).
+			Error("command not executed")
+	}
+	return answer
 }
 
 // Snapshot encodes the state.
@@ -550,7 +569,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out bytes.Buffer
-	if err := m.state.Save(&out); err != nil {
+	if err := m.replica.State().Save(&out); err != nil {
 		return nil, err
 	}
 	return snapshot(out.Bytes()), nil
@@ -563,9 +582,13 @@
 	if err != nil {
 		return err
 	}
+	replica, err := permits.NewReplica(s)
+	if err != nil {
+		return err
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.state = s
+	m.replica = replica
 	return nil
 }
 
--- a/internal/fields/fields.go
+++ b/internal/fields/fields.go
@@ -62,4 +62,5 @@
 	Who    = "who"    // name of the operator
 	Change = "change" // number of the last agreed change that a door has applied
 	Names  = "names"  // names of backends
+	Stack  = "stack"  // stack of the code that failed
 )
--- a/permits/encode.go
+++ b/permits/encode.go
@@ -24,6 +24,7 @@
 	"note": reflect.TypeFor[Note](), "forget": reflect.TypeFor[Forget](), "halt": reflect.TypeFor[Halt](), "resume": reflect.TypeFor[Resume](),
 	"denied": reflect.TypeFor[DeniedError](), "halted": reflect.TypeFor[HaltedError](), "unknown": reflect.TypeFor[UnknownError](),
 	"stale": reflect.TypeFor[StaleError](), "taken": reflect.TypeFor[TakenError](), "repeat": reflect.TypeFor[RepeatError](),
+	"fault":         reflect.TypeFor[FaultError](),
 	"calendar_plan": reflect.TypeFor[calendar.Plan](), "calendar_edit": reflect.TypeFor[calendar.Edit](),
 	"calendar_approve": reflect.TypeFor[calendar.Approve](), "calendar_refuse": reflect.TypeFor[calendar.Refuse](),
 	"calendar_withdraw": reflect.TypeFor[calendar.Withdraw](), "calendar_declare_emergency": reflect.TypeFor[calendar.DeclareEmergency](),
@@ -55,6 +56,9 @@
 	return of
 }()
 
+// commandName returns the encoded name of a command's type.
+func commandName(c Command) string { return namesByType[reflect.TypeOf(c.Do)] }
+
 // typedValue is an encoded value with the name of its type.
 type typedValue struct {
 	Is string          `json:"is"`
--- a/permits/errors.go
+++ b/permits/errors.go
@@ -139,3 +139,16 @@
 func (e *ChecksumError) Remedy() string {
 	return "Move the file away, start this coordinator without a state so that it copies the state of the others, and check the disk."
 }
+
+// FaultError is a command that the coordinators' code can't execute; it changed nothing.
+type FaultError struct{ Command string }
+
+func (e *FaultError) Error() string {
+	return fmt.Sprintf("the command %q can't be executed: a fault of the coordinators' program", e.Command)
+}
+func (e *FaultError) Kind() remedy.Kind { return remedy.Internal }
+
+// Remedy says what to report.
+func (e *FaultError) Remedy() string {
+	return "The coordinators go on without it. Report the line \"command not executed\" of a coordinator's log, with its stack, and install a release that mends the fault."
+}
