--- a/permits/permits.go
+++ b/permits/permits.go
@@ -164,6 +164,9 @@
 			delete(s.Permits, p.Number)
 		}
 		delete(s.Units, unitKey(d.Kind, d.Name))
+		if d.Kind == Door {
+			s.endChange(release.EndChange{Door: d.Name})
+		}
 		if d.Kind == Backend {
 			s.Release.RecordProcess(d.Name, "gone for good")
 		}
@@ -174,6 +177,9 @@
 		return s.confirm(c, d)
 	case Withdraw:
 		p := s.Permits[d.Number]
+		if p == nil || p.Caller == c.Caller {
+			s.endChange(release.EndChange{Permit: d.Number}) // its place may have become free before
+		}
 		if p == nil || p.Caller != c.Caller {
 			return Answer{Err: &UnknownError{fmt.Sprintf("permit %d of %s", d.Number, c.Caller)}}
 		}
@@ -184,6 +190,7 @@
 			return Answer{Err: &UnknownError{fmt.Sprintf("permit %d", d.Number)}}
 		}
 		delete(s.Permits, p.Number)
+		s.endChange(release.EndChange{Permit: p.Number})
 		s.audit(p.Number, "written off: "+p.Unit.Name, d.Who, d.Why)
 	case Halt:
 		s.Halts = append(s.Halts, d)
@@ -197,6 +204,11 @@
 	return Answer{}
 }
 
+// endChange ends what a release still waits for. Its answer says nothing: there is none to give.
+func (s *State) endChange(end release.EndChange) {
+	_, _, _ = s.Release.Apply(end, s.unitsOf(Door), s.unitsOf(Backend))
+}
+
 // audit adds an entry to the audit log; number is that of the permit, 0 for none.
 func (s *State) audit(number uint64, what, who, why string) {
 	s.Audit = append(s.Audit, AuditEntry{s.NowMs, s.WallMs, number, what, who, why})
@@ -312,6 +324,9 @@
 		d.Incarnation, d.Process = u.Incarnation, u.Process
 	}
 	p.Stage, p.Incarnation, p.Process = Out, d.Incarnation, d.Process
+	if p.Release != 0 {
+		s.Release.BeginChange(p.Release, p.Unit.Name, p.Number)
+	}
 	s.audit(p.Number, "out: "+p.Unit.Name, p.Who, p.Why)
 	return Answer{Number: p.Number}
 }
--- a/permits/release_agent.go
+++ b/permits/release_agent.go
@@ -156,10 +156,12 @@
 	return nil
 }
 
-// HolderCommands lists the commands that a holder's report requires: one if its door's versions or failures have changed.
+// HolderCommands lists the commands that a holder's report requires: one if its door's versions or failures have changed, or if a
+// change may have been under way. A holder reports nothing while it changes, and its commands and reports are numbered alike, so
+// that a report from before a change has no effect after it.
 func (s *State) HolderCommands(h *HolderReport) (do []any) {
 	known := s.Release.Runs[h.Door]
-	changed := known == nil
+	changed := known == nil || s.Release.MayBeChanging(h.Door)
 	for _, kind := range []string{release.Configuration, release.Program} {
 		changed = changed || known[kind] != h.Runs[kind]
 	}
--- a/permits/release_agent_test.go
+++ b/permits/release_agent_test.go
@@ -20,6 +20,7 @@
 	now          float64
 	applied      []ApplyRelease
 	installError string
+	holdBack     bool // the next install waits for finish
 	index        int
 	incarnation  uint64
 }
@@ -28,8 +29,11 @@
 	return &testReleaseAgent{ReleaseAgent: NewReleaseAgent(unit(i).Name, uint64(i), release.Versions{}, nil), s: s, index: i, incarnation: 1}
 }
 
-func (c *testReleaseAgent) step(e any) {
-	for todo := c.Step(c.now, e); len(todo) > 0; todo = todo[1:] {
+func (c *testReleaseAgent) step(e any) { c.perform(c.Step(c.now, e)...) }
+
+// perform carries out actions and those that follow from them.
+func (c *testReleaseAgent) perform(todo ...any) {
+	for ; len(todo) > 0; todo = todo[1:] {
 		switch a := todo[0].(type) {
 		case Post:
 			if a.HolderReport == nil {
@@ -42,20 +46,34 @@
 			todo = append(todo, c.Step(c.now, AssignmentReceived{a.Seq, c.s.Assignment(c.door)})...)
 		case ApplyRelease:
 			c.applied = append(c.applied, a)
-			runs, failed := release.Versions{}, map[string]string{}
-			if c.installError != "" {
-				failed[a.Digest] = c.installError
-			}
-			if c.installError == "" {
-				runs[a.Changes] = a.Digest
-				c.incarnation++
-				c.s.recordSighting(c.index, Ready, c.incarnation) // its next process
+			if c.holdBack {
+				c.holdBack = false
+				continue
 			}
-			todo = append(todo, c.Step(c.now, VersionsChanged{runs, failed})...)
+			todo = append(todo, c.install(a)...)
 		}
 	}
 }
 
+// install carries out a change, or fails with installError.
+func (c *testReleaseAgent) install(a ApplyRelease) []any {
+	runs, failed := release.Versions{}, map[string]string{}
+	if c.installError != "" {
+		failed[a.Digest] = c.installError
+	}
+	if c.installError == "" {
+		runs[a.Changes] = a.Digest
+		c.incarnation++
+		c.s.recordSighting(c.index, Ready, c.incarnation) // its next process
+	}
+	return c.Step(c.now, VersionsChanged{runs, failed})
+}
+
+// finish carries out the change that holdBack has delayed.
+func (c *testReleaseAgent) finish() {
+	c.perform(c.install(c.applied[len(c.applied)-1])...)
+}
+
 func (c *testReleaseAgent) run(ms float64) {
 	for end := c.now + ms; c.now < end; c.now += TickEvery {
 		c.step(Tick{})
@@ -164,3 +182,66 @@
 	}
 	assert.LessOrEqual(t, out, 2)
 }
+
+// Guards against a door that runs a withdrawn release for good: a release that was taken back while a door was changing was "back" at
+// once, and nothing took the version from the door any more (review/2).
+func TestReleaseIsNotBackWhileADoorIsChanging(t *testing.T) {
+	for name, takeBack := range map[string]func(*testing.T, *site){
+		"by an operator": func(t *testing.T, s *site) {
+			require.NoError(t, s.do("op", release.Steer{Name: "r1", To: release.ToBack, Who: "ana"}).Err)
+		},
+		"by another door that fails": func(t *testing.T, s *site) {
+			report := release.ReportVersions{Door: "d1", Runs: release.Versions{}, Failed: map[string]string{newDigest: "no such file"}}
+			require.NoError(t, s.do("d1/holder/1", report).Err)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(8)
+			c := newTestReleaseAgent(s, 0)
+			c.holdBack = true
+			startRelease(s, "d0", "d1")
+			c.run(3000)
+			require.Len(t, c.applied, 1, "its change is under way")
+			takeBack(t, s)
+			c.run(5000)
+			assert.Equal(t, release.RollingBack, s.Release.Find("r1").Stage)
+			c.finish()
+			c.run(5000)
+			assert.Equal(t, "", s.Release.Runs["d0"][release.Configuration])
+			assert.Equal(t, release.RolledBack, s.Release.Find("r1").Stage)
+			require.Len(t, c.applied, 2)
+			assert.True(t, c.applied[1].Back)
+		})
+	}
+}
+
+// A change that comes to nothing ends as well, whatever ends it, and the release is back then.
+func TestReleaseIsBackOnceAChangeHasComeToNothing(t *testing.T) {
+	for name, end := range map[string]func(*testing.T, *site, *testReleaseAgent){
+		"the new process does not start": func(_ *testing.T, _ *site, c *testReleaseAgent) { c.installError = "not ready"; c.finish() },
+		"the holder starts anew": func(_ *testing.T, s *site, c *testReleaseAgent) {
+			*c = *newTestReleaseAgent(s, 0)
+			c.now = s.NowMs
+		},
+		"the door is written off": func(t *testing.T, s *site, _ *testReleaseAgent) {
+			require.NoError(t, s.do("op", WriteOff{s.permitOf(Door, "d0").Number, "ana", "burnt"}).Err)
+		},
+		"the door is forgotten": func(t *testing.T, s *site, _ *testReleaseAgent) {
+			require.NoError(t, s.do("op", Forget{Door, "d0", "ana", "burnt"}).Err)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(8)
+			c := newTestReleaseAgent(s, 0)
+			c.holdBack = true
+			startRelease(s, "d0", "d1")
+			c.run(3000)
+			require.NoError(t, s.do("op", release.Steer{Name: "r1", To: release.ToBack, Who: "ana"}).Err)
+			require.Equal(t, release.RollingBack, s.Release.Find("r1").Stage)
+			end(t, s, c)
+			c.run(5000)
+			assert.Equal(t, release.RolledBack, s.Release.Find("r1").Stage)
+			assert.Equal(t, "", s.Release.Runs["d0"][release.Configuration])
+		})
+	}
+}
--- a/release/release.go
+++ b/release/release.go
@@ -131,12 +131,15 @@
 	UnitsByWave [][]string        `json:"parts"`            // doors or backends by wave
 	Previous    map[string]string `json:"from"`             // digest that each ran before, or process of each backend
 	Failed      map[string]string `json:"failed,omitempty"` // doors that failed to install it, with the reason
+	// Changing holds, by door, the permits with which doors may be changing: a change that has begun can't be called off, and
+	// what its door reports to run is out of date until it reports again.
+	Changing map[string]uint64 `json:"changing,omitempty"`
 }
 
 // UnmarshalJSON decodes a release of a saved state. Maps that the encoding left out are empty, as in a release that was never saved.
 func (r *Release) UnmarshalJSON(raw []byte) error {
 	type plain Release // without this method, which would recurse
-	decoded := plain{Previous: map[string]string{}, Failed: map[string]string{}}
+	decoded := plain{Previous: map[string]string{}, Failed: map[string]string{}, Changing: map[string]uint64{}}
 	if err := json.Unmarshal(raw, &decoded); err != nil {
 		return err
 	}
@@ -183,6 +186,12 @@
 		Wave    int
 		Verdict Verdict
 	}
+	// EndChange reports that no change follows from a permit any more, or none at a door that is given up. It is a consequence of other
+	// commands and is not in the log itself.
+	EndChange struct {
+		Permit uint64 // 0 for none
+		Door   string // empty for none
+	}
 	// Steer is an operator's command to halt, resume or roll back a release.
 	Steer struct {
 		Name     string
@@ -245,6 +254,8 @@
 		note = "release " + c.Plan.Name + " of " + c.Plan.Changes + " " + c.Plan.Digest
 	case ReportVersions:
 		s.recordVersions(c)
+	case EndChange:
+		s.endChange(c)
 	case RecordVerdict:
 		note, err = s.applyVerdict(c)
 	case Steer:
@@ -275,7 +286,7 @@
 			return 0, &PlanError{Key: "over", Says: fmt.Sprintf("%q is not under way", c.Plan.Supersedes)}
 		}
 	}
-	r := &Release{Plan: c.Plan, Number: s.Next, Who: c.Who, Why: c.Why, Stage: Waiting, Previous: map[string]string{}, Failed: map[string]string{}}
+	r := &Release{Plan: c.Plan, Number: s.Next, Who: c.Who, Why: c.Why, Stage: Waiting, Previous: map[string]string{}, Failed: map[string]string{}, Changing: map[string]uint64{}}
 	s.Next++
 	s.All = append(s.All, r)
 	excess := len(s.All) - maxKeptReleases // the oldest ended releases are dropped first
@@ -296,7 +307,10 @@
 		if r.Stage == RollingBack && r.Changes == Backends { // a replaced backend can't be restored from here: the release's drains end and no further ones begin
 			r.Stage = RolledBack
 		}
-		if r.Stage == RollingBack && !slices.ContainsFunc(r.units(), func(d string) bool { return s.versionOf(d, r.Changes) != r.Previous[d] }) {
+		unfinished := func(door string) bool {
+			return s.versionOf(door, r.Changes) != r.Previous[door] || s.changing(door, r.Changes)
+		}
+		if r.Stage == RollingBack && !slices.ContainsFunc(r.units(), unfinished) {
 			r.Stage = RolledBack
 		}
 	}
@@ -339,6 +353,29 @@
 	}
 }
 
+// BeginChange records that a door may begin to change for a release, with a permit, at any time from now on.
+func (s *State) BeginChange(number uint64, door string, permit uint64) {
+	if r := s.ByNumber(number); r != nil {
+		r.Changing[door] = permit
+	}
+}
+
+func (s *State) endChange(c EndChange) {
+	for _, r := range s.All {
+		maps.DeleteFunc(r.Changing, func(door string, permit uint64) bool { return permit == c.Permit || door == c.Door })
+	}
+}
+
+// MayBeChanging reports whether a door may be amid a change, for any release.
+func (s *State) MayBeChanging(door string) bool {
+	return s.changing(door, Configuration) || s.changing(door, Program)
+}
+
+// changing reports whether a door may be amid a change of a kind.
+func (s *State) changing(door, changes string) bool {
+	return slices.ContainsFunc(s.All, func(r *Release) bool { return r.Changes == changes && r.Changing[door] != 0 })
+}
+
 // versionOf returns the digest that a door runs, or the process of a backend.
 func (s *State) versionOf(unit, changes string) string {
 	if changes == Backends {
@@ -396,6 +433,7 @@
 		s.Runs[c.Door][kind] = c.Runs[kind]
 	}
 	for _, r := range s.All {
+		delete(r.Changing, c.Door) // a door reports nothing while it changes
 		why, failed := c.Failed[r.Digest]
 		if !failed || !r.Live() || r.Stage == RollingBack || !slices.Contains(r.units(), c.Door) || r.Failed[c.Door] != "" {
 			continue
