A door asks once more before its old process ends whether its release still stands

What callers saw: a release that was taken back, or halted, while a door's new process was starting took effect at that door all the same.

Cause: the door's holder confirmed its permit before it started the new process, which takes 1 to 20 s, and asked nobody before it ended the old one, which is the last step that can be taken back. docs/releases.md: "A halt lets no further door change from the moment it is agreed on".

Change: ReleaseAgent prepares a change, confirms its permit again once the new process is ready (ReleasePrepared), and only then has the holder switch; denied, or with no coordinator until the permit is 24 s old, the new process ends and the old one serves on. A second Confirm keeps the process that the first one recorded, as the new one may have registered by then.

New here, without a step to hang them on before: TestPermitIsConfirmedAgainBeforeTheSwitch (taken back, halted, all halted, written off, others failed), TestPreparedChangeIsDiscardedWithoutCoordinators, TestAChangeThatIsNoLongerAllowedIsDiscarded on processes. The drivers in the tests carry out the new step; their checks are as they were, but for two that hang on when the change is held: each now holds the step it means.

--- a/internal/holding/concurrency_test.go
+++ b/internal/holding/concurrency_test.go
@@ -94,11 +94,28 @@
 	}
 }
 
-// supervised returns a supervisor with a listener, and a channel that yields the processes that it starts.
+// supervised returns a supervisor with a listener, and a channel that yields the processes that it starts. Every change may take effect.
 func supervised(t *testing.T) (s *supervisor, stop func(), processes <-chan *process) {
+	return supervisedWith(t, permits.SwitchRelease{UntilMs: 1e12})
+}
+
+// supervisedWith returns a supervisor like supervised, with another decision on the changes that are prepared.
+func supervisedWith(t *testing.T, decision any) (s *supervisor, stop func(), processes <-chan *process) {
 	s = newSupervisor(t)
 	ctx, cancel := context.WithCancel(t.Context())
-	s.ctx, s.events = ctx, make(chan any, eventQueueSize)
+	s.ctx, s.events, s.decisions = ctx, make(chan any, eventQueueSize), make(chan any, 1)
+	go func() { // takes the part of the release agent
+		for {
+			select {
+			case e := <-s.events:
+				if _, is := e.(permits.ReleasePrepared); is {
+					s.decisions <- decision
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
 	s.started = time.Now()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -160,6 +177,26 @@
 	}
 }
 
+// Guards against a door that runs a release which was taken back while its new process was starting (review/2).
+func TestAChangeThatIsNoLongerAllowedIsDiscarded(t *testing.T) {
+	s, _, processes := supervisedWith(t, permits.DiscardRelease{})
+	first := startServing(t, s, processes)
+	s.applyAll(t, release.Versions{release.Configuration: s.addRelease(t, `{}`)})
+	second := next(t, processes)
+	second.send("ready")
+	second.expect(t, "terminated")
+	second.exit(t)
+	s.mu.Lock()
+	assert.Empty(t, s.runs)
+	assert.Empty(t, s.failed, "nothing speaks against the release itself")
+	s.mu.Unlock()
+	ended := make(chan struct{})
+	go func() { s.shutdown(); close(ended) }()
+	first.expect(t, "terminated") // not before
+	first.exit(t)
+	<-ended
+}
+
 // Guards against a running door that neither ends at SIGTERM nor answers what it accepts, because a released program that ended at
 // once left the shared listener blocking. The test takes the part of the running door.
 func TestAProcessThatEndsAtOnceLeavesTheRunningDoorsAcceptInterruptible(t *testing.T) {
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -63,15 +63,16 @@
 
 // supervisor starts, replaces and restarts the door's processes.
 type supervisor struct {
-	cfg      config.Door
-	dir      string // holds the released files and the state
-	baseFile string // the door's own configuration file
-	log      logrus.FieldLogger
-	ln       *os.File
-	client   *client.Client
-	started  time.Time
-	events   chan any
-	ctx      context.Context
+	cfg       config.Door
+	dir       string // holds the released files and the state
+	baseFile  string // the door's own configuration file
+	log       logrus.FieldLogger
+	ln        *os.File
+	client    *client.Client
+	started   time.Time
+	events    chan any
+	decisions chan any // permits.SwitchRelease or DiscardRelease, for the change that is prepared
+	ctx       context.Context
 
 	mu        sync.Mutex
 	runs      release.Versions // what the current process runs, or is about to run
@@ -100,7 +101,7 @@
 
 // Run supervises the door until ctx ends, and returns once all of its processes have exited.
 func Run(ctx context.Context, cfg config.Door, base string, log logrus.FieldLogger) error {
-	s := &supervisor{cfg: cfg, dir: cfg.Fleet.Releases, baseFile: base, log: log, started: time.Now(), events: make(chan any, eventQueueSize), ctx: ctx, failed: map[string]string{},
+	s := &supervisor{cfg: cfg, dir: cfg.Fleet.Releases, baseFile: base, log: log, started: time.Now(), events: make(chan any, eventQueueSize), decisions: make(chan any, 1), ctx: ctx, failed: map[string]string{},
 		workers: map[*worker]bool{}, write: writeAtomic}
 	var err error
 	if s.runs, err = retry.Within(ctx, startRetryFor, s.openState); err != nil {
@@ -517,6 +518,8 @@
 				go s.callCoordinators(a)
 			case permits.ApplyRelease:
 				s.tasks.Go(func() { s.apply(a) })
+			case permits.SwitchRelease, permits.DiscardRelease:
+				s.decisions <- a
 			}
 		}
 	}
@@ -543,9 +546,25 @@
 	s.post(e)
 }
 
-// apply changes what the door runs: it starts the new process beside the old one, then stops the old one. The change takes
-// effect with the start of the new process. If its time limit has already passed, because the supervisor was suspended, the
-// change is dropped.
+// awaitSwitch reports that the new process is ready and waits for the release agent's decision whether it replaces the old one. It
+// returns false if it does not, or if the supervisor shuts down.
+func (s *supervisor) awaitSwitch() bool {
+	for {
+		s.post(permits.ReleasePrepared{})
+		select {
+		case decision := <-s.decisions:
+			change, allowed := decision.(permits.SwitchRelease)
+			if !allowed || s.now() <= change.UntilMs {
+				return allowed
+			}
+		case <-s.ctx.Done():
+			return false
+		}
+	}
+}
+
+// apply changes what the door runs: it starts the new process beside the old one, asks whether the release still stands, then stops
+// the old one. If its time limit has already passed, because the supervisor was suspended, the change is dropped.
 func (s *supervisor) apply(t permits.ApplyRelease) {
 	defer s.reportState()
 	s.mu.Lock()
@@ -571,6 +590,11 @@
 		}
 		return
 	}
+	if !s.awaitSwitch() {
+		entry.Warn("the release may not be installed any more; " + Refused)
+		s.stop(w)
+		return
+	}
 	s.mu.Lock()
 	if s.ending { // shutdown began after the start
 		s.mu.Unlock()
--- a/permits/holder.go
+++ b/permits/holder.go
@@ -38,6 +38,9 @@
 	return h.NextSeq()
 }
 
+// Unconfirm has the next step need another Confirm.
+func (h *PermitHolder) Unconfirm() { h.confirmed = false }
+
 // Answered processes an answer and reports whether it was the pending one.
 func (h *PermitHolder) Answered(seq uint64, a Answer) bool {
 	if seq != h.pendingSeq {
--- a/permits/permits.go
+++ b/permits/permits.go
@@ -320,7 +320,10 @@
 	if err != nil {
 		return Answer{Err: err}
 	}
-	if d.Incarnation == 0 && u != nil {
+	switch {
+	case d.Incarnation == 0 && p.Stage == Out: // confirmed before: the later process may have registered by now
+		d.Incarnation, d.Process = p.Incarnation, p.Process
+	case d.Incarnation == 0 && u != nil:
 		d.Incarnation, d.Process = u.Incarnation, u.Process
 	}
 	p.Stage, p.Incarnation, p.Process = Out, d.Incarnation, d.Process
--- a/permits/release_agent.go
+++ b/permits/release_agent.go
@@ -35,13 +35,24 @@
 	versions     release.Versions
 	failed       map[string]string // reason by digest
 	target       *Assignment       // version to change to; nil if nothing is to change
-	applying     bool              // an ApplyRelease was issued and its result is pending
+	step         changeStep
+	denied       bool // the switch of a prepared change was denied
 	lastReportMs float64
 	dirty        bool    // there is news to report
 	retryAtMs    float64 // clock before which no permit is requested again
 	returnNumber uint64  // permit to be returned, of an abandoned or failed step; 0 for none
 }
 
+// changeStep is the step of a change that is under way.
+type changeStep uint8
+
+const (
+	noChange  changeStep = iota
+	preparing            // an ApplyRelease was issued
+	prepared             // the new process is ready beside the old one; the permit is confirmed again
+	ending               // a SwitchRelease or a DiscardRelease was issued
+)
+
 // Events of a ReleaseAgent, besides Answered, Unanswered and Tick.
 type (
 	// AssignmentReceived is the answer to a Post with a HolderReport.
@@ -49,6 +60,9 @@
 		Seq        uint64
 		Assignment Assignment
 	}
+	// ReleasePrepared reports that the new process is ready beside the old one. Until the old one is stopped the change can be
+	// called off.
+	ReleasePrepared struct{}
 	// VersionsChanged reports which versions the door runs and which it failed to install, after an ApplyRelease or when a process
 	// ended by itself.
 	VersionsChanged struct {
@@ -57,11 +71,20 @@
 	}
 )
 
-// ApplyRelease has the door run the assigned version, if that can begin before UntilMs. A VersionsChanged follows.
-type ApplyRelease struct {
-	Assignment
-	UntilMs float64
-}
+// Actions of a ReleaseAgent, besides Post.
+type (
+	// ApplyRelease has the door prepare the assigned version, if that can begin before UntilMs. A ReleasePrepared follows, or a
+	// VersionsChanged if it fails.
+	ApplyRelease struct {
+		Assignment
+		UntilMs float64
+	}
+	// SwitchRelease has the door stop the old process, if that can begin before UntilMs. A VersionsChanged follows, or, if it was too late,
+	// another ReleasePrepared.
+	SwitchRelease struct{ UntilMs float64 }
+	// DiscardRelease has the door stop the new process, as its release may not be installed any more. A VersionsChanged follows.
+	DiscardRelease struct{}
+)
 
 // NewReleaseAgent returns the agent of a door with the versions that it runs and those that it failed to install.
 func NewReleaseAgent(door string, process uint64, versions release.Versions, failed map[string]string) *ReleaseAgent {
@@ -82,14 +105,17 @@
 		if w := a.complete(e.Seq); w != nil {
 			a.handleAnswer(now, w, e)
 		}
+	case ReleasePrepared:
+		a.step = prepared
+		a.holder.Unconfirm()
 	case VersionsChanged:
-		if a.applying && (a.target == nil || e.Runs[a.target.Changes] != a.target.Digest) {
+		if a.step != noChange && (a.target == nil || e.Runs[a.target.Changes] != a.target.Digest) {
 			a.returnNumber = a.holder.Number // the previous process keeps serving, so the permit can be returned
 		}
-		if a.applying {
+		if a.step != noChange {
 			a.holder.Drop()
 		}
-		a.applying, a.dirty, a.target = false, true, nil
+		a.step, a.denied, a.dirty, a.target = noChange, false, true, nil
 		a.versions, a.failed = maps.Clone(e.Runs), maps.Clone(e.Failed)
 	}
 	return a.act(now)
@@ -103,7 +129,11 @@
 		return
 	}
 	a.holder.Answered(e.Seq, e.Answer)
-	if e.Answer.Err != nil {
+	switch {
+	case e.Answer.Err == nil:
+	case a.step == prepared:
+		a.denied = true
+	default:
 		a.abandon(now)
 	}
 }
@@ -122,15 +152,16 @@
 	switch {
 	case resend != nil:
 		return []any{*resend}
-	case busy, a.applying:
+	case busy, a.step == preparing, a.step == ending:
 		return nil
+	case a.step == prepared:
+		return a.endChange(now)
 	case abandoned != nil && abandoned.HolderReport == nil:
 		a.abandon(now)
 	}
-	post := func(seq uint64, do any) []any { return []any{a.send(now, Post{Seq: seq, Caller: a.caller, Do: do})} }
 	switch {
 	case a.returnNumber != 0:
-		return post(a.holder.NextSeq(), Withdraw{a.returnNumber})
+		return a.post(now, a.holder.NextSeq(), Withdraw{a.returnNumber})
 	case a.target == nil && a.holder.Number != 0: // the assignment was withdrawn
 		a.abandon(now)
 	case a.target != nil && now >= a.retryAtMs:
@@ -140,12 +171,12 @@
 		}
 		switch {
 		case a.holder.Number == 0:
-			return post(a.holder.RequestSent(now, permitHoldMs), RequestPermit{Unit: a.door, Kind: Door, Who: "release " + a.target.Name, Why: a.target.Changes, HoldMs: permitHoldMs, Release: a.target.Release})
+			return a.post(now, a.holder.RequestSent(now, permitHoldMs), RequestPermit{Unit: a.door, Kind: Door, Who: "release " + a.target.Name, Why: a.target.Changes, HoldMs: permitHoldMs, Release: a.target.Release})
 		case a.holder.MayGo(now):
-			a.applying = true
+			a.step = preparing
 			return []any{ApplyRelease{*a.target, a.holder.Deadline()}}
 		default:
-			return post(a.holder.ConfirmSent(now), Confirm{Number: a.holder.Number})
+			return a.post(now, a.holder.ConfirmSent(now), Confirm{Number: a.holder.Number})
 		}
 	}
 	if since := now - a.lastReportMs; since >= reportEveryMs || a.dirty && since >= minReportGapMs {
@@ -156,6 +187,25 @@
 	return nil
 }
 
+// endChange has a prepared change take effect once its permit is confirmed again, or be discarded. Without coordinators it waits, and is
+// discarded when the permit gets too old.
+func (a *ReleaseAgent) endChange(now float64) []any {
+	switch {
+	case a.denied || !a.holder.Fresh(now):
+		a.step = ending
+		return []any{DiscardRelease{}}
+	case a.holder.MayGo(now):
+		a.step = ending
+		return []any{SwitchRelease{a.holder.Deadline()}}
+	}
+	return a.post(now, a.holder.ConfirmSent(now), Confirm{Number: a.holder.Number})
+}
+
+// post sends a command.
+func (a *ReleaseAgent) post(now float64, seq uint64, do any) []any {
+	return []any{a.send(now, Post{Seq: seq, Caller: a.caller, Do: do})}
+}
+
 // HolderCommands lists the commands that a holder's report requires: one if its door's versions or failures have changed, or if a
 // change may have been under way. A holder reports nothing while it changes, and its commands and reports are numbered alike, so
 // that a report from before a change has no effect after it.
--- a/permits/release_agent_test.go
+++ b/permits/release_agent_test.go
@@ -19,14 +19,18 @@
 	s            *site
 	now          float64
 	applied      []ApplyRelease
+	switched     int
+	discarded    int
+	runs         release.Versions
 	installError string
-	holdBack     bool // the next install waits for finish
+	holdPrepare  bool // the next new process is not ready until prepare
+	holdBack     bool // the next switch waits for finish
 	index        int
 	incarnation  uint64
 }
 
 func newTestReleaseAgent(s *site, i int) *testReleaseAgent {
-	return &testReleaseAgent{ReleaseAgent: NewReleaseAgent(unit(i).Name, uint64(i), release.Versions{}, nil), s: s, index: i, incarnation: 1}
+	return &testReleaseAgent{ReleaseAgent: NewReleaseAgent(unit(i).Name, uint64(i), release.Versions{}, nil), s: s, runs: release.Versions{}, index: i, incarnation: 1}
 }
 
 func (c *testReleaseAgent) step(e any) { c.perform(c.Step(c.now, e)...) }
@@ -46,34 +50,48 @@
 			todo = append(todo, c.Step(c.now, AssignmentReceived{a.Seq, c.s.Assignment(c.door)})...)
 		case ApplyRelease:
 			c.applied = append(c.applied, a)
+			if c.holdPrepare {
+				c.holdPrepare = false
+				continue
+			}
+			todo = append(todo, c.prepareLast()...)
+		case SwitchRelease:
 			if c.holdBack {
 				c.holdBack = false
 				continue
 			}
-			todo = append(todo, c.install(a)...)
+			todo = append(todo, c.switchToLast()...)
+		case DiscardRelease:
+			c.discarded++
+			todo = append(todo, c.Step(c.now, VersionsChanged{c.runs, nil})...)
 		}
 	}
 }
 
-// install carries out a change, or fails with installError.
-func (c *testReleaseAgent) install(a ApplyRelease) []any {
-	runs, failed := release.Versions{}, map[string]string{}
+// prepareLast starts the process of the last change, or fails with installError.
+func (c *testReleaseAgent) prepareLast() []any {
 	if c.installError != "" {
-		failed[a.Digest] = c.installError
+		return c.Step(c.now, VersionsChanged{c.runs, map[string]string{c.applied[len(c.applied)-1].Digest: c.installError}})
 	}
-	if c.installError == "" {
-		runs[a.Changes] = a.Digest
-		c.incarnation++
-		c.s.recordSighting(c.index, Ready, c.incarnation) // its next process
-	}
-	return c.Step(c.now, VersionsChanged{runs, failed})
+	return c.Step(c.now, ReleasePrepared{})
 }
 
-// finish carries out the change that holdBack has delayed.
-func (c *testReleaseAgent) finish() {
-	c.perform(c.install(c.applied[len(c.applied)-1])...)
+// switchToLast stops the process before that of the last change.
+func (c *testReleaseAgent) switchToLast() []any {
+	a := c.applied[len(c.applied)-1]
+	c.switched++
+	c.runs = release.Versions{a.Changes: a.Digest}
+	c.incarnation++
+	c.s.recordSighting(c.index, Ready, c.incarnation) // its next process
+	return c.Step(c.now, VersionsChanged{c.runs, nil})
 }
 
+// prepare makes the process ready that holdPrepare has delayed.
+func (c *testReleaseAgent) prepare() { c.perform(c.prepareLast()...) }
+
+// finish carries out the switch that holdBack has delayed.
+func (c *testReleaseAgent) finish() { c.perform(c.switchToLast()...) }
+
 func (c *testReleaseAgent) run(ms float64) {
 	for end := c.now + ms; c.now < end; c.now += TickEvery {
 		c.step(Tick{})
@@ -218,7 +236,7 @@
 // A change that comes to nothing ends as well, whatever ends it, and the release is back then.
 func TestReleaseIsBackOnceAChangeHasComeToNothing(t *testing.T) {
 	for name, end := range map[string]func(*testing.T, *site, *testReleaseAgent){
-		"the new process does not start": func(_ *testing.T, _ *site, c *testReleaseAgent) { c.installError = "not ready"; c.finish() },
+		"the new process does not start": func(_ *testing.T, _ *site, c *testReleaseAgent) { c.installError = "not ready"; c.prepare() },
 		"the holder starts anew": func(_ *testing.T, s *site, c *testReleaseAgent) {
 			*c = *newTestReleaseAgent(s, 0)
 			c.now = s.NowMs
@@ -233,7 +251,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newSite(8)
 			c := newTestReleaseAgent(s, 0)
-			c.holdBack = true
+			c.holdPrepare = true
 			startRelease(s, "d0", "d1")
 			c.run(3000)
 			require.NoError(t, s.do("op", release.Steer{Name: "r1", To: release.ToBack, Who: "ana"}).Err)
@@ -245,3 +263,51 @@
 		})
 	}
 }
+
+// Guards against a door that switches to a release which was taken back or halted while its new process was starting (review/2).
+func TestPermitIsConfirmedAgainBeforeTheSwitch(t *testing.T) {
+	for name, stop := range map[string]any{
+		"taken back":             release.Steer{Name: "r1", To: release.ToBack, Who: "ana"},
+		"halted":                 release.Steer{Name: "r1", To: release.ToHalt, Who: "ana"},
+		"everything is halted":   Halt{Who: "ana", Why: "x"},
+		"its place was lost":     WriteOff{Number: 1, Who: "ana", Why: "x"},
+		"another door fails too": RecordSightings{[]Sighting{sighting(1, Failed, 2), sighting(2, Failed, 2), sighting(3, Failed, 2)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(8)
+			c := newTestReleaseAgent(s, 0)
+			c.holdPrepare = true
+			startRelease(s, "d0")
+			c.run(3000)
+			require.Len(t, c.applied, 1, "its new process is starting")
+			require.NoError(t, s.do("op", stop).Err)
+			c.prepare()
+			c.run(500)
+			assert.Equal(t, 1, c.discarded)
+			assert.Equal(t, len(c.applied)-1, c.switched, "with a new permit, where nothing speaks against one")
+			assert.Empty(t, s.Permits, "returned")
+		})
+	}
+}
+
+// A change whose permit can't be confirmed again, as no coordinator leads, is discarded before the permit is too old.
+func TestPreparedChangeIsDiscardedWithoutCoordinators(t *testing.T) {
+	s := newSite(8)
+	c := newTestReleaseAgent(s, 0)
+	c.holdPrepare = true
+	startRelease(s, "d0")
+	c.run(3000)
+	require.Len(t, c.applied, 1)
+	actions := c.Step(c.now, ReleasePrepared{})
+	for end := c.now + 30e3; c.now < end; c.now += TickEvery {
+		for _, a := range actions {
+			_, switches := a.(SwitchRelease)
+			require.False(t, switches)
+			if _, is := a.(DiscardRelease); is {
+				return
+			}
+		}
+		actions = c.Step(c.now, Tick{}) // its posts are lost
+	}
+	require.Fail(t, "not discarded")
+}
