A coordinator's status shares no maps with the state that goes on changing

Found by reading on the way (nobody has reported it): Status copied the map of what doors run, but not the maps in it, and a release's failures, but not what doors ran before it, and encoded them after the lock was given back. A door's report at that moment ends the process with "concurrent map iteration and map write". Status now holds copies (Release.Clone, runs by door).

Seen red before: TestStatusSharesNothingWithTheState, a status that changes with the next report.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -428,11 +428,12 @@
 	st.Leader = st.Hint.Leader
 	fill := func(s *permits.State, now float64) {
 		st.Change, st.Budgets, st.Halts = s.Change, slices.Clone(s.Budgets), slices.Clone(s.Halts)
-		st.Runs, st.Seen = maps.Clone(s.Release.Runs), maps.Clone(s.Release.Seen)
+		st.Runs, st.Seen = map[string]release.Versions{}, maps.Clone(s.Release.Seen)
+		for door, runs := range s.Release.Runs {
+			st.Runs[door] = maps.Clone(runs)
+		}
 		for _, r := range s.Release.All {
-			copied := *r
-			copied.Failed = maps.Clone(r.Failed)
-			st.Releases = append(st.Releases, &copied)
+			st.Releases = append(st.Releases, r.Clone())
 		}
 		for _, k := range slices.Sorted(maps.Keys(s.Units)) {
 			u := s.Units[k]
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -21,6 +22,7 @@
 	"github.com/swifthall/swifthall/coordinator/client"
 	"github.com/swifthall/swifthall/internal/loopback"
 	"github.com/swifthall/swifthall/permits"
+	"github.com/swifthall/swifthall/release"
 	"github.com/swifthall/swifthall/store"
 )
 
@@ -360,6 +362,26 @@
 	p.store.Close()
 }
 
+// Guards against a coordinator that ends with "concurrent map iteration and map write", since its status shares maps with the state, which
+// goes on changing while the status is encoded.
+func TestStatusSharesNothingWithTheState(t *testing.T) {
+	all := startPeers(t, 1)
+	p := waitLeader(t, all)
+	c := newClient(all)
+	digest := strings.Repeat("ab", 32)
+	command(t, c, "d/1", 1, permits.Begin{Unit: permits.Unit{Kind: permits.Door, Name: "d"}, Process: 1})
+	command(t, c, "d/holder/1", 1, release.ReportVersions{Door: "d", Runs: release.Versions{}})
+	command(t, c, "op", 1, release.Start{Plan: release.Plan{Name: "r", Changes: release.Program, Digest: digest, Waves: []release.Wave{{Rest: true}}}, Who: "op"})
+	st := p.Status()
+	before, err := json.Marshal([]any{st.Releases, st.Runs})
+	require.NoError(t, err)
+	p.fsm.read(func(s *permits.State) { s.Release.BeginChange(1, "d", 7) })
+	command(t, c, "d/holder/1", 2, release.ReportVersions{Door: "d", Runs: release.Versions{release.Program: "x"}, Failed: map[string]string{digest: "missing"}})
+	after, err := json.Marshal([]any{st.Releases, st.Runs})
+	require.NoError(t, err)
+	assert.JSONEq(t, string(before), string(after))
+}
+
 func TestAFullDiskTerminatesTheCoordinatorAndASlowOneCostsLeadership(t *testing.T) {
 	dir := t.TempDir()
 	fault := filepath.Join(dir, "fault")
--- a/release/release.go
+++ b/release/release.go
@@ -136,6 +136,13 @@
 	Changing map[string]uint64 `json:"changing,omitempty"`
 }
 
+// Clone returns a copy that shares nothing that changes with the release.
+func (r *Release) Clone() *Release {
+	copied := *r
+	copied.Previous, copied.Failed, copied.Changing = maps.Clone(r.Previous), maps.Clone(r.Failed), maps.Clone(r.Changing)
+	return &copied
+}
+
 // UnmarshalJSON decodes a release of a saved state. Maps that the encoding left out are empty, as in a release that was never saved.
 func (r *Release) UnmarshalJSON(raw []byte) error {
 	type plain Release // without this method, which would recurse
