A holder tries to write down what its door runs until it succeeds

Cause: saveState was tried once and only logged. It is now tried again each second until it succeeds or the holder ends, always with what runs then, one write at a time.

Seen red before (the write once alone, by taking the loop out): TestStateThatCannotBeWrittenIsWrittenLater, "not written".

--- a/internal/holding/concurrency_test.go
+++ b/internal/holding/concurrency_test.go
@@ -381,7 +381,8 @@
 	_, again, err := s.prepare(runs)
 	require.NoError(t, err)
 	assert.Equal(t, file, again)
-	s.saveState(runs) // the error is logged and the door continues
+	s.runs = runs
+	s.saveState() // the error is logged and the door continues
 }
 
 func TestAStartSurvivesTransientDirectoryErrors(t *testing.T) {
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -47,6 +47,7 @@
 	probation          = 60 * time.Second       // after a change, during which an exit of the process is attributed to the change
 	minRestartPause    = 200 * time.Millisecond // between attempts to restart a process that exited; doubles with each failure
 	maxRestartPause    = 5 * time.Second        // limit on that pause
+	saveRetryInterval  = time.Second            // between attempts to save the state
 	coordinatorTimeout = 2 * time.Second        // of a call to the coordinators
 	eventQueueSize     = 16                     // events queued for the release agent, which repeats calls whose answer is lost
 	maxArtifactBytes   = 512 << 20              // limit on the size of a released file
@@ -84,6 +85,8 @@
 	ending    bool
 	reloads   int // number of requests to reload the configuration file
 
+	saveMu sync.Mutex // held while the state is written
+
 	tasks sync.WaitGroup                      // changes and keepRunning loops in progress
 	write func(path string, raw []byte) error // writes a file atomically
 }
@@ -188,16 +191,38 @@
 	return runs, nil
 }
 
-// saveState records what the door runs.
-func (s *supervisor) saveState(runs release.Versions) {
-	raw, err := json.Marshal(runs)
+// saveState records what the door runs. If that fails it is tried again until it succeeds: a supervisor that starts anew goes by the state
+// on disk.
+func (s *supervisor) saveState() {
+	err := s.trySave()
 	if err == nil {
-		err = s.write(filepath.Join(s.dir, stateFile), raw)
+		return
 	}
-	if err != nil { // the door keeps running it, but a restarted supervisor falls back to the state on disk
-		e := &DirectoryError{s.dir, err}
-		s.log.WithError(e).WithField(fields.Remedy, e.Remedy()).Error("cannot save what the door runs")
+	e := &DirectoryError{s.dir, err}
+	s.log.WithError(e).WithField(fields.Remedy, e.Remedy()).Error("cannot save what the door runs; retrying")
+	go func() {
+		for s.trySave() != nil {
+			select {
+			case <-time.After(saveRetryInterval):
+			case <-s.ctx.Done():
+				return
+			}
+		}
+		s.log.Info("saved what the door runs")
+	}()
+}
+
+// trySave records what the door runs now.
+func (s *supervisor) trySave() error {
+	s.saveMu.Lock() // an older state must not replace a newer one
+	defer s.saveMu.Unlock()
+	s.mu.Lock()
+	raw, err := json.Marshal(s.runs)
+	s.mu.Unlock()
+	if err != nil {
+		return err
 	}
+	return s.write(filepath.Join(s.dir, stateFile), raw)
 }
 
 // startFirst starts the door's first process. If what the door ran last cannot run, it falls back to the door's own
@@ -462,7 +487,7 @@
 			s.stop(next)
 			return
 		}
-		s.saveState(runs)
+		s.saveState()
 		s.reportState()
 		w, pause = next, minRestartPause
 	}
@@ -612,6 +637,6 @@
 	s.mu.Lock()
 	s.terminate(old) // before saving the state: a directory that is not writable must not delay it
 	s.mu.Unlock()
-	s.saveState(runs)
+	s.saveState()
 	s.stop(old)
 }
--- a/internal/holding/holding_test.go
+++ b/internal/holding/holding_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
@@ -24,7 +26,7 @@
 	require.NoError(t, os.WriteFile(base, raw, filePerm))
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return &supervisor{dir: dir, baseFile: base, log: log, failed: map[string]string{}, workers: map[*worker]bool{}, write: writeAtomic}
+	return &supervisor{dir: dir, baseFile: base, log: log, failed: map[string]string{}, workers: map[*worker]bool{}, write: writeAtomic, ctx: t.Context()}
 }
 
 // addRelease writes a file into the directory under its digest and returns the digest.
@@ -68,12 +70,37 @@
 	assert.Contains(t, wrong.Remedy(), "0123")
 }
 
+// Guards against a door that is back on its old version after a restart of its holder, which had tried once to write down what it runs.
+func TestStateThatCannotBeWrittenIsWrittenLater(t *testing.T) {
+	s := newSupervisor(t)
+	written := make(chan struct{})
+	failures := 2
+	s.write = func(path string, raw []byte) error {
+		if failures--; failures >= 0 {
+			return syscall.EISDIR
+		}
+		defer close(written)
+		return writeAtomic(path, raw)
+	}
+	s.runs = release.Versions{release.Program: "ab"}
+	s.saveState()
+	select {
+	case <-written:
+	case <-time.After(timeout):
+		require.Fail(t, "not written")
+	}
+	runs, err := s.loadState()
+	require.NoError(t, err)
+	assert.Equal(t, release.Versions{release.Program: "ab"}, runs)
+}
+
 func TestStateIsLoadedAgain(t *testing.T) {
 	s := newSupervisor(t)
 	runs, err := s.loadState()
 	require.NoError(t, err)
 	assert.Empty(t, runs)
-	s.saveState(release.Versions{release.Program: "ab"})
+	s.runs = release.Versions{release.Program: "ab"}
+	s.saveState()
 	runs, err = s.loadState()
 	require.NoError(t, err)
 	assert.Equal(t, release.Versions{release.Program: "ab"}, runs)
