What a door runs is compared with what it is to run for as long as it lives

Cause: a holder's failures counted only while a release was live, and versions were looked at only for the waves under way: an edge that is missed once is missed for good.

Change: the state keeps what each door is to run (Agreed): what it ran when it was first heard of, and what releases changed since. One that runs something else without a failure (its holder lost its state) is given the release again, within budgets and by permit. One that can't take it again stays as it is and concerns only itself: a new machine without the file must not take a release from all others. What differs stands in the status (`differs`) and in `swifthall release status`. A release that was taken back is not given again by one done before or after it.

Seen red before (with holds returning false): TestDoorThatGoesBackByItselfSendsADoneReleaseBack ("going back" expected, "done"), TestDoorThatHasLostADoneReleaseTakesItAgain, TestDoorThatCannotTakeADoneReleaseAgainConcernsOnlyItself.

--- a/cmd/swifthall-coordinate/release.go
+++ b/cmd/swifthall-coordinate/release.go
@@ -134,6 +134,9 @@
 		}
 		fmt.Fprintf(t, "%s\t%s\t%.8s\t%s\t%d of %d\t%d of %d\t%s\t%s\n", r.Name, r.Changes, r.Digest, r.Stage, r.Wave+1, len(r.Waves), changed, all, r.Who, r.Reason)
 	}
+	if len(st.Differs) > 0 {
+		fmt.Fprintf(t, "run something else than they are to run: %s\n", strings.Join(st.Differs, ", "))
+	}
 	for _, r := range st.Releases {
 		for d, why := range r.Failed {
 			fmt.Fprintf(t, "%s: %s could not install it: %s\n", r.Name, d, strings.TrimSpace(why))
--- a/coordinator/client/client.go
+++ b/coordinator/client/client.go
@@ -97,8 +97,9 @@
 	Halts   []permits.Halt   `json:"halts"`
 
 	Releases []*release.Release          `json:"releases"`
-	Runs     map[string]release.Versions `json:"runs"` // installed versions by door
-	Seen     map[string]string           `json:"seen"` // last seen process of each backend
+	Runs     map[string]release.Versions `json:"runs"`              // installed versions by door
+	Differs  []string                    `json:"differs,omitempty"` // doors that run something else than they are to run
+	Seen     map[string]string           `json:"seen"`              // last seen process of each backend
 }
 
 // CalendarQuery requests the calendar, and optionally information about an entry or a change.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -432,6 +432,7 @@
 		for door, runs := range s.Release.Runs {
 			st.Runs[door] = maps.Clone(runs)
 		}
+		st.Differs = s.Release.Differences()
 		for _, r := range s.Release.All {
 			st.Releases = append(st.Releases, r.Clone())
 		}
--- a/permits/release_agent.go
+++ b/permits/release_agent.go
@@ -217,7 +217,7 @@
 	}
 	for digest := range h.Failed {
 		for _, r := range s.Release.All {
-			changed = changed || r.Live() && r.Stage != release.RollingBack && r.Digest == digest && r.Failed[h.Door] == ""
+			changed = changed || r.Digest == digest && s.Release.FailureCounts(r, h.Door)
 		}
 	}
 	if changed {
--- a/release/release.go
+++ b/release/release.go
@@ -167,12 +167,17 @@
 type State struct {
 	Next uint64
 	All  []*Release
-	Runs map[string]Versions // by door
-	Seen map[string]string   // process with which each backend was last seen
+	Runs map[string]Versions // by door, as last reported
+	// Agreed is, by door, what each is to run: what it ran when it was first heard of, and what releases have changed since. It differs
+	// from Runs while a door has gone back by itself.
+	Agreed map[string]Versions
+	Seen   map[string]string // process with which each backend was last seen
 }
 
 // New returns a state without releases.
-func New() *State { return &State{Next: 1, Runs: map[string]Versions{}, Seen: map[string]string{}} }
+func New() *State {
+	return &State{Next: 1, Runs: map[string]Versions{}, Agreed: map[string]Versions{}, Seen: map[string]string{}}
+}
 
 // Commands that State.Apply executes.
 type (
@@ -319,6 +324,11 @@
 		}
 		if r.Stage == RollingBack && !slices.ContainsFunc(r.units(), unfinished) {
 			r.Stage = RolledBack
+			for _, door := range r.units() {
+				if agreed := s.Agreed[door]; agreed != nil {
+					agreed[r.Changes] = r.Previous[door] // also of a door that had gone back by itself
+				}
+			}
 		}
 	}
 	for _, r := range s.All {
@@ -433,25 +443,77 @@
 }
 
 func (s *State) recordVersions(c ReportVersions) {
-	if s.Runs[c.Door] == nil {
-		s.Runs[c.Door] = Versions{}
+	known, agreed := s.Runs[c.Door], s.Agreed[c.Door]
+	if known == nil {
+		known = Versions{}
+		s.Runs[c.Door] = known
+	}
+	if agreed == nil { // first heard of, or in a snapshot of an earlier version
+		agreed = maps.Clone(known)
+		s.Agreed[c.Door] = agreed
+	}
+	for _, kind := range []string{Configuration, Program} {
+		first := len(known) == 0
+		if digest := c.Runs[kind]; first || s.gives(c.Door, kind, digest) {
+			agreed[kind] = digest
+		}
 	}
+	before := maps.Clone(known)
 	for _, kind := range []string{Configuration, Program} {
-		s.Runs[c.Door][kind] = c.Runs[kind]
+		known[kind] = c.Runs[kind]
 	}
 	for _, r := range s.All {
 		delete(r.Changing, c.Door) // a door reports nothing while it changes
-		why, failed := c.Failed[r.Digest]
-		if !failed || !r.Live() || r.Stage == RollingBack || !slices.Contains(r.units(), c.Door) || r.Failed[c.Door] != "" {
-			continue
+		if why, failed := c.Failed[r.Digest]; failed && s.FailureCounts(r, c.Door) {
+			r.Failed[c.Door], r.Reason = why, c.Door+": "+why
+			// If one door fails to install the version, or fails soon after, the release rolls back: no further door gets it, and those
+			// that run it return to their previous one. A door that fails to take a release again that is done concerns only itself.
+			if r.Live() || before[r.Changes] == r.Digest {
+				r.Stage = RollingBack
+			}
 		}
-		// If one door fails to install the version, the release rolls back: no further door gets it, and those that run it return
-		// to their previous one.
-		r.Failed[c.Door] = why
-		r.Stage, r.Reason = RollingBack, c.Door+": "+why
 	}
 }
 
+// gives reports whether a release has a door change to a version, or may have had it change to it.
+func (s *State) gives(door, kind, digest string) bool {
+	if r, target, is := s.Target(door); is && r.Changes == kind && target == digest {
+		return true
+	}
+	return slices.ContainsFunc(s.All, func(r *Release) bool {
+		goesBack := r.Stage == RollingBack || r.Stage == RolledBack
+		return r.Changes == kind && r.Changing[door] != 0 && (digest == r.Digest || goesBack && digest == r.Previous[door])
+	})
+}
+
+// FailureCounts reports whether it matters to a release that a door can't run its version: while it is installed, and, once it is done, as
+// long as it is what the door is to run. It matters once.
+func (s *State) FailureCounts(r *Release, door string) bool {
+	if r.Failed[door] != "" || !slices.Contains(r.units(), door) {
+		return false
+	}
+	return r.Stage == Running || r.Stage == Halted || s.holds(r, door)
+}
+
+// holds reports whether a release is done and a door is to run its version, as nothing later has changed that door.
+func (s *State) holds(r *Release, door string) bool {
+	return r.Stage == Done && r.Changes != Backends && s.Agreed[door][r.Changes] == r.Digest && s.LiveReleaseOf(door, r.Changes) == nil
+}
+
+// Differences lists the doors that run something else than they are to run, sorted.
+func (s *State) Differences() (doors []string) {
+	for door, agreed := range s.Agreed {
+		for _, kind := range []string{Configuration, Program} {
+			if s.Runs[door][kind] != agreed[kind] && !s.changing(door, kind) {
+				doors = append(doors, door)
+				break
+			}
+		}
+	}
+	slices.Sort(doors)
+	return doors
+}
+
 // ByNumber returns a release by its number; nil if it isn't kept any more.
 func (s *State) ByNumber(number uint64) *Release {
 	for _, r := range s.All {
@@ -551,9 +613,13 @@
 }
 
 // Target returns the release and digest that a door is to change to; false if it is to stay as it is. Rollback runs in reverse
-// order: a wave begins once all later ones are rolled back.
+// order: a wave begins once all later ones are rolled back. A door that has gone back by itself from a release that is done is to take
+// it again.
 func (s *State) Target(door string) (r *Release, digest string, is bool) {
 	for _, r := range s.All {
+		if s.holds(r, door) && slices.Contains(r.units(), door) && r.Failed[door] == "" && s.versionOf(door, r.Changes) != r.Digest {
+			return r, r.Digest, true
+		}
 		if !r.Live() || r.Stage == Halted || r.Changes == Backends {
 			continue
 		}
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -191,3 +191,86 @@
 	var bad *PlanError
 	require.ErrorAs(t, p.Check(), &bad)
 }
+
+// doneRelease returns a state with a release that all nine doors run.
+func doneRelease(t *testing.T) (*State, *Release) {
+	s := New()
+	for _, d := range nineDoors() {
+		reportDigest(t, s, "", d.Name)
+	}
+	p := plan("r1")
+	p.Waves = []Wave{{Rest: true}}
+	n := apply(t, s, Start{Plan: p})
+	for _, d := range nineDoors() {
+		reportDigest(t, s, digest, d.Name)
+	}
+	apply(t, s, RecordVerdict{n, 0, Verdict{GoOn, "well"}})
+	r := s.Find("r1")
+	require.Equal(t, Done, r.Stage)
+	require.Empty(t, s.Differences())
+	return s, r
+}
+
+// Guards against a release that stays done while a door is back on its old version for good, as its process ended soon after the change.
+func TestDoorThatGoesBackByItselfSendsADoneReleaseBack(t *testing.T) {
+	s, r := doneRelease(t)
+	apply(t, s, ReportVersions{Door: "d4", Runs: Versions{}, Failed: map[string]string{digest: "its process ended by itself: signal: killed"}})
+	assert.Equal(t, RollingBack, r.Stage)
+	assert.Contains(t, r.Reason, "d4: its process ended")
+	assert.Len(t, doorsToChange(s), 8)
+	for _, d := range doorsToChange(s) {
+		reportDigest(t, s, "", d)
+	}
+	assert.Equal(t, RolledBack, r.Stage)
+	assert.Empty(t, s.Differences())
+}
+
+// Guards against a door that is back on its old version for good, as its holder could not write down what it runs.
+func TestDoorThatHasLostADoneReleaseTakesItAgain(t *testing.T) {
+	s, r := doneRelease(t)
+	reportDigest(t, s, "", "d4")
+	assert.Equal(t, []string{"d4"}, s.Differences())
+	assert.Equal(t, []string{"d4"}, doorsToChange(s))
+	_, err := s.CheckChange(r.Number, "d4")
+	require.NoError(t, err)
+	s.BeginChange(r.Number, "d4", 7)
+	assert.Empty(t, s.Differences(), "it is being mended")
+	reportDigest(t, s, digest, "d4")
+	assert.Empty(t, s.Differences())
+	assert.Empty(t, doorsToChange(s))
+	assert.Equal(t, Done, r.Stage)
+}
+
+// A machine without the released file must not take a release that is done from all others.
+func TestDoorThatCannotTakeADoneReleaseAgainConcernsOnlyItself(t *testing.T) {
+	s, r := doneRelease(t)
+	reportDigest(t, s, "", "d4")
+	s.BeginChange(r.Number, "d4", 7)
+	apply(t, s, ReportVersions{Door: "d4", Runs: Versions{}, Failed: map[string]string{digest: "no such file"}})
+	assert.Equal(t, Done, r.Stage)
+	assert.Contains(t, r.Reason, "d4: no such file")
+	assert.Empty(t, doorsToChange(s), "not again and again")
+	assert.Equal(t, []string{"d4"}, s.Differences(), "shown for as long as it lasts")
+}
+
+// What was taken back later is not given again by a release that was done before or after it.
+func TestDoneReleaseDoesNotReturnAfterAnotherWasTakenBack(t *testing.T) {
+	for _, taken := range []string{"r1", "r2"} {
+		s, _ := doneRelease(t)
+		second := plan("r2")
+		second.Digest, second.Waves = other, []Wave{{Rest: true}}
+		n := apply(t, s, Start{Plan: second})
+		for _, d := range nineDoors() {
+			reportDigest(t, s, other, d.Name)
+		}
+		apply(t, s, RecordVerdict{n, 0, Verdict{GoOn, "well"}})
+		want := map[string]string{"r1": "", "r2": digest}[taken]
+		apply(t, s, Steer{taken, ToBack, "ana", "x"})
+		for _, d := range nineDoors() {
+			reportDigest(t, s, want, d.Name)
+		}
+		assert.Equal(t, RolledBack, s.Find(taken).Stage)
+		assert.Empty(t, doorsToChange(s), taken)
+		assert.Empty(t, s.Differences(), taken)
+	}
+}
