A release's holder is not given the permit of its door's drain

Cause: requestPermit handed a drain's own permit to whoever asked for the door, also to the holder that asked for a release, and made it that holder's. Change: a request for a release is refused while a drain has the door; the release waits until it is back.

--- a/permits/permits.go
+++ b/permits/permits.go
@@ -272,14 +272,15 @@
 	maps.DeleteFunc(s.Callers, func(_ string, l *LastCommand) bool { return s.NowMs-l.AtMs > callerTTLMs })
 }
 
-// requestPermit grants a permit, or returns what denies it. A door that is being drained receives the permit of its drain.
+// requestPermit grants a permit, or returns what denies it. A door that is being drained receives the permit of its drain; a release waits
+// until the door is back.
 func (s *State) requestPermit(c *Command, d RequestPermit) Answer {
 	u := s.Units[unitKey(d.Kind, d.Unit)]
 	if u == nil {
 		return Answer{Err: &UnknownError{fmt.Sprintf("%s %s", d.Kind, d.Unit)}}
 	}
 	if p := s.permitOf(d.Kind, d.Unit); p != nil {
-		if p.Order && !p.Over && d.Kind == Door { // the drain already occupies the place for this door
+		if p.Order && !p.Over && d.Kind == Door && d.Release == 0 { // the drain already occupies the place for this door
 			p.Caller, p.AtMs, p.HoldMs, p.Stage = c.Caller, s.NowMs, d.HoldMs, Granted
 			return Answer{Number: p.Number}
 		}
--- a/permits/release_agent_test.go
+++ b/permits/release_agent_test.go
@@ -23,8 +23,11 @@
 	discarded    int
 	runs         release.Versions
 	installError string
-	holdPrepare  bool // the next new process is not ready until prepare
-	holdBack     bool // the next switch waits for finish
+	holdPrepare  bool    // the next new process is not ready until prepare
+	holdBack     bool    // the next switch waits for finish
+	startMs      float64 // time that a new process takes to become ready
+	readyAtMs    float64 // when the present one is ready; 0 for none
+	onSwitch     func()  // replaces the sighting of the next process
 	index        int
 	incarnation  uint64
 }
@@ -33,7 +36,13 @@
 	return &testReleaseAgent{ReleaseAgent: NewReleaseAgent(unit(i).Name, uint64(i), release.Versions{}, nil), s: s, runs: release.Versions{}, index: i, incarnation: 1}
 }
 
-func (c *testReleaseAgent) step(e any) { c.perform(c.Step(c.now, e)...) }
+func (c *testReleaseAgent) step(e any) {
+	if c.readyAtMs > 0 && c.now >= c.readyAtMs {
+		c.readyAtMs = 0
+		c.perform(c.prepareLast()...)
+	}
+	c.perform(c.Step(c.now, e)...)
+}
 
 // perform carries out actions and those that follow from them.
 func (c *testReleaseAgent) perform(todo ...any) {
@@ -54,6 +63,10 @@
 				c.holdPrepare = false
 				continue
 			}
+			if c.startMs > 0 {
+				c.readyAtMs = c.now + c.startMs
+				continue
+			}
 			todo = append(todo, c.prepareLast()...)
 		case SwitchRelease:
 			if c.holdBack {
@@ -81,8 +94,12 @@
 	a := c.applied[len(c.applied)-1]
 	c.switched++
 	c.runs = release.Versions{a.Changes: a.Digest}
-	c.incarnation++
-	c.s.recordSighting(c.index, Ready, c.incarnation) // its next process
+	if c.onSwitch != nil {
+		c.onSwitch()
+	} else {
+		c.incarnation++
+		c.s.recordSighting(c.index, Ready, c.incarnation) // its next process
+	}
 	return c.Step(c.now, VersionsChanged{c.runs, nil})
 }
 
@@ -311,3 +328,17 @@
 	}
 	require.Fail(t, "not discarded")
 }
+
+// Guards against a drained door that takes a release, and is ready meanwhile.
+func TestDrainedDoorTakesNoRelease(t *testing.T) {
+	s := newSite(8)
+	k, c := newTestDoorAgent(s, 0), newTestReleaseAgent(s, 0)
+	n := s.do("op", Drain{Kind: Door, Name: "d0", Who: "ana"}).Number
+	k.run(3000)
+	require.Equal(t, Out, s.Permits[n].Stage)
+	startRelease(s, "d0")
+	c.now = k.now
+	c.run(5000)
+	assert.Empty(t, c.applied)
+	assert.Equal(t, Out, s.Permits[n].Stage, "still the drain's")
+}
