--- a/cmd/swifthall-coordinate/commands.go
+++ b/cmd/swifthall-coordinate/commands.go
@@ -236,17 +236,7 @@
 		if err != nil {
 			return err
 		}
-		pending := &DrainTimeoutError{UnitKind: k, Name: name}
-		found := false
-		for _, p := range st.Permits {
-			if k == permits.Zone && p.Of == name || p.Unit.Kind == k && p.Unit.Name == name {
-				found = true
-				if !p.Drained {
-					pending.Pending = append(pending.Pending, fmt.Sprintf("%s %s", p.Unit.Kind, p.Unit.Name))
-					pending.Doors = append(pending.Doors, p.Waiting...)
-				}
-			}
-		}
+		pending, found := undrained(&st, k, name)
 		if found && len(pending.Pending) == 0 {
 			fmt.Fprintln(cmd.OutOrStdout(), "drained")
 			return nil
@@ -262,6 +252,29 @@
 	}
 }
 
+// undrained returns what of a unit, or of a zone, is not drained, and whether a drain is in force for any of it. A zone is drained once each
+// of its units is, by whichever drain; one that has said that it has ended needs none.
+func undrained(st *client.Status, k permits.Kind, name string) (pending *DrainTimeoutError, found bool) {
+	pending = &DrainTimeoutError{UnitKind: k, Name: name}
+	for i := range st.Units {
+		u := &st.Units[i]
+		concerned := k == permits.Zone && u.Zone == name || u.Kind == k && u.Name == name
+		p := st.DrainOf(&u.Unit)
+		if !concerned || p == nil && u.Standing == permits.Ended {
+			continue
+		}
+		found = found || p != nil
+		if p != nil && p.Drained {
+			continue
+		}
+		pending.Pending = append(pending.Pending, fmt.Sprintf("%s %s", u.Kind, u.Name))
+		if p != nil {
+			pending.Doors = append(pending.Doors, p.Waiting...)
+		}
+	}
+	return pending, found
+}
+
 // undrain returns the command that ends a drain.
 func (o *operator) undrain() *cobra.Command {
 	var here string
--- a/coordinator/client/client.go
+++ b/coordinator/client/client.go
@@ -102,6 +102,16 @@
 	Seen     map[string]string           `json:"seen"`              // last seen process of each backend
 }
 
+// DrainOf returns the drain that is in force for a unit; nil if none is.
+func (st *Status) DrainOf(u *permits.Unit) *Permit {
+	for i := range st.Permits {
+		if p := &st.Permits[i]; p.Unit.Kind == u.Kind && p.Unit.Name == u.Name && p.Order && !p.Over {
+			return p
+		}
+	}
+	return nil
+}
+
 // CalendarQuery requests the calendar, and optionally information about an entry or a change.
 type CalendarQuery struct {
 	ID        uint64           `json:"id,omitempty"`     // entry whose obstacle is requested; with Change the entry that it would replace
--- a/permits/drains.go
+++ b/permits/drains.go
@@ -72,20 +72,11 @@
 	return p
 }
 
-// drainZone drains all units of a zone or none. Units that already have a permit of their own stay as they are.
+// drainZone drains all units of a zone or none.
 func (s *State) drainZone(c *Command, d Drain) Answer {
-	var units []*UnitState
-	for _, k := range slices.Sorted(maps.Keys(s.Units)) {
-		if u := s.Units[k]; u.Zone == d.Name {
-			if p := s.permitOf(u.Kind, u.Name); p != nil && p.Of == d.Name && !p.Over {
-				return Answer{Err: &TakenError{"zone " + d.Name, p.Number, p.Who}}
-			} else if p == nil {
-				units = append(units, u)
-			}
-		}
-	}
-	if len(units) == 0 {
-		return Answer{Err: &UnknownError{"zone " + d.Name}}
+	units, err := s.drainableUnits(d.Name)
+	if err != nil {
+		return Answer{Err: err}
 	}
 	for _, u := range units { // a halt of one kind also applies to zones
 		if err := s.checkOutage(&u.Unit, d.Name, true); err != nil {
@@ -102,6 +93,41 @@
 	return Answer{Number: first}
 }
 
+// drainableUnits lists the units of a zone that a drain of the zone takes out: all but those that are drained by themselves. A unit
+// that is out for another reason, or on its way back, would serve on or again while the zone is said to be drained, so it keeps the zone
+// from being drained.
+func (s *State) drainableUnits(zone string) (units []*UnitState, err error) {
+	for _, k := range slices.Sorted(maps.Keys(s.Units)) {
+		u := s.Units[k]
+		if u.Zone != zone {
+			continue
+		}
+		p := s.permitOf(u.Kind, u.Name)
+		switch {
+		case p == nil:
+			units = append(units, u)
+		case p.Of == zone && !p.Over:
+			return nil, &TakenError{"zone " + zone, p.Number, p.Who}
+		case !p.Order || p.Over:
+			return nil, &TakenError{fmt.Sprintf("%s %s", u.Kind, u.Name), p.Number, p.Who}
+		}
+	}
+	if len(units) == 0 {
+		return nil, &UnknownError{"zone " + zone}
+	}
+	return units, nil
+}
+
+// zoneDrainOf returns a drain that is in force for a unit's zone as a whole; nil for none.
+func (s *State) zoneDrainOf(u *Unit) *Permit {
+	for _, p := range s.sortedPermits() {
+		if p.Of == u.Zone && p.Of != "" && !p.Over {
+			return p
+		}
+	}
+	return nil
+}
+
 // checkZoneOutage returns what keeps a whole zone from going out: the budget of zones, or the minimum of ready units in the
 // fleet. The maximum of units out doesn't apply, since a zone exceeds any such budget.
 func (s *State) checkZoneOutage(zone string, newPermit bool) error {
@@ -186,8 +212,14 @@
 	return Answer{Number: drains[0].Number}
 }
 
-// endOrder ends a drain. A door that has not confirmed its permit can't go out any more, so its place is free.
+// endOrder ends a drain. A door that has not confirmed its permit can't go out any more, so its place is free. A unit whose zone is
+// drained stays drained with it.
 func (s *State) endOrder(p *Permit, who, why string) {
+	if zone := s.zoneDrainOf(&p.Unit); zone != nil && p.Of == "" {
+		p.Of, p.Who, p.Why, p.UntilMs, p.Release = zone.Of, zone.Who, zone.Why, zone.UntilMs, 0
+		s.audit(p.Number, fmt.Sprintf("undrain of %s %s, which stays drained with zone %s", p.Unit.Kind, p.Unit.Name, zone.Of), who, why)
+		return
+	}
 	p.Over, p.Change = true, s.Change
 	s.audit(p.Number, fmt.Sprintf("undrain of %s %s", p.Unit.Kind, p.Unit.Name), who, why)
 	if p.Unit.Kind == Door && p.Stage == Granted {
@@ -264,22 +296,23 @@
 // DryRun returns the units that a drain would take out and the error that blocks it, without changing anything.
 func (s *State) DryRun(k Kind, name string) (units []string, obstacle error) {
 	var states []*UnitState
-	for _, id := range slices.Sorted(maps.Keys(s.Units)) {
-		if u := s.Units[id]; k == Zone && u.Zone == name && s.permitOf(u.Kind, u.Name) == nil || u.Kind == k && u.Name == name {
-			states = append(states, u)
-			units = append(units, id)
+	zone := ""
+	if k == Zone {
+		zone = name
+		if states, obstacle = s.drainableUnits(name); obstacle != nil {
+			return nil, obstacle
 		}
-	}
-	if len(states) == 0 {
+	} else if u := s.Units[unitKey(k, name)]; u != nil {
+		states = append(states, u)
+	} else {
 		return nil, &UnknownError{fmt.Sprintf("%s %s", k, name)}
 	}
+	for _, u := range states {
+		units = append(units, unitKey(u.Kind, u.Name))
+	}
 	if p := s.permitOf(k, name); p != nil {
 		return units, &TakenError{name, p.Number, p.Who}
 	}
-	zone := ""
-	if k == Zone {
-		zone = name
-	}
 	for _, u := range states {
 		if err := s.checkOutage(&u.Unit, zone, true); err != nil {
 			return units, err
