The kernel is asked for the age of a connection's bytes only after a time without accepts

Cause: a busy door has no accept that takes 200 ms, so the kernel was asked for every connection. That isn't needed: connections stand in the queue for long only while nothing is accepted, as the door is short of sockets or accepts fail. A suspension alone takes 150 ms at most, which is the slack.

Change: the longer bound counts only after such a time (acceptor.queueFilled). TestRemainingTimeExcludesListenerQueueTimeAfterSuspension is as it was.

--- a/frontdoor/accept.go
+++ b/frontdoor/accept.go
@@ -17,7 +17,8 @@
 	maxAcceptBackoff       = 20 * time.Millisecond  // longest pause: clients are waiting by then
 	socketPollInterval     = 10 * time.Millisecond  // time between checks for a free socket during shutdown
 	queuePollTimeout       = 5 * time.Millisecond   // how long an accept waits for the listener's queue during shutdown
-	minBlockedAccept       = 200 * time.Millisecond // an accept that takes longer has found the queue empty; a process may be suspended for 150 ms
+	minBlockedAccept       = time.Millisecond       // an accept that takes longer has found the queue empty
+	maxSuspension          = 200 * time.Millisecond // unless the process was suspended within it, for 150 ms at most
 	acceptLogInterval      = time.Second            // time between log lines for failed accepts
 )
 
@@ -29,6 +30,7 @@
 	lastLogged   time.Time     // when a failure was last logged
 	unlogged     int           // failures since lastLogged
 	queueEmptyAt time.Time     // when the listener's queue was last known to be empty
+	queueFilled  bool          // the queue may have filled since then, because nothing was accepted for a while
 }
 
 // acceptLoop accepts connections until the listener is closed. The kernel has already completed the handshake of connections in
@@ -60,6 +62,7 @@
 func (a *acceptor) acquireSocket(ctx context.Context) bool {
 	c := a.c
 	for !c.budget.acquire(c.budget.clientReserve) {
+		a.queueFilled = true
 		if !c.shutdown.Load().Answering(c.clock.now()) {
 			return false
 		}
@@ -85,9 +88,7 @@
 		if !ending || !hasDeadline {
 			start := time.Now()
 			nc, err := a.c.listener.Accept()
-			if time.Since(start) > minBlockedAccept {
-				a.queueEmptyAt = time.Now()
-			}
+			a.accepted(time.Since(start))
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				continue // the event loop has set a deadline to interrupt this accept for shutdown
 			}
@@ -104,6 +105,15 @@
 	}
 }
 
+// accepted updates when the queue was last known to be empty, by how long an accept took. An accept over a filled queue during which the
+// process is suspended looks like one that waited.
+func (a *acceptor) accepted(took time.Duration) {
+	if took <= minBlockedAccept || a.queueFilled && took <= maxSuspension {
+		return
+	}
+	a.queueEmptyAt, a.queueFilled = time.Now(), false
+}
+
 // waitRetry pauses after a failed accept as needed and reports whether to accept again. Only the listener's end is final; other
 // failures are temporary: the system is short of a resource, or reports an error of a connection in the queue.
 func (a *acceptor) waitRetry(ctx context.Context, err error) bool {
@@ -119,6 +129,7 @@
 		c.post(socketNeeded{})
 	}
 	if a.failures++; a.failures > immediateAcceptRetries {
+		a.queueFilled = true
 		sleep(ctx, a.backoff)
 		a.backoff = min(2*a.backoff, maxAcceptBackoff)
 	}
