A coordinator delivers the calendar's events only while it leads

Cause: deliverEvents looked once per batch of up to 256 events whether it leads. Now before each event, with a majority.

--- a/coordinator/calendar.go
+++ b/coordinator/calendar.go
@@ -233,10 +233,10 @@
 		if len(events) == 0 {
 			continue
 		}
-		for _, e := range events {
-			if !c.deliverEvent(e) {
-				return
-			}
+		if delivered, closed := c.deliverBatch(t, events); closed {
+			return
+		} else if !delivered {
+			continue
 		}
 		if _, err := c.commit(t, source.next(calendar.Acknowledge{Number: events[len(events)-1].Number})); err != nil {
 			c.log.WithError(err).Debug("acknowledging events failed; they are delivered again")
@@ -244,6 +244,20 @@
 	}
 }
 
+// deliverBatch delivers events for as long as this coordinator leads in a term: a hook may take seconds, and whoever leads by then delivers
+// what is not acknowledged. It reports whether all were delivered, and whether the coordinator is closed.
+func (c *Coordinator) deliverBatch(t *term, events []calendar.Event) (delivered, closed bool) {
+	for _, e := range events {
+		if c.currentTerm() != t || c.raft.VerifyLeader().Error() != nil {
+			return false, false
+		}
+		if !c.deliverEvent(e) {
+			return false, true
+		}
+	}
+	return true, false
+}
+
 // deliverEvent delivers one event. It returns false if the coordinator is closed before that is done. A receiver that fails in all
 // configured attempts is skipped; the log records that, and the history keeps the event.
 func (c *Coordinator) deliverEvent(e calendar.Event) bool {
--- a/coordinator/calendar_test.go
+++ b/coordinator/calendar_test.go
@@ -261,6 +261,39 @@
 	}
 }
 
+// Guards against a coordinator that goes on giving a batch of events to its receivers after another one has begun to lead. Its leadership
+// ends while its hook holds the first event.
+func TestEventsAreNotDeliveredOnceAnotherCoordinatorLeads(t *testing.T) {
+	dir := t.TempDir()
+	proceed := filepath.Join(dir, "proceed")
+	received := func(p *peer) string { return filepath.Join(dir, "received-"+p.cfg.Name) }
+	var all []*peer
+	for i := range 3 {
+		p := newPeer(t, fmt.Sprint("c-", i))
+		hook := filepath.Join(dir, "hook-"+p.cfg.Name)
+		require.NoError(t, os.WriteFile(hook, []byte("#!/bin/sh\ncat >>"+received(p)+"\nwhile [ ! -e "+proceed+" ]; do sleep 0.02; done\n"), 0o700))
+		p.cfg.Calendar.Hook, p.cfg.Calendar.HookMs, p.cfg.Calendar.Tries = []string{hook}, 20e3, 1
+		all = append(all, p)
+	}
+	startAll(t, all)
+	before := waitLeader(t, all)
+	c := newClient(all)
+	for i := range 5 {
+		ch := manualChange(fmt.Sprint("x", i), wallMs()+3600e3, wallMs()+7200e3)
+		command(t, c, fmt.Sprint("plan ", i), 1, calendar.Plan{Change: ch, Who: "ana", Draft: true})
+	}
+	lines := func(p *peer) int {
+		raw, _ := os.ReadFile(received(p))
+		return bytes.Count(raw, []byte("\n"))
+	}
+	eventually(t, "the hook holds the first event", func() bool { return lines(before) == 1 })
+	require.NoError(t, before.raft.LeadershipTransfer().Error())
+	eventually(t, "another leads", func() bool { return waitLeader(t, all) != before })
+	require.NoError(t, os.WriteFile(proceed, nil, 0o600))
+	eventually(t, "all events are acknowledged", func() bool { s := calendarState(t, c); return s.LastEvent == 5 && s.Acknowledged == 5 })
+	assert.Equal(t, 1, lines(before))
+}
+
 // hasExited reports whether a process has exited; it may be a zombie.
 func hasExited(pid int) bool {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
