Commands about an entry do nothing if it has another revision than the one given

Cause: entryCommand and approve looked the entry up by its number and dropped the revision. findEntry now returns a ChangedError that says what it is at by now, for all commands that go through it.

Seen red before: TestConcurrentChangesAreRejected with `approve 1@1` (no error); refuse, emergency, saw and steer stand in the same list.

--- a/cmd/swifthall-coordinate/calendar.go
+++ b/cmd/swifthall-coordinate/calendar.go
@@ -54,7 +54,8 @@
 	return s, &a, nil
 }
 
-// findEntry returns an entry in its present state, with the revision in text, or the entry's own if text has none.
+// findEntry returns an entry in its present state, with the revision in text, or the entry's own if text has none. An entry of another
+// revision than the one in text is an error: it is not what the operator was shown.
 func (o *operator) findEntry(cmd *cobra.Command, text string) (*calendar.Entry, uint64, *calendar.State, error) {
 	id, revision, err := parseNumber(text)
 	if err != nil {
@@ -68,8 +69,12 @@
 	if e == nil {
 		return nil, 0, nil, &calendar.UnknownError{What: "entry", ID: id}
 	}
-	if revision == 0 {
+	switch revision {
+	case 0:
 		revision = e.Revision
+	case e.Revision:
+	default:
+		return nil, 0, nil, &calendar.ChangedError{What: "entry", ID: id, Revision: revision, Is: e.Revision, Last: "edited by " + e.Author}
 	}
 	return e, revision, s, nil
 }
--- a/cmd/swifthall-coordinate/calendar_test.go
+++ b/cmd/swifthall-coordinate/calendar_test.go
@@ -147,6 +147,14 @@
 	s.ok("plan", plan)
 	_, err := s.as("bea", "move", "1@1", "--from", "2090-01-01T00:00", "--to", "2090-01-01T01:00")
 	require.NoError(t, err)
+	// Guards against an operator who approves or steers what an entry has become since it was shown.
+	for _, args := range [][]string{{"approve", "1@1"}, {"refuse", "1@1", "--why", "x"}, {"emergency", "1@1", "--second", "dee", "--why", "x"},
+		{"saw", "1@1", "--what", "quiet"}, {"steer", "halt", "1@1", "--why", "x"}, {"steer", "done", "1@1"}} {
+		var old *calendar.ChangedError
+		_, err = s.as("cai", args...)
+		require.ErrorAs(t, err, &old, "%v", args)
+		assert.Greater(t, old.Is, old.Revision)
+	}
 	_, err = s.as("cai", "withdraw", "1@1", "--why", "late")
 	var changed *calendar.ChangedError
 	require.ErrorAs(t, err, &changed)
