--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -21,6 +21,7 @@
 	RuleCrash     Rule = "crash"      // a process exited without a signal, or with an error
 	RuleReady     Rule = "ready"      // too many processes did not become ready in time
 	RuleInvariant Rule = "invariant"  // a process reported a violation of one of its own invariants
+	RuleMemory    Rule = "memory"     // a process had more resident memory than its settings give it
 	RuleWrongBody Rule = "wrong body" // a client received an answer that no backend sent for its request
 )
 
@@ -240,6 +241,9 @@
 		if inc.InvariantViolations > 0 {
 			c.report(RuleInvariant, name, "%d violations", inc.InvariantViolations)
 		}
+		if c.MaxMemory > 0 && inc.PeakMemory > c.MaxMemory {
+			c.report(RuleMemory, name, "%.1f MB resident, the limit is %.1f MB", megabytes(inc.PeakMemory), megabytes(c.MaxMemory))
+		}
 		if ended := cmp.Or(inc.Exited, inc.Started); inc.Ready == Never && ended-inc.Started < maxReadyTime {
 			continue // terminated before its time to become ready was over
 		}
@@ -252,3 +256,6 @@
 		c.report(RuleReady, "all doors", "%d of %d processes were not ready within %v", slow, restarts, maxReadyTime)
 	}
 }
+
+// megabytes converts bytes to MB of 1,048,576 bytes, as the settings count them.
+func megabytes(bytes int64) float64 { return float64(bytes) / (1 << 20) }
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -45,6 +45,7 @@
 		"exited by itself":              {RuleCrash, func(r *History) { r.Incarnations[0].Crash = "exit status 2" }},
 		"never became ready":            {RuleReady, func(r *History) { r.Incarnations[0].Ready, r.Incarnations[0].Exited = Never, at(20) }},
 		"reported a violation":          {RuleInvariant, func(r *History) { r.Incarnations[0].InvariantViolations = 1 }},
+		"more memory than its limit":    {RuleMemory, func(r *History) { r.MaxMemory, r.Incarnations[0].PeakMemory = 32<<20, 32<<20+4096 }},
 		"another request's answer":      {RuleWrongBody, func(r *History) { r.Requests[0].Body = "b" }},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -113,7 +113,7 @@
 		}
 		time.Sleep(c.randomDelay(900))
 	}
-	if c.closedByDoor() {
+	if closedByPeer(c.nc) {
 		c.disconnect()
 		return
 	}
@@ -147,10 +147,10 @@
 	c.record(q)
 }
 
-// closedByDoor reports whether the door has closed the connection: a client does not send a request on a connection that it
-// knows to be closed.
-func (c *client) closedByDoor() (closed bool) {
-	raw, err := c.nc.(*net.TCPConn).SyscallConn()
+// closedByPeer reports whether the door has closed a connection: a client does not send a request on a connection that it knows to
+// be closed.
+func closedByPeer(nc net.Conn) (closed bool) {
+	raw, err := nc.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		return true
 	}
--- /dev/null
+++ b/lab/soak/crowd_test.go
@@ -0,0 +1,70 @@
+package soak
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Tests of crowds of ill-behaved clients at one real process, beside clients whose requests have to be answered.
+
+// crowdConfig returns the configuration of a run with one door that has the least memory of the deployment page.
+func crowdConfig(t *testing.T, kind Crowd, clients, descriptors int) Config {
+	cfg := quietConfig(t)
+	cfg.Doors, cfg.Backends, cfg.MaxDeadline, cfg.Length = 1, 2, 2*time.Second, 4*time.Second
+	cfg.Crowd, cfg.CrowdClients, cfg.Descriptors, cfg.MemoryMB = kind, clients, descriptors, 32
+	return cfg
+}
+
+// minServedShare is the share of the requests that are answered and not rejected beside a crowd, by the standing test's page.
+const minServedShare = 0.5
+
+// assertServedBeside asserts that at least minServedShare of the checked requests were served by a backend, of those whose clients
+// waited for the answer.
+func assertServedBeside(t *testing.T, r *History) {
+	t.Helper()
+	all, served := 0, 0
+	for _, q := range r.Requests {
+		if q.End != ClientClosed {
+			all++
+			if q.End == Answered && q.Status == 200 {
+				served++
+			}
+		}
+	}
+	assert.NotZero(t, all)
+	assert.GreaterOrEqual(t, float64(served), minServedShare*float64(all), "%d of %d requests were served", served, all)
+}
+
+func logPeakMemory(t *testing.T, r *History) {
+	t.Helper()
+	for _, inc := range r.Incarnations {
+		t.Logf("peak memory %.1f MB of %.1f MB", megabytes(inc.PeakMemory), megabytes(r.MaxMemory))
+	}
+}
+
+func TestCrowdStaysWithinMemoryLimit(t *testing.T) {
+	for _, kind := range []Crowd{SlowHeads, StalledBodies, StalledFields, CompleteFields, LargeRequests} {
+		for _, descriptors := range []int{256, 1024} {
+			t.Run(fmt.Sprintf("%v, %d descriptors", kind, descriptors), func(t *testing.T) {
+				r := runAndCheck(t, crowdConfig(t, kind, 900, descriptors))
+				logPeakMemory(t, r)
+				assertServedBeside(t, r)
+			})
+		}
+	}
+}
+
+func TestFullSpeedClientsDelayNoOthers(t *testing.T) {
+	for _, kind := range []Crowd{PipelinedHealth, PipelinedInvalid, UnreadAnswers, NewCustomers} {
+		for _, clients := range []int{1, 60} {
+			t.Run(fmt.Sprintf("%v, %d connections", kind, clients), func(t *testing.T) {
+				r := runAndCheck(t, crowdConfig(t, kind, clients, 256))
+				logPeakMemory(t, r)
+				assertServedBeside(t, r)
+			})
+		}
+	}
+}
--- a/lab/soak/door.go
+++ b/lab/soak/door.go
@@ -60,7 +60,7 @@
 	return map[string]any{
 		"name": fmt.Sprintf("n%d", d.number), "listen": d.addr, "discovery": d.agents[d.activeAgent].addr, "counter": r.counter.addr,
 		"seed": fmt.Sprintf("%x", r.seed+uint64(d.number)), "log": map[string]any{"format": "json", "level": r.logLevel()},
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": d.descriptors},
+		"limits": map[string]any{"cores": 1, "memory_mb": r.memoryMB, "sockets": d.descriptors},
 		"settings": map[string]any{
 			"fleet_size": len(r.doors), "my_number": d.number,
 			"profiles": []any{class("look", "idempotent", wait, nil),
--- a/lab/soak/failures_test.go
+++ b/lab/soak/failures_test.go
@@ -15,7 +15,7 @@
 
 // quietConfig returns the configuration of a run with a few doors and no faults, to which a test adds its own.
 func quietConfig(t *testing.T) Config {
-	return Config{Seed: 4, Program: buildProgram(t), LogDir: *logDir, Doors: 3, Backends: 3, Clients: 10, Descriptors: 512, MaxDeadline: 5 * time.Second,
+	return Config{Seed: 4, Program: buildProgram(t), LogDir: *logDir, Doors: 3, Backends: 3, Clients: 10, Descriptors: 512, MemoryMB: 192, MaxDeadline: 5 * time.Second,
 		Length: 2 * time.Second, NoRandomFaults: true}
 }
 
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -72,6 +72,7 @@
 	Exited              Instant
 	Crash               string // why its exit counts as a crash; empty if it does not
 	InvariantViolations int    // number of violations that it reported in its log
+	PeakMemory          int64  // largest resident memory, bytes
 }
 
 // Notification records when discovery had notified a door that a backend is draining, or ready again.
@@ -96,6 +97,7 @@
 	MaxDeadline time.Duration // longest request deadline of the deployment
 	DedupWindow time.Duration // how long backends discard repeats of a keyed request
 	DrainGrace  time.Duration // how long a door may still send to a backend after it was notified of its drain
+	MaxMemory   int64         // memory that the settings give each process, bytes; 0 for no limit
 
 	mu            sync.Mutex
 	Requests      []Request
--- a/lab/soak/rig.go
+++ b/lab/soak/rig.go
@@ -23,6 +23,9 @@
 	Clients        int              // number of clients per door
 	IdleClients    int              // clients per door that connect but send nothing, meant to exceed what its descriptors hold
 	Descriptors    int              // limit of descriptors per door
+	MemoryMB       int              // limit of resident memory per door, MB
+	Crowd          Crowd            // kind of the ill-behaved clients of each door
+	CrowdClients   int              // number of ill-behaved clients per door
 	MaxDeadline    time.Duration    // longest request deadline of the deployment
 	Length         time.Duration    // until every door is terminated
 	NoRandomFaults bool             // there are no random events, and no system call faults except FaultPlans
@@ -49,6 +52,7 @@
 	logDir        string
 	logFault      LogFault
 	delayRequests bool
+	memoryMB      int
 	began         time.Time
 	history       *History
 	backends      []*backend
@@ -88,8 +92,8 @@
 
 // setUp creates the rig of a run, with the doors' configurations in dir. A partial rig is returned along with an error.
 func setUp(cfg Config, dir string) (*rig, error) {
-	r := &rig{seed: cfg.Seed, program: cfg.Program, logDir: cfg.LogDir, logFault: cfg.LogFault, delayRequests: cfg.DelayRequests, began: time.Now(),
-		history: &History{MaxDeadline: cfg.MaxDeadline, DedupWindow: dedupWindow, DrainGrace: drainGrace}}
+	r := &rig{seed: cfg.Seed, program: cfg.Program, logDir: cfg.LogDir, logFault: cfg.LogFault, delayRequests: cfg.DelayRequests, memoryMB: cfg.MemoryMB, began: time.Now(),
+		history: &History{MaxDeadline: cfg.MaxDeadline, DedupWindow: dedupWindow, DrainGrace: drainGrace, MaxMemory: int64(cfg.MemoryMB) << 20}}
 	for i := range cfg.Backends {
 		b, err := newBackend(r, i)
 		if err != nil {
@@ -157,6 +161,7 @@
 	clients.Go(r.measureStalls)
 	clients.Go(r.measureContention)
 	clients.Go(r.measureNetwork)
+	clients.Go(r.measureMemory)
 	for _, d := range r.doors {
 		for k := range cfg.Clients {
 			c := &client{rig: r, door: d, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(d.number*1000+k)))}
@@ -165,6 +170,10 @@
 		for range cfg.IdleClients {
 			clients.Go(func() { r.idle(d) })
 		}
+		for k := range cfg.CrowdClients {
+			c := &crowdClient{rig: r, door: d, kind: cfg.Crowd, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(crowdStream+d.number*1000+k)))}
+			clients.Go(c.run)
+		}
 	}
 	s.run(&events)
 	events.Wait()
@@ -174,6 +183,7 @@
 }
 
 const (
+	crowdStream        = 1 << 20                // first random stream of the crowds, after those of the clients
 	stallInterval      = 5 * time.Millisecond   // between two measurements
 	minStall           = 10 * time.Millisecond  // shorter delays are not recorded
 	idlePollInterval   = 100 * time.Millisecond // between checks whether the door has closed an idle client's connection
