What connections hold is taken from one memory budget, and heads are not kept parsed

Cause: descriptors had a budget, memory had none. A heap profile at the peak (trial, 1,024 descriptors): 82.8 MB in parsed headers, 47.4 MB in bodies and 11.4 MB in buffers for half-sent requests behind heads of short fields; 91.4 MB in parsed headers that idle connections kept; each connection also held an 8 KiB buffer while it waited. Change: one budget of bytes, derived from limits.memory_mb, from which connections, requests and answers are taken before they are held; large requests run out first, then connections, small requests, large answers. A large request waits for memory while its bytes stay in the system, requests that have been arriving for longer than a client needs give theirs back, and what gets none is refused with 503 and Retry-After. Fields that nobody reads are checked and left out before net/http parses a head, and the parsed head ends with its use. Buffers are taken once something can be read; a body is no longer copied into each attempt. The account tells connections, memory held and resident memory.

--- a/frontdoor/accept.go
+++ b/frontdoor/accept.go
@@ -44,6 +44,7 @@
 		nc, err := a.acceptOne()
 		if err != nil {
 			c.budget.release()
+			c.memory.release(connectionMemory)
 			if !a.waitRetry(ctx, err) {
 				return
 			}
@@ -57,11 +58,23 @@
 	}
 }
 
-// acquireSocket waits until the budget has a socket for one more client and reports whether it got one. The client reserve is
-// left untouched: it serves the requests that clients send.
+// acquireClient takes a socket and the memory of a connection for one more client, if the budgets have both.
+func (c *core) acquireClient() bool {
+	if !c.budget.acquire(c.budget.clientReserve) {
+		return false
+	}
+	if !c.memory.acquire(connectionMemory, connectionReserve) {
+		c.budget.release()
+		return false
+	}
+	return true
+}
+
+// acquireSocket waits until the budgets have a socket and memory for one more client and reports whether it got them. The client
+// reserve is left untouched: it serves the requests that clients send.
 func (a *acceptor) acquireSocket(ctx context.Context) bool {
 	c := a.c
-	for !c.budget.acquire(c.budget.clientReserve) {
+	for !c.acquireClient() {
 		a.queueFilled = true
 		if !c.shutdown.Load().Answering(c.clock.now()) {
 			return false
--- a/frontdoor/backend.go
+++ b/frontdoor/backend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -92,35 +91,26 @@
 	return conn.answerPending
 }
 
-// receive reads once and reports whether an answer was pending at that time. Reading and checking happen under the same lock as
-// begin: bytes read before begin are no part of the answer to the attempt that it starts.
-func (conn *backendConn) receive(p []byte) (n int, answerPending bool, err error) {
+// receive reads up to limit bytes, once, into a buffer of the pool, and reports whether an answer was pending at that time. Reading
+// and checking happen under the same lock as begin: bytes read before begin are no part of the answer to the attempt that it starts.
+func (conn *backendConn) receive(limit int) (buf []byte, n int, answerPending bool, err error) {
 	if conn.raw == nil {
-		n, err = sockio.Read(conn.nc, p)
+		buf = pool.Get()[:pool.Size]
+		n, err = sockio.Read(conn.nc, buf[:limit])
 		conn.mu.Lock()
 		defer conn.mu.Unlock()
 		conn.dead = conn.dead || !conn.answerPending
-		return n, conn.answerPending, err
+		return buf, n, conn.answerPending, err
 	}
-	var readErr error
-	err = conn.raw.Read(func(fd uintptr) bool {
+	buf, n, err = receiveBuffer(conn.raw, limit, func(read func() bool) bool {
 		conn.mu.Lock()
 		defer conn.mu.Unlock()
-		n, readErr = sockio.ReadFD(fd, p)
 		answerPending = conn.answerPending
-		done := readErr != syscall.EAGAIN
+		done := read()
 		conn.dead = conn.dead || done && !answerPending // begin cannot see the bytes that were read here
 		return done
 	})
-	switch {
-	case err != nil:
-		return 0, answerPending, err
-	case readErr != nil:
-		return 0, answerPending, readErr
-	case n == 0:
-		return 0, answerPending, io.EOF
-	}
-	return n, answerPending, nil
+	return buf, n, answerPending, err
 }
 
 // answerReceived records that the pending answer has been received.
@@ -170,8 +160,8 @@
 }
 
 // run dials, writes the first attempt and reads answers until the connection ends.
-func (conn *backendConn) run(ctx context.Context, first *attempt, msg []byte) {
-	defer conn.c.budget.release()
+func (conn *backendConn) run(ctx context.Context, first *attempt, msg *http1.Request) {
+	defer conn.c.releaseBackend()
 	defer conn.cancel()
 	if up, how := conn.dial(ctx); !up {
 		conn.c.post(connClosed{conn, how})
@@ -183,8 +173,7 @@
 }
 
 // writeAttempt writes an attempt, unless it has been dropped or the connection is no longer usable.
-func (conn *backendConn) writeAttempt(att *attempt, msg []byte) {
-	defer func() { pool.Put(msg) }()
+func (conn *backendConn) writeAttempt(att *attempt, msg *http1.Request) {
 	conn.writeInProgress.Store(true)
 	defer conn.writeInProgress.Store(false)
 	// Dialling may have taken long, or the process may have been suspended. An attempt past its time would run for nobody, or run
@@ -202,64 +191,117 @@
 		}
 		return
 	}
-	n, err := conn.writeMessage(att, &msg)
-	if err != nil {
-		if n < len(msg) {
+	if whole, err := conn.writeMessage(att, msg); err != nil {
+		if !whole {
 			att.stage.Store(stageBroken)
 		}
 		conn.nc.Close()
 	}
 }
 
-// writeMessage writes an attempt's message. The remaining time in its header is computed right before the first byte is written.
-func (conn *backendConn) writeMessage(att *attempt, msg *[]byte) (n int, err error) {
+// writeMessage writes an attempt's message and reports whether its last byte was written. The remaining time in its head is computed
+// right before the first byte is written. A short body is written together with the head, a longer one without copying it.
+func (conn *backendConn) writeMessage(att *attempt, msg *http1.Request) (whole bool, err error) {
+	first := http1.AppendAttempt(pool.Get(), msg, conn.addr, att.deadline-conn.c.clock.now())
+	defer func() { pool.Put(first) }()
+	rest := msg.Body
+	if len(first)+len(rest) <= pool.Size {
+		first, rest = append(first, rest...), nil
+	}
+	left, err := conn.writeFirst(att, first)
+	if sockio.IsTransient(err) {
+		var n int
+		n, err = sockio.Write(conn.nc, left, conn.writeUntil(att))
+		left = left[n:]
+	}
+	if err != nil || len(rest) == 0 {
+		return len(left)+len(rest) == 0, err
+	}
+	n, err := sockio.Write(conn.nc, rest, conn.writeUntil(att))
+	return n == len(rest), err
+}
+
+// writeFirst writes the first part of an attempt's message, and returns what is left of it. While none of it has been written, it
+// replaces the remaining time in it.
+func (conn *backendConn) writeFirst(att *attempt, first []byte) (left []byte, err error) {
 	for {
-		*msg = http1.SetRemaining(*msg, att.deadline-conn.c.clock.now())
-		n, err = sockio.Write(conn.nc, *msg, time.Now().Add(maxRemainingAge))
+		first = http1.SetRemaining(first, att.deadline-conn.c.clock.now())
+		n, err := sockio.Write(conn.nc, first, time.Now().Add(maxRemainingAge))
 		if n > 0 || !sockio.IsTransient(err) || att.tooLate(conn.c.clock.now()) {
-			break
+			return first[n:], err
 		}
 	}
-	if sockio.IsTransient(err) {
-		var rest int
-		rest, err = sockio.Write(conn.nc, (*msg)[n:], time.Now().Add(duration(att.deadline-conn.c.clock.now())))
-		n += rest
-	}
-	return n, err
+}
+
+// writeUntil returns the time until which writing an attempt may be retried.
+func (conn *backendConn) writeUntil(att *attempt) time.Time {
+	return time.Now().Add(duration(att.deadline - conn.c.clock.now()))
 }
 
 // readAnswers posts answers to the event loop until the connection ends, and returns the outcome of an attempt that is then still
 // in progress.
 func (conn *backendConn) readAnswers() outcome {
-	var in http1.ResponseReader
-	defer in.Drop()
-	buf := pool.Get()[:pool.Size]
-	defer pool.Put(buf)
+	in := answerReader{memory: memoryLease{budget: conn.c.memory}}
+	defer in.memory.release()
 	for {
-		n, answerPending, err := conn.receive(buf)
-		if err != nil {
-			return outcomeBroken
-		}
-		if !answerPending {
-			return outcomeMalformed // a second answer would be taken for the next attempt's
-		}
-		at := conn.c.clock.now()
-		used, whole, err := in.Feed(buf[:n])
-		if err != nil {
-			return outcomeMalformed
+		if how, last := conn.readOnce(&in); last {
+			return how
 		}
-		if !whole {
-			continue
-		}
-		conn.answerReceived()
-		a := in.Take()
-		a.Close = a.Close || used < n // extra bytes after an answer belong to no attempt
-		last := a.Close
-		conn.c.post(answerArrived{conn, a, at})
-		if last {
-			return outcomeMalformed
+	}
+}
+
+// answerReader is the state of a backend connection's reader.
+type answerReader struct {
+	parser http1.ResponseReader
+	memory memoryLease // of the answer that the parser holds
+}
+
+// readOnce reads once and posts the answer if it is complete. It reports whether the connection has ended, and with which outcome.
+func (conn *backendConn) readOnce(in *answerReader) (how outcome, last bool) {
+	limit, held := in.parser.Next()
+	if held > in.memory.bytes && !conn.awaitMemory(&in.memory, held) {
+		return outcomeBroken, true
+	}
+	buf, n, answerPending, err := conn.receive(limit)
+	defer pool.Put(buf)
+	if err != nil {
+		return outcomeBroken, true
+	}
+	if !answerPending {
+		return outcomeMalformed, true // a second answer would be taken for the next attempt's
+	}
+	at := conn.c.clock.now()
+	used, whole, err := in.parser.Feed(buf[:n])
+	if err != nil {
+		return outcomeMalformed, true
+	}
+	if !conn.awaitMemory(&in.memory, in.parser.Held()) {
+		return outcomeBroken, true
+	}
+	if !whole {
+		return outcomeOK, false
+	}
+	conn.answerReceived()
+	a := in.parser.Take()
+	a.Close = a.Close || used < n // extra bytes after an answer belong to no attempt
+	conn.c.post(answerArrived{conn, a, at, in.memory.transfer()})
+	return outcomeMalformed, a.Close
+}
+
+// awaitMemory acquires memory for an answer. It waits until others give theirs back, or until the connection is closed, at the latest
+// when its attempt's time is over.
+func (conn *backendConn) awaitMemory(lease *memoryLease, bytes int) bool {
+	for !lease.resizeAnswer(bytes) {
+		conn.mu.Lock()
+		dead := conn.dead
+		conn.mu.Unlock()
+		if dead {
+			return false
 		}
+		conn.c.askForMemory()
+		time.Sleep(memoryPollInterval)
 	}
+	return true
 }
 
 // answerOutcome returns the outcome of an attempt that received a complete answer.
@@ -311,7 +353,7 @@
 func (c *core) launch(att *attempt) {
 	b := &c.backends[att.backend]
 	if att.conn = b.takeIdle(c.now - c.cfg.Pace.Settle); att.conn == nil {
-		if !c.budget.acquire(c.budget.backendReserve) && !(c.evictIdle() && c.budget.acquire(c.budget.backendReserve)) {
+		if !c.acquireBackend() && !(c.evictIdle() && c.acquireBackend()) {
 			c.finish(att, outcomeNoSocket, c.now, -1, -1)
 			return
 		}
@@ -319,7 +361,7 @@
 	}
 	conn := att.conn
 	conn.attempt = att
-	msg := http1.AppendAttempt(pool.Get(), c.requests[att.op].msg, conn.addr, att.deadline-c.now)
+	msg := c.requests[att.op].msg
 	c.timeouts.add(att.deadline, att)
 	if conn.nc != nil {
 		go conn.writeAttempt(att, msg)
@@ -331,6 +373,24 @@
 	go conn.run(ctx, att, msg)
 }
 
+// acquireBackend takes a socket and the memory of a connection for one more backend connection, if the budgets have both.
+func (c *core) acquireBackend() bool {
+	if !c.budget.acquire(c.budget.backendReserve) {
+		return false
+	}
+	if !c.memory.acquire(connectionMemory, 0) {
+		c.budget.release()
+		return false
+	}
+	return true
+}
+
+// releaseBackend returns the socket and the memory of a backend connection.
+func (c *core) releaseBackend() {
+	c.memory.release(connectionMemory)
+	c.budget.release()
+}
+
 // evictIdle closes the backend connection that has been idle longest, to free its socket, and reports whether there was one.
 func (c *core) evictIdle() bool {
 	var oldest *backendConn
@@ -412,19 +472,22 @@
 	conn   *backendConn
 	answer http1.Response
 	at     float64 // clock, ms
+	memory memoryLease
 }
 
 func (e answerArrived) handle(c *core) {
-	defer e.answer.Free()
 	conn, att := e.conn, e.conn.attempt
 	if conn.closed || att == nil {
+		e.memory.release()
 		return
 	}
 	att.stage.CompareAndSwap(stageWaiting, stageWriting) // an answered attempt counts as sent
 	conn.attempt, conn.idleSince, conn.hasAnswered = nil, e.at, true
 	how := answerOutcome(&e.answer)
 	if how == outcomeOK {
-		c.answer(att.op, http.StatusOK, 0, e.answer.Body, "")
+		c.answer(att.op, answer{status: http.StatusOK, body: e.answer.Body, memory: e.memory}, "")
+	} else {
+		e.memory.release()
 	}
 	queue := e.answer.Queue
 	if !c.cfg.Settings.ReportsQueue() {
--- a/frontdoor/closereason.go
+++ b/frontdoor/closereason.go
@@ -11,11 +11,12 @@
 	closedSlowRequest                    // a request took too long to arrive
 	closedIdle                           // no request arrived for too long
 	closedForSocket                      // its socket was needed for another client
+	closedForMemory                      // its request needed memory, or held what others needed
 	closedShutdown                       // the door is shutting down, and no request was open on the connection
 	closeReasons                         // number of reasons
 )
 
 // String returns the name of the reason in periodic summaries and logs.
 func (r closeReason) String() string {
-	return [...]string{"by_client", "last_answer", "unwritten", "fault", "slow", "idle", "crowded", "shutdown"}[r]
+	return [...]string{"by_client", "last_answer", "unwritten", "fault", "slow", "idle", "crowded", "memory", "shutdown"}[r]
 }
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -14,7 +14,6 @@
 	"github.com/swifthall/swifthall/internal/fields"
 	"github.com/swifthall/swifthall/internal/http1"
 	"github.com/swifthall/swifthall/internal/index"
-	"github.com/swifthall/swifthall/internal/pool"
 	"github.com/swifthall/swifthall/lifecycle"
 )
 
@@ -26,6 +25,7 @@
 type request struct {
 	client       *client
 	msg          *http1.Request // nil if the slot is free
+	memory       memoryLease    // of msg
 	class        int
 	deadline     float64 // end of the client's wait, ms
 	firstByteAt  float64 // clock of its first byte, ms
@@ -63,6 +63,7 @@
 	log    logrus.FieldLogger
 	clock  clock
 	budget *socketBudget
+	memory *memoryBudget
 	dial   func(ctx context.Context, addr string) (net.Conn, error)
 	listen func(ctx context.Context, addr string) (net.Listener, error)
 	events chan event
@@ -108,7 +109,8 @@
 	totals          Counts
 	traceEnabled    bool // single requests are logged
 
-	connections atomic.Uint64 // client connections since the start, which numbers them
+	connections   atomic.Uint64 // client connections since the start, which numbers them
+	memoryAskedAt atomicInstant // clock of the latest memoryNeeded, ms
 }
 
 const (
@@ -123,7 +125,7 @@
 )
 
 func newCore(cfg config.Door, decider gate.Decider, log logrus.FieldLogger) *core {
-	c := &core{cfg: cfg, log: log, decider: decider, clock: newClock(), budget: newSocketBudget(availableSockets(cfg.Sockets)),
+	c := &core{cfg: cfg, log: log, decider: decider, clock: newClock(), budget: newSocketBudget(availableSockets(cfg.Sockets)), memory: newMemoryBudget(cfg.MemoryMB),
 		events: make(chan event, maxBatch), done: make(chan struct{}), customers: index.New[uint64](), backendIDs: index.New[string](),
 		zones: index.New[string](), cells: index.New[int64](),
 		requestIDs: map[string]struct{}{}, clients: map[*client]struct{}{}, backendConns: map[*backendConn]struct{}{}}
@@ -201,7 +203,7 @@
 			done()
 		}
 		c.afterDecide = c.afterDecide[:0]
-		c.tally.writeIfDue(c.now, c.log)
+		c.writeSummary()
 		if c.sweep(); c.shutdownComplete() {
 			return
 		}
@@ -231,7 +233,7 @@
 	for _, op := range c.releasable {
 		if req := &c.requests[op]; req.msg != nil && req.done && req.outstanding == 0 {
 			delete(c.requestIDs, req.msg.ID)
-			req.msg.Free()
+			req.memory.release()
 			clear(req.attempts)
 			*req = request{attempts: req.attempts[:0]}
 			c.freeSlots = append(c.freeSlots, op)
@@ -250,10 +252,10 @@
 		c.abandon(c.requests[a.Op].attempts[a.Attempt], outcomeAbandonedUnsent, outcomeAbandoned)
 	case gate.Reject:
 		c.tally.rejected[min(a.Why, gate.CauseCount-1)]++
-		c.answer(a.Op, http.StatusTooManyRequests, a.RetryAfter, nil, a.Why.String())
+		c.answer(a.Op, answer{status: http.StatusTooManyRequests, retryAfter: a.RetryAfter}, a.Why.String())
 	case gate.Fail:
 		c.tally.failed[min(a.Why, gate.CauseCount-1)]++
-		c.answer(a.Op, http.StatusBadGateway, 0, nil, a.Why.String())
+		c.answer(a.Op, answer{status: http.StatusBadGateway}, a.Why.String())
 	case gate.SetTimer:
 		c.wakeAt = a.At
 	case gate.Count:
@@ -272,30 +274,32 @@
 	}
 }
 
-// answer sends a request's final answer; it does nothing if the request is done already.
-func (c *core) answer(op, status int, retryAfter float64, body []byte, reason string) {
+// answer sends a request's final answer; it does nothing but release its memory if the request is done already.
+func (c *core) answer(op int, a answer, reason string) {
 	req := &c.requests[op]
 	if req.done {
+		a.memory.release()
 		return
 	}
 	req.done = true
-	c.traceAnswer(req, status, reason)
+	c.traceAnswer(req, a.status, reason)
 	c.cancelUnsent(req)
-	c.totals.addAnswer(status, c.clock.now()-req.firstByteAt, req.contractTime)
+	c.totals.addAnswer(a.status, c.clock.now()-req.firstByteAt, req.contractTime)
 	c.releasable = append(c.releasable, op)
 	cl := req.client
 	cl.op, cl.idleSince = -1, c.now
 	// The number of persistent client connections is limited: clients that send one request and stay must not use up all sockets.
-	last := req.msg.Close || c.shuttingDown || c.outOfService || cl.closeRequested.Load() || cl.overflowed.Load() || c.budget.low(c.budget.clientReserve) || c.activeClients*persistentDivisor > c.cfg.Sockets
-	go cl.answer(http1.AppendResponse(pool.Get(), status, retryAfter, body, last), last)
+	a.last = req.msg.Close || c.shuttingDown || c.outOfService || cl.closeRequested.Load() || cl.overflowed.Load() || c.budget.low(c.budget.clientReserve) || c.activeClients*persistentDivisor > c.cfg.Sockets
+	go cl.answer(a)
 }
 
 // requestArrived reports that a complete request has arrived.
 type requestArrived struct {
-	cl  *client
-	msg *http1.Request
-	ev  gate.Request
-	at  float64 // clock of its first byte, ms
+	cl     *client
+	msg    *http1.Request
+	ev     gate.Request
+	at     float64 // clock of its first byte, ms
+	memory memoryLease
 }
 
 func (e requestArrived) handle(c *core) {
@@ -305,8 +309,8 @@
 	}
 	if _, open := c.requestIDs[e.msg.ID]; open { // a backend could not tell the two apart, nor the decider their results
 		e.cl.idleSince = c.clock.now()
-		e.msg.Free()
-		go e.cl.answer(http1.AppendResponse(pool.Get(), http.StatusConflict, 0, nil, e.msg.Close), e.msg.Close)
+		e.memory.release()
+		go e.cl.answer(answer{status: http.StatusConflict, last: e.msg.Close})
 		return
 	}
 	c.requestIDs[e.msg.ID] = struct{}{}
@@ -320,7 +324,7 @@
 	i := c.freeSlots[last]
 	c.freeSlots = c.freeSlots[:last]
 	req := &c.requests[i]
-	*req = request{client: e.cl, msg: e.msg, class: e.ev.Class, firstByteAt: e.at, deadline: c.shutdown.Load().Deadline(e.at + e.ev.TTL), contractTime: c.cfg.Settings.Terms.Classes[e.ev.Class].Contract, attempts: req.attempts[:0]}
+	*req = request{client: e.cl, msg: e.msg, memory: e.memory, class: e.ev.Class, firstByteAt: e.at, deadline: c.shutdown.Load().Deadline(e.at + e.ev.TTL), contractTime: c.cfg.Settings.Terms.Classes[e.ev.Class].Contract, attempts: req.attempts[:0]}
 	e.cl.op = i
 	e.ev.Op, e.ev.Customer = i, c.customers.Add(e.msg.Customer)
 	e.ev.TTL = max(0, req.deadline-c.clock.now())
@@ -465,7 +469,7 @@
 	for cl := range c.clients {
 		c.checkClose(cl, closedShutdown)
 	}
-	c.tally.write(c.log)
+	c.tally.write(c.log.WithFields(c.resources().fields()))
 	close(c.done)
 	for conn := range c.backendConns {
 		conn.close()
--- a/frontdoor/core_test.go
+++ b/frontdoor/core_test.go
@@ -50,7 +50,7 @@
 	t.Cleanup(func() { far.Close(); near.Close() })
 	cl := newClient(c, near)
 	clientOpened{cl}.handle(c)
-	requestArrived{cl, &http1.Request{Method: "GET", Target: "/look?key=1", ID: "x"}, gate.Request{TTL: 500}, c.now}.handle(c)
+	requestArrived{cl, &http1.Request{Method: "GET", Target: "/look?key=1", ID: "x"}, gate.Request{TTL: 500}, c.now, memoryLease{}}.handle(c)
 	c.pending = nil
 	return c, far
 }
@@ -82,7 +82,8 @@
 
 // bufferedState returns the state of a reader that has received text and not parsed it yet.
 func bufferedState(text string) *readState {
-	r := &readState{buf: make([]byte, pool.Size)}
+	budget := newMemoryBudget(0)
+	r := &readState{memory: memoryLease{budget: budget}, input: memoryLease{budget: budget}, buf: make([]byte, pool.Size)}
 	r.buffered = r.buf[:copy(r.buf, text)]
 	return r
 }
@@ -167,7 +168,7 @@
 func TestRequestTTLCountsFromFirstByte(t *testing.T) {
 	c, _ := newTestCore(t)
 	cl := newClient(c, nil)
-	requestArrived{cl, &http1.Request{}, gate.Request{TTL: 500}, c.clock.now() - 200}.handle(c)
+	requestArrived{cl, &http1.Request{}, gate.Request{TTL: 500}, c.clock.now() - 200, memoryLease{}}.handle(c)
 	ev := c.pending[0].(gate.Request)
 	assert.LessOrEqual(t, ev.TTL, 300.0)
 	assert.Greater(t, ev.TTL, 0.0)
@@ -177,9 +178,9 @@
 	c, client := newTestCore(t)
 	att, far := sendOverPipe(t, c)
 	receiveAttempt(t, att, far)
-	answerArrived{att.conn, http1.Response{Status: 200, Use: 0.5, Body: []byte("hi")}, att.startedAt + 30}.handle(c)
+	answerArrived{att.conn, http1.Response{Status: 200, Use: 0.5, Body: []byte("hi")}, att.startedAt + 30, memoryLease{}}.handle(c)
 	assert.Equal(t, gate.AttemptEnded{Result: gate.Finished, Latency: 30, Answered: true, MeteredUse: 0.5, Queue: -1}, c.pending[0])
-	c.answer(0, http.StatusBadGateway, 0, nil, "") // a second answer, which is dropped
+	c.answer(0, answer{status: http.StatusBadGateway}, "") // a second answer, which is dropped
 	assert.Equal(t, http1.Response{Status: 200, Use: -1, Queue: -1, Body: []byte("hi")}, readResponse(t, client))
 	assert.Len(t, c.backends[0].idle, 1, "the connection can be reused")
 	c.decide()
@@ -192,7 +193,7 @@
 func TestErrorAnswerIsNotRelayed(t *testing.T) {
 	c, _ := newTestCore(t)
 	att, _ := sendOverPipe(t, c)
-	answerArrived{att.conn, http1.Response{Status: 500, Use: -1, Body: []byte("secret")}, att.startedAt}.handle(c)
+	answerArrived{att.conn, http1.Response{Status: 500, Use: -1, Body: []byte("secret")}, att.startedAt, memoryLease{}}.handle(c)
 	assert.False(t, c.requests[0].done, "the decider decides what happens next")
 	assert.Equal(t, gate.Errored, c.pending[0].(gate.AttemptEnded).Result)
 }
@@ -205,7 +206,7 @@
 	c.requests[0].outstanding++
 	c.abandon(other, outcomeAbandonedUnsent, outcomeAbandoned)
 	assert.Equal(t, gate.Skipped, c.pending[0].(gate.AttemptEnded).Result)
-	go att.conn.writeAttempt(other, []byte("late"))
+	go att.conn.writeAttempt(other, &http1.Request{ID: "late"})
 	got, _ := io.ReadAll(far)
 	assert.NotContains(t, string(got), "late")
 }
@@ -242,7 +243,7 @@
 	att, far := sendOverPipe(t, c)
 	_, err := far.Read(make([]byte, 1)) // the rest is not read, so the write does not complete
 	require.NoError(t, err)
-	answerArrived{att.conn, http1.Response{Status: 503, TurnedAway: true}, c.now}.handle(c)
+	answerArrived{att.conn, http1.Response{Status: 503, TurnedAway: true}, c.now, memoryLease{}}.handle(c)
 	assert.Empty(t, c.backends[0].idle)
 }
 
@@ -257,7 +258,7 @@
 	c, _ := newTestCore(t)
 	att, far := sendOverPipe(t, c)
 	receiveAttempt(t, att, far)
-	answerArrived{att.conn, http1.Response{Status: 500}, c.now}.handle(c)
+	answerArrived{att.conn, http1.Response{Status: 500}, c.now, memoryLease{}}.handle(c)
 	require.Len(t, c.backends[0].idle, 1)
 	fleetUpdate{list: registry.List{Backends: []registry.Entry{{ID: "s", Addr: "127.0.0.1:1", State: "Ready", Started: 5}}}}.handle(c)
 	assert.Empty(t, c.backends[0].idle)
@@ -268,7 +269,7 @@
 	c, _ := newTestCore(t)
 	att, far := sendOverPipe(t, c)
 	receiveAttempt(t, att, far)
-	answerArrived{att.conn, http1.Response{Status: 500}, c.now}.handle(c)
+	answerArrived{att.conn, http1.Response{Status: 500}, c.now, memoryLease{}}.handle(c)
 	c.now += c.cfg.Pace.IdleBackend + 1
 	c.sweep()
 	assert.Empty(t, c.backendConns)
@@ -287,7 +288,7 @@
 	c, _ := newTestCore(t)
 	att, far := sendOverPipe(t, c)
 	receiveAttempt(t, att, far)
-	answerArrived{att.conn, http1.Response{Status: 500}, c.now}.handle(c)
+	answerArrived{att.conn, http1.Response{Status: 500}, c.now, memoryLease{}}.handle(c)
 	for c.budget.acquire(0) {
 	}
 	assert.True(t, c.evictIdle())
@@ -316,7 +317,7 @@
 func TestNoRequestIsAcceptedAfterLastAnswer(t *testing.T) {
 	c, _ := newTestCore(t)
 	cl := newClient(c, connect(t, loopbacktest.Serve(t, keepOpen)))
-	cl.answer(http1.AppendResponse(nil, http.StatusOK, 0, nil, true), true)
+	cl.answer(answer{status: http.StatusOK, last: true})
 	r := bufferedState(lookRequest)
 	r.answerPending = true
 	assert.False(t, cl.step(r))
@@ -327,7 +328,7 @@
 	c, client := newTestCore(t)
 	for c.budget.acquire(c.budget.clientReserve) {
 	}
-	c.answer(0, http.StatusTooManyRequests, 250, nil, "")
+	c.answer(0, answer{status: http.StatusTooManyRequests, retryAfter: 250}, "")
 	assert.True(t, readResponse(t, client).Close)
 }
 
@@ -336,7 +337,7 @@
 func TestConnectionClosesAfterAnswerWithManyActiveClients(t *testing.T) {
 	c, client := newTestCore(t)
 	c.activeClients = c.cfg.Sockets/persistentDivisor + 1
-	c.answer(0, http.StatusOK, 0, []byte("hi"), "")
+	c.answer(0, answer{status: http.StatusOK, body: []byte("hi")}, "")
 	assert.True(t, readResponse(t, client).Close)
 	active := c.activeClients
 	clientClosed{c.requests[0].client, closedByClient}.handle(c)
@@ -348,7 +349,7 @@
 	cl := c.requests[0].client
 	clientClosed{cl, closedByClient}.handle(c)
 	assert.Equal(t, []gate.Event{gate.ClientGone{Op: 0}}, c.pending)
-	c.answer(0, http.StatusOK, 0, []byte("hi"), "")
+	c.answer(0, answer{status: http.StatusOK, body: []byte("hi")}, "")
 	c.decide()
 	assert.Equal(t, []int{0}, c.freeSlots)
 	clientClosed{cl, closedByClient}.handle(c)
@@ -493,14 +494,14 @@
 	far, near := net.Pipe()
 	conn := &backendConn{nc: near}
 	go io.WriteString(far, "x")
-	_, answerPending, err := conn.receive(make([]byte, 9))
+	_, _, answerPending, err := conn.receive(9)
 	require.NoError(t, err)
 	assert.False(t, answerPending)
 	assert.False(t, conn.begin(&attempt{}), "the socket no longer shows the bytes that the reader took")
 	conn = &backendConn{nc: near}
 	assert.True(t, conn.begin(&attempt{}))
 	go io.WriteString(far, "x")
-	_, answerPending, err = conn.receive(make([]byte, 9))
+	_, _, answerPending, err = conn.receive(9)
 	require.NoError(t, err)
 	assert.True(t, answerPending)
 }
@@ -520,7 +521,7 @@
 	far, near := net.Pipe()
 	defer far.Close()
 	cl := newClient(c, near)
-	duplicate := requestArrived{cl, &http1.Request{ID: "x"}, gate.Request{TTL: 500}, c.now}
+	duplicate := requestArrived{cl, &http1.Request{ID: "x"}, gate.Request{TTL: 500}, c.now, memoryLease{}}
 	duplicate.handle(c)
 	assert.Empty(t, c.pending)
 	assert.Equal(t, http.StatusConflict, readResponse(t, far).Status)
@@ -603,7 +604,7 @@
 	c, _ := newTestCore(t)
 	att, far := sendOverPipe(t, c)
 	receiveAttempt(t, att, far)
-	answerArrived{att.conn, http1.Response{Status: 500}, c.now}.handle(c)
+	answerArrived{att.conn, http1.Response{Status: 500}, c.now, memoryLease{}}.handle(c)
 	c.execute(gate.FreeBackend{Backend: 0})
 	assert.Empty(t, c.backendConns)
 	fleetUpdate{list: registry.List{Backends: []registry.Entry{{ID: "new", Addr: "127.0.0.1:1", Zone: "b", Cell: 9, State: "Ready"}}}}.handle(c)
@@ -617,7 +618,7 @@
 		c, _ := newTestCore(t)
 		c.cfg.Settings.ReportNames = names
 		att, _ := sendOverPipe(t, c)
-		answerArrived{att.conn, http1.Response{Status: 200, Use: -1, Queue: 4, Body: []byte("hi")}, att.startedAt + 30}.handle(c)
+		answerArrived{att.conn, http1.Response{Status: 200, Use: -1, Queue: 4, Body: []byte("hi")}, att.startedAt + 30, memoryLease{}}.handle(c)
 		want := -1.0
 		if names != nil {
 			want = 4
--- a/frontdoor/guard.go
+++ b/frontdoor/guard.go
@@ -107,7 +107,7 @@
 	for op := range c.requests {
 		if req := &c.requests[op]; req.msg != nil && !req.done {
 			c.guard.violation(openPastShutdown, logrus.Fields{fields.Request: req.msg.ID, fields.LeftMs: req.deadline - c.now})
-			c.answer(op, http.StatusBadGateway, 0, nil, openPastShutdown.String())
+			c.answer(op, answer{status: http.StatusBadGateway}, openPastShutdown.String())
 		}
 	}
 }
--- a/frontdoor/interleaving_test.go
+++ b/frontdoor/interleaving_test.go
@@ -618,7 +618,7 @@
 	}})
 	r := bufferedState(strings.Repeat("x", pool.Size))
 	r.answerPending = true
-	go cl.answer([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), false)
+	go cl.answer(answer{status: http.StatusOK, body: []byte("ok")})
 	await(t, wrote, "the answer's write")
 	assert.Equal(t, http.StatusOK, readResponse(t, nc).Status, "the client has received the answer")
 	continues := make(chan bool)
--- a/frontdoor/maintenance_test.go
+++ b/frontdoor/maintenance_test.go
@@ -64,8 +64,8 @@
 func TestRequestCounts(t *testing.T) {
 	c, _ := newTestCore(t)
 	c.requests[0].firstByteAt, c.requests[0].contractTime = c.clock.now()-40, 100
-	c.answer(0, http.StatusOK, 0, nil, "")
-	c.answer(0, http.StatusOK, 0, nil, "")
+	c.answer(0, answer{status: http.StatusOK}, "")
+	c.answer(0, answer{status: http.StatusOK}, "")
 	assert.EqualValues(t, 1, c.totals.Finished, "only the first answer counts")
 	assert.EqualValues(t, 1, c.totals.InTime)
 	assert.InDelta(t, 40, c.totals.LatencyMs, 20)
--- /dev/null
+++ b/frontdoor/memory_test.go
@@ -0,0 +1,89 @@
+package frontdoor
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/swifthall/swifthall/gate"
+)
+
+func TestLargeRequestsRunOutOfMemoryFirst(t *testing.T) {
+	const limitMB = 32
+	b := newMemoryBudget(limitMB)
+	assert.Less(t, b.total, int64(limitMB<<20-processMemory))
+	large, small, answer := memoryLease{budget: b}, memoryLease{budget: b}, memoryLease{budget: b}
+	assert.False(t, large.resizeRequest(int(b.total)))
+	for b.acquire(connectionMemory, largeRequestReserve) {
+	}
+	assert.False(t, large.resizeRequest(64<<10))
+	assert.True(t, b.acquire(connectionMemory, connectionReserve), "connections are still taken")
+	for b.acquire(connectionMemory, connectionReserve) {
+	}
+	assert.True(t, small.resizeRequest(smallMessage), "small requests are still taken")
+	for b.acquire(connectionMemory, smallRequestReserve) {
+	}
+	more := memoryLease{budget: b}
+	assert.False(t, more.resizeRequest(smallMessage))
+	assert.True(t, answer.resizeAnswer(64<<10), "answers are still taken")
+	before := b.held()
+	answer.release()
+	small.release()
+	assert.Equal(t, before-64<<10-smallMessage, b.held())
+}
+
+func TestMemoryIsReturnedWhenAllEnds(t *testing.T) {
+	proceed := make(chan struct{})
+	events := make(chan gate.Event, 99)
+	td := newTestDoor(t, echoBackend(proceed), sendOnce(events))
+	td.cfg.MemoryMB = 32
+	td.start(t)
+	td.waitReady(t)
+	const body = 60000
+	post := strings.Replace(strings.Replace(requestWithID("large"), "GET /look", "POST /book", 1), "\r\n\r\n",
+		"\r\nIdempotency-Key: k\r\nContent-Length: 60000\r\n\r\n", 1) + strings.Repeat("x", body)
+	nc := connect(t, td.addr)
+	_, err := nc.Write([]byte(post))
+	require.NoError(t, err)
+	awaitEvent[gate.Request](t, events)
+	assert.GreaterOrEqual(t, td.door.core.memory.held(), int64(body+connectionMemory))
+	close(proceed)
+	assert.Equal(t, http.StatusOK, readResponse(t, nc).Status)
+	nc.Close()
+	half := connect(t, td.addr)
+	_, err = half.Write([]byte(post[:len(post)/2]))
+	require.NoError(t, err)
+	half.Close()
+	td.stop()
+	require.NoError(t, await(t, td.ended, "the end of Serve"))
+	for end := time.Now().Add(waitTimeout); td.door.core.memory.held() > 0; time.Sleep(time.Millisecond) {
+		require.True(t, time.Now().Before(end), "%d bytes were never returned", td.door.core.memory.held())
+	}
+}
+
+func TestStalledLargeRequestGivesItsMemoryToOthers(t *testing.T) {
+	td := newTestDoor(t, echoBackend(closedChan()), sendOnce(nil))
+	td.cfg.MemoryMB, td.cfg.Pace.Linger, td.cfg.Pace.SlowInput = 32, 300, 3600e3
+	td.start(t)
+	td.waitReady(t)
+	const body = 60000
+	post := strings.Replace(strings.Replace(lookRequest, "GET /look", "POST /book", 1), "\r\n\r\n",
+		"\r\nIdempotency-Key: k\r\nContent-Length: 60000\r\n\r\n", 1) + strings.Repeat("x", body)
+	stalled := connect(t, td.addr)
+	_, err := stalled.Write([]byte(post[:len(post)-1]))
+	require.NoError(t, err)
+	m := td.door.core.memory
+	for end := time.Now().Add(waitTimeout); m.held() < body; time.Sleep(time.Millisecond) {
+		require.True(t, time.Now().Before(end), "the request never arrived")
+	}
+	for m.acquire(1024, largeRequestReserve) {
+	}
+	m.release(60 << 10) // as its room grows a request holds the old one too
+	status, _ := roundTrip(t, connect(t, td.addr), strings.Replace(post, "a1", "b2", 1))
+	assert.Equal(t, http.StatusOK, status)
+	assert.Equal(t, http.StatusServiceUnavailable, readResponse(t, stalled).Status)
+}
--- a/frontdoor/tally.go
+++ b/frontdoor/tally.go
@@ -67,12 +67,15 @@
 	return f
 }
 
+// due reports whether the summary is due.
+func (t *tally) due(now float64) bool { return t.nextAt > 0 && now >= t.nextAt }
+
 // writeIfDue writes the summary when it is due and starts the next one.
 func (t *tally) writeIfDue(now float64, log logrus.FieldLogger) {
 	if t.nextAt == 0 {
 		t.nextAt = now + AccountIntervalMs
 	}
-	if now >= t.nextAt {
+	if t.due(now) {
 		t.write(log)
 		*t = tally{nextAt: now + AccountIntervalMs}
 	}
--- a/internal/fields/fields.go
+++ b/internal/fields/fields.go
@@ -23,12 +23,19 @@
 	Violated = "violations_"   // prefix of an invariant: times that a violation was prevented
 )
 
+// Fields of what a door holds at the time of its summary.
+const (
+	Connections  = "connections"         // client connections
+	BackendConns = "backend_connections" // connections to backends
+	HeldKB       = "held_kb"             // memory that connections and messages hold, by the door's own count, in KiB
+	ResidentKB   = "resident_kb"         // resident memory of the process, in KiB; 0 if unknown
+)
+
 // Fields of a door's shutdown.
 const (
-	Requests    = "requests"    // requests without a response so far
-	Connections = "connections" // client connections
-	AnswerMs    = "answer_ms"   // time until every request has a response, in ms
-	KillMs      = "kill_ms"     // time until the process may be killed, in ms
+	Requests = "requests"  // requests without a response so far
+	AnswerMs = "answer_ms" // time until every request has a response, in ms
+	KillMs   = "kill_ms"   // time until the process may be killed, in ms
 )
 
 // Fields of single requests, attempts and connections, which are logged at level debug only.
--- a/internal/http1/fuzz_test.go
+++ b/internal/http1/fuzz_test.go
@@ -1,6 +1,9 @@
 package http1
 
 import (
+	"bufio"
+	"bytes"
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -74,3 +77,25 @@
 		}
 	})
 }
+
+// Fields that nobody reads are left out before net/http parses a head. That must not change which heads are valid.
+func FuzzUnreadFields(f *testing.F) {
+	for _, line := range []string{"A: b", "a:", ": b", "a b: c", "a\x01: b", "a: b\x01", "a: \x80", "\x80: a", "a(: b", "a", "Trailer: x", "a: b\tc", "a: \x7f"} {
+		f.Add(line)
+	}
+	f.Fuzz(func(t *testing.T, line string) {
+		raw := []byte("GET /look HTTP/1.1\r\nHost: a\r\n" + line + "\r\n\r\n")
+		if len(raw) > maxHead || bytes.Index(raw, []byte("\r\n\r\n")) != len(raw)-len("\r\n\r\n") {
+			return // not one whole head
+		}
+		_, _, strictErr := strict(nil, raw)
+		_, plainErr := http.ReadRequest(bufio.NewReader(bytes.NewReader(raw)))
+		_, err := readRequest(raw)
+		if strictErr == nil {
+			require.Equal(t, plainErr == nil, err == nil, "%q: %v, %v", line, plainErr, err)
+		}
+		if plainErr != nil {
+			require.Error(t, err)
+		}
+	})
+}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -117,7 +118,7 @@
 func TestAttemptForwardsWhatTheClientSent(t *testing.T) {
 	o := Request{Method: "POST", Target: "/checkout?key=1", ID: "abc", IdempotencyKey: "m", Body: []byte("hello")}
 	assert.Equal(t, "POST /checkout?key=1 HTTP/1.1\r\nHost: b:1\r\nX-Txn: abc\r\nIdempotency-Key: m\r\nX-Remaining: 120m\r\n"+
-		"Content-Length: 5\r\n\r\nhello", string(AppendAttempt(nil, &o, "b:1", 120.9)))
+		"Content-Length: 5\r\n\r\nhello", string(AppendAttempt(nil, &o, "b:1", 120.9))+string(o.Body))
 	o = Request{Method: "GET", Target: "/look?key=1", ID: "abc"}
 	assert.Equal(t, "GET /look?key=1 HTTP/1.1\r\nHost: b:1\r\nX-Txn: abc\r\nX-Remaining: 0m\r\n\r\n",
 		string(AppendAttempt(nil, &o, "b:1", -3)))
@@ -256,3 +257,41 @@
 	assert.Equal(t, string(msg), string(SetRemaining(msg, 500)), "the remaining time never grows")
 	assert.Equal(t, "other", string(SetRemaining([]byte("other"), 5)))
 }
+
+// fieldsHead returns the head of a valid request with many short fields that nobody reads.
+func fieldsHead() string {
+	var fields strings.Builder
+	for i := 0; fields.Len() < 7000; i++ {
+		fmt.Fprintf(&fields, "%x:\r\n", i)
+	}
+	return strings.Replace(validRequest, "Content-Length: 5", fields.String()+"Content-Length: 65536", 1)
+}
+
+func TestRequestHoldsNoMoreMemoryThanItSays(t *testing.T) {
+	const requests, body = 200, 50000
+	text := []byte(fieldsHead() + strings.Repeat("x", body))
+	for range 2 {
+		readers := make([]RequestReader, requests)
+		runtime.GC()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		held := 0
+		for i := range readers {
+			for rest := text; len(rest) > 0; {
+				n, limit := readers[i].Next()
+				used, whole, err := readers[i].Feed(rest[:min(n, len(rest))])
+				require.NoError(t, err)
+				require.False(t, whole)
+				if limit > 0 {
+					require.LessOrEqual(t, readers[i].Held(), limit)
+				}
+				rest = rest[used:]
+			}
+			held += readers[i].Held()
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		assert.LessOrEqual(t, int(after.HeapAlloc-before.HeapAlloc), held*11/10, "the heap's size classes add a tenth at most")
+		runtime.KeepAlive(readers)
+	}
+}
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/swifthall/swifthall/internal/pool"
 	"github.com/swifthall/swifthall/internal/remedy"
 )
 
@@ -35,12 +34,6 @@
 	Close              bool // the client closes the connection after this request
 }
 
-// Free returns the body's buffer to the pool.
-func (o *Request) Free() {
-	pool.Put(o.Body)
-	o.Body = nil
-}
-
 // RequestError is input that is not a valid request, with the status to respond with.
 type RequestError struct {
 	Status int
@@ -60,8 +53,9 @@
 
 // RequestReader parses the requests on one client connection. After an error of Feed the connection cannot be used any more.
 type RequestReader struct {
-	msg message
-	req *http.Request
+	msg     message
+	request *Request // of the head that has been received
+	invalid error    // why its headers or target are invalid; nil if they are valid
 }
 
 // Feed consumes bytes up to the end of one request and reports whether Take can return it. Its errors are of type RequestError.
@@ -80,41 +74,50 @@
 	return used, whole, err
 }
 
+// begin reads all that is needed from a head, whose parsed form takes far more memory than its bytes.
 func (r *RequestReader) begin(raw []byte) (length int64, isChunked bool, err error) {
-	if r.req, err = readRequest(raw); err != nil {
+	req, err := readRequest(raw)
+	if err != nil {
 		return 0, false, err
 	}
 	switch {
-	case r.req.Method != http.MethodGet && r.req.Method != http.MethodPost:
+	case req.Method != http.MethodGet && req.Method != http.MethodPost:
 		return 0, false, reject(http.StatusMethodNotAllowed, "method")
-	case r.req.Header.Get("Expect") != "":
+	case req.Header.Get("Expect") != "":
 		return 0, false, reject(http.StatusExpectationFailed, "expectation")
-	case r.req.Host == "" && r.req.ProtoAtLeast(1, 1):
+	case req.Host == "" && req.ProtoAtLeast(1, 1):
 		return 0, false, reject(http.StatusBadRequest, "no host")
 	}
-	return r.req.ContentLength, len(r.req.TransferEncoding) > 0, nil
+	r.request = &Request{Method: req.Method, Target: req.RequestURI, Path: req.URL.Path, Close: req.Close}
+	if r.invalid = nil; !r.request.IsHealthCheck() {
+		r.invalid = r.request.parse(req)
+	}
+	return req.ContentLength, len(req.TransferEncoding) > 0, nil
 }
 
+// IsHealthCheck reports whether the request is a health check, which has no other fields than those of its first line.
+func (o *Request) IsHealthCheck() bool { return o.Path == ReadyPath || o.Path == LivePath }
+
 // Begun reports whether part of a request has been received.
 func (r *RequestReader) Begun() bool { return r.msg.begun() }
 
-// Drop releases the buffers of an incomplete request.
-func (r *RequestReader) Drop() { r.msg.drop() }
+// Held returns the bytes of memory that the present request holds.
+func (r *RequestReader) Held() int { return r.msg.held() }
+
+// Next returns how many bytes to feed next, and an upper bound of the memory that the request holds while they are fed; 0 before its
+// head is complete, as that of a head is known only once it has been fed.
+func (r *RequestReader) Next() (n, held int) { return r.msg.next() }
+
+// Drop releases the memory of an incomplete request.
+func (r *RequestReader) Drop() { *r = RequestReader{} }
 
 // Take returns the request that Feed has completed. If its headers or target are invalid, it also returns a RequestError; the
 // connection remains usable.
 func (r *RequestReader) Take() (*Request, error) {
-	req := r.req
-	o := &Request{Method: req.Method, Target: req.RequestURI, Path: req.URL.Path, Close: req.Close,
-		Body: r.msg.take()}
-	if o.Path == ReadyPath || o.Path == LivePath {
-		return o, nil
-	}
-	if err := o.parse(req); err != nil {
-		o.Free()
-		return o, err
-	}
-	return o, nil
+	request, err := r.request, r.invalid
+	request.Body = r.msg.take()
+	r.Drop()
+	return request, err
 }
 
 // singleHeaders are the headers that the door reads. They must not be repeated, because a backend could use the other value.
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-
-	"github.com/swifthall/swifthall/internal/pool"
 )
 
 const (
@@ -24,12 +22,6 @@
 	Close      bool // the connection cannot be reused
 }
 
-// Free returns the body's buffer to the pool.
-func (a *Response) Free() {
-	pool.Put(a.Body)
-	a.Body = nil
-}
-
 // ResponseReader parses the responses on one backend connection.
 type ResponseReader struct {
 	msg message
@@ -57,8 +49,15 @@
 	return length, isChunked, nil
 }
 
-// Drop releases the buffers of an incomplete response.
-func (r *ResponseReader) Drop() { r.msg.drop() }
+// Held returns the bytes of memory that the present response holds.
+func (r *ResponseReader) Held() int { return r.msg.held() }
+
+// Next returns how many bytes to feed next, and an upper bound of the memory that the response holds while they are fed; 0 before its
+// head is complete, as that of a head is known only once it has been fed.
+func (r *ResponseReader) Next() (n, held int) { return r.msg.next() }
+
+// Drop releases the memory of an incomplete response.
+func (r *ResponseReader) Drop() { *r = ResponseReader{} }
 
 // Take returns the response that Feed has completed.
 func (r *ResponseReader) Take() Response {
@@ -71,6 +70,7 @@
 		}
 	}
 	a.Body = r.msg.take()
+	r.res = nil
 	return a
 }
 
@@ -115,7 +115,8 @@
 	return append(msg[:at+len(now)], msg[end:]...)
 }
 
-// AppendAttempt appends the request that is sent to a backend. left is the time the door waits for the response, in ms.
+// AppendAttempt appends the head of the request that is sent to a backend; the body follows it unchanged. left is the time the door
+// waits for the response, in ms.
 func AppendAttempt(dst []byte, o *Request, host string, left float64) []byte {
 	dst = append(append(append(dst, o.Method...), ' '), o.Target...)
 	dst = append(append(dst, " HTTP/1.1\r\nHost: "...), host...)
@@ -127,5 +128,5 @@
 	if o.Method != http.MethodGet || len(o.Body) > 0 {
 		dst = strconv.AppendInt(append(dst, "\r\nContent-Length: "...), int64(len(o.Body)), 10)
 	}
-	return append(append(dst, "\r\n\r\n"...), o.Body...)
+	return append(dst, "\r\n\r\n"...)
 }
--- a/internal/http1/stream.go
+++ b/internal/http1/stream.go
@@ -21,12 +21,12 @@
 func (s *Stream) Feed(p []byte, out func([]byte) error) (done bool, err error) {
 	for len(p) > 0 {
 		if !s.headDone {
-			n, whole, err := s.head.feed(p)
+			n, raw, err := s.head.feed(p)
 			p = p[n:]
-			if err != nil || !whole {
+			if err != nil || raw == nil {
 				return false, err
 			}
-			res, err := readResponse(s.head.buf)
+			res, err := readResponse(raw)
 			if err != nil {
 				return false, err
 			}
