In a crowd connections without a request make room at the pace of the queue

Cause: one connection was closed for each 100 ms or freed socket, after 233 to 700 ms, and each then kept its socket for up to 350 ms more; some 700 connections waited in the listener's queue for seconds. Change: the acceptor asks the system how many connections wait, and as many as that are closed, idle longest first; the time for a first request shrinks so that the queue takes 250 ms, 20 ms at least (a connection that waited has sent its request). Behind a last answer less time is spent while others wait. In a shutdown a listener whose queue is not empty takes no more into it, as those that came last were reset with it; a listener shared with another process is left alone.

--- a/frontdoor/accept.go
+++ b/frontdoor/accept.go
@@ -9,13 +9,14 @@
 	"time"
 
 	"github.com/swifthall/swifthall/internal/fields"
+	"github.com/swifthall/swifthall/internal/sockio"
 )
 
 const (
 	immediateAcceptRetries = 4                      // consecutive failures that are retried without a pause
 	minAcceptBackoff       = time.Millisecond       // first pause after immediateAcceptRetries; it doubles with each failure
 	maxAcceptBackoff       = 20 * time.Millisecond  // longest pause: clients are waiting by then
-	socketPollInterval     = 10 * time.Millisecond  // time between checks for a free socket during shutdown
+	socketPollInterval     = 10 * time.Millisecond  // time between checks for a free socket, and between searches for connections to close
 	queuePollTimeout       = 5 * time.Millisecond   // how long an accept waits for the listener's queue during shutdown
 	minBlockedAccept       = time.Millisecond       // an accept that takes longer has found the queue empty
 	maxSuspension          = 200 * time.Millisecond // unless the process was suspended within it, for 150 ms at most
@@ -29,6 +30,7 @@
 	backoff      time.Duration // next pause, once immediateAcceptRetries are used up
 	lastLogged   time.Time     // when a failure was last logged
 	unlogged     int           // failures since lastLogged
+	askedAt      time.Time     // when connections to close were last searched for
 	queueEmptyAt time.Time     // when the listener's queue was last known to be empty
 	queueFilled  bool          // the queue may have filled since then, because nothing was accepted for a while
 }
@@ -79,8 +81,11 @@
 		if !c.shutdown.Load().Answering(c.clock.now()) {
 			return false
 		}
-		c.post(socketNeeded{})
-		wait := time.NewTimer(a.pollInterval())
+		if time.Since(a.askedAt) >= socketPollInterval {
+			a.askedAt = time.Now()
+			c.post(socketNeeded{listenQueue(c.listener)})
+		}
+		wait := time.NewTimer(socketPollInterval)
 		select {
 		case <-c.budget.freed:
 		case <-wait.C:
@@ -139,7 +144,7 @@
 	}
 	a.log(err)
 	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-		c.post(socketNeeded{})
+		c.post(socketNeeded{waiting: 1})
 	}
 	if a.failures++; a.failures > immediateAcceptRetries {
 		a.queueFilled = true
@@ -149,12 +154,30 @@
 	return ctx.Err() == nil
 }
 
-// pollInterval returns the longest pause between checks for a free socket.
-func (a *acceptor) pollInterval() time.Duration {
-	if a.c.shutdown.Load() != nil {
-		return socketPollInterval
+// listenQueue returns how many connections wait in the listener's queue, 0 if that is unknown.
+func listenQueue(ln net.Listener) int {
+	if raw := rawListener(ln); raw != nil {
+		return sockio.ListenQueue(raw)
+	}
+	return 0
+}
+
+// closeListenQueue keeps further connections out of the listener's queue if some wait there: with a crowd of clients that connect again
+// and again it would never be empty, and those that come last would be reset when the listener closes.
+func (c *core) closeListenQueue() {
+	if raw := rawListener(c.listener); raw != nil && !c.sharedListener && sockio.ListenQueue(raw) > 0 {
+		sockio.CloseListenQueue(raw)
+	}
+}
+
+// rawListener returns the system's socket of a listener, nil if it has none.
+func rawListener(ln net.Listener) syscall.RawConn {
+	if sc, ok := ln.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			return raw
+		}
 	}
-	return duration(a.c.cfg.Pace.Redial)
+	return nil
 }
 
 // log logs a failed accept, at most once per acceptLogInterval, with the number of failures since the last line.
--- a/frontdoor/clientanswer.go
+++ b/frontdoor/clientanswer.go
@@ -57,7 +57,7 @@
 	}
 	cl.mu.Lock()
 	cl.draining = true
-	cl.nc.SetReadDeadline(time.Now().Add(duration(cl.c.cfg.Pace.Linger / 2)))
+	cl.nc.SetReadDeadline(time.Now().Add(duration(cl.c.drainTime())))
 	cl.mu.Unlock()
 	var r readState
 	for range maxDrainReads {
--- a/frontdoor/clientread.go
+++ b/frontdoor/clientread.go
@@ -346,7 +346,7 @@
 		pace := &cl.c.cfg.Pace
 		limit := pace.SlowInput
 		if cl.closeRequested.Load() {
-			limit = min(limit, pace.Linger) // other clients wait for its socket
+			limit = min(limit, cl.c.halfSentLimit()) // other clients wait for its socket
 		}
 		if rest := cl.c.shutdown.Load().Deadline(r.inputStart(cl)+limit) - cl.c.clock.now(); rest > 0 {
 			r.deadlineSet = true
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -102,6 +102,7 @@
 	accepting       bool
 	discoveryTried  bool          // discovery has been asked once
 	listReceived    atomic.Uint64 // clock at which discovery last sent anything, bits of its ms; 0 is never
+	sharedListener  bool          // another process may accept from the listener too
 	listenerClosing bool          // accept has been interrupted: it only empties the listener's queue
 	listener        net.Listener
 	tally           tally
@@ -111,6 +112,7 @@
 
 	connections   atomic.Uint64 // client connections since the start, which numbers them
 	memoryAskedAt atomicInstant // clock of the latest memoryNeeded, ms
+	crowdGrace    atomicInstant // how long a half-sent request may take while clients wait for sockets, ms; 0 if none ever did
 }
 
 const (
@@ -118,7 +120,6 @@
 	counterConnections  = 2   // replies come in order, so a slow call delays all calls behind it on its connection
 	reservedDescriptors = 8   // descriptors left to the runtime and to connections that are being closed
 
-	silentLingerDivisor  = 3  // a client that never sent a request may be closed after this fraction (1/3) of Pace.Linger
 	persistentDivisor    = 4  // if active clients exceed this fraction (1/4) of the sockets, connections close after their answer
 	sweepsPerLinger      = 16 // checks of connections in Pace.Linger, during shutdown or out of service
 	sweepsPerIdleTimeout = 8  // checks of idle connections in the shorter idle timeout
@@ -363,31 +364,6 @@
 	}
 }
 
-// socketNeeded reports that a client waits for a socket. The client connection that has been idle longest is closed for it, except
-// connections idle so briefly that a request may be on its way. A connection that never sent a request goes first, after a shorter
-// time, as clients normally send their first request at once. If there is none, an idle backend connection is closed.
-type socketNeeded struct{}
-
-func (socketNeeded) handle(c *core) {
-	var oldest *client
-	var longest float64
-	now := c.clock.now()
-	for cl := range c.clients {
-		over := now - cl.idleSince - c.cfg.Pace.Linger
-		if !cl.hasRequested {
-			over = now - cl.idleSince - c.cfg.Pace.Linger/silentLingerDivisor
-		}
-		if cl.op < 0 && !cl.closeRequested.Load() && over > longest {
-			oldest, longest = cl, over
-		}
-	}
-	if oldest != nil {
-		oldest.requestClose(closedForSocket)
-	} else {
-		c.evictIdle()
-	}
-}
-
 // sweep closes connections that have been idle too long, as clients that send one request and keep their connection would
 // otherwise fill the door. During shutdown and out of service it closes all idle client connections and carries out the steps of
 // the shutdown that are due.
@@ -418,6 +394,7 @@
 	}
 	if c.listener != nil && !shutdown.Accepting(c.now) && !c.listenerClosing {
 		c.listenerClosing = true
+		c.closeListenQueue()
 		if ln, ok := c.listener.(deadlineListener); ok {
 			ln.SetDeadline(time.Now())
 		} else {
--- /dev/null
+++ b/frontdoor/crowd.go
@@ -0,0 +1,77 @@
+package frontdoor
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Clients that wait for a socket get those of connections that have no open request, idle longest first.
+const (
+	silentLingerDivisor = 3   // a client that never sent a request may be closed after this fraction (1/3) of Pace.Linger
+	drainLingerDivisor  = 8   // input behind a last answer is discarded for this fraction of Pace.Linger while clients wait for sockets
+	maxQueueWait        = 250 // ms that clients should wait in the listener's queue, at most
+	minCrowdGrace       = 20  // ms that a connection has for its first request in any crowd: one that waited in the queue has sent it
+)
+
+// socketNeeded reports that clients wait for a socket. The connections that have been idle longest are closed for them, except those
+// idle so briefly that a request may be on its way. A connection that never sent a request goes first, after a shorter time, as
+// clients normally send their first request at once. If there is none, an idle backend connection is closed.
+type socketNeeded struct {
+	waiting int // connections in the listener's queue; 0 if unknown
+}
+
+func (e socketNeeded) handle(c *core) {
+	c.crowdGrace.store(c.graceFor(e.waiting))
+	idle := c.longIdleClients()
+	for _, i := range idle[:min(len(idle), max(1, e.waiting))] {
+		i.client.requestClose(closedForSocket)
+	}
+	if len(idle) == 0 {
+		c.evictIdle()
+	}
+}
+
+// graceFor returns how long a connection may keep its socket without a whole request, ms, while others wait: with so many in the
+// queue that none of them waits for longer than maxQueueWait, if possible.
+func (c *core) graceFor(waiting int) float64 {
+	if waiting == 0 {
+		return c.cfg.Pace.Linger
+	}
+	sockets := float64(c.cfg.Sockets - c.cfg.Sockets/clientReserveDivisor)
+	return min(c.cfg.Pace.Linger, max(minCrowdGrace, maxQueueWait*sockets/float64(waiting)))
+}
+
+// idleClient is a client without an open request, and by how much it has been idle for too long, ms.
+type idleClient struct {
+	client *client
+	over   float64
+}
+
+// longIdleClients returns the clients that may be closed for others, idle longest first.
+func (c *core) longIdleClients() (idle []idleClient) {
+	now, grace := c.clock.now(), c.crowdGrace.load()
+	for cl := range c.clients {
+		over := now - cl.idleSince - c.cfg.Pace.Linger
+		if !cl.hasRequested {
+			over = now - cl.idleSince - min(c.cfg.Pace.Linger/silentLingerDivisor, grace)
+		}
+		if cl.op < 0 && over > 0 && !cl.closeRequested.Load() {
+			idle = append(idle, idleClient{cl, over})
+		}
+	}
+	slices.SortFunc(idle, func(a, b idleClient) int { return cmp.Compare(b.over, a.over) })
+	return idle
+}
+
+// halfSentLimit returns how long a half-sent request may take on a connection that is to be closed, ms.
+func (c *core) halfSentLimit() float64 {
+	return cmp.Or(c.crowdGrace.load(), c.cfg.Pace.Linger)
+}
+
+// drainTime returns how long input behind a last answer is discarded, ms.
+func (c *core) drainTime() float64 {
+	if c.budget.low(c.budget.clientReserve) {
+		return c.cfg.Pace.Linger / drainLingerDivisor
+	}
+	return c.cfg.Pace.Linger / 2
+}
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -33,6 +33,7 @@
 // closes the listener.
 func (d *Door) UseListener(ln *net.TCPListener) {
 	d.core.listen = func(context.Context, string) (net.Listener, error) { return ln, nil }
+	d.core.sharedListener = true
 }
 
 const listenRetryTime = 5 * time.Second // how long listening is retried while the address is temporarily unavailable
--- a/internal/sockio/sockio.go
+++ b/internal/sockio/sockio.go
@@ -92,6 +92,22 @@
 	return ago
 }
 
+// ListenQueue returns how many connections wait in the queue of a listening TCP socket, 0 if the system does not provide this.
+func ListenQueue(raw syscall.RawConn) (waiting int) {
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.State == unix.BPF_TCP_LISTEN {
+			waiting = int(info.Unacked)
+		}
+	})
+	return waiting
+}
+
+// CloseListenQueue makes the system refuse or ignore further connections to a listening TCP socket; those in its queue stay there. It
+// applies to all processes that share the socket.
+func CloseListenQueue(raw syscall.RawConn) {
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) })
+}
+
 // PeerClosed reports whether the peer has closed or reset the connection, even if data that it sent before is still unread.
 func PeerClosed(raw syscall.RawConn) (is bool) {
 	err := raw.Control(func(fd uintptr) {
