Requests that no backend answers are spaced, and what is read late counts its wait

Cause: a reader that answers by itself never waits, so that it keeps the processor for 10 ms at a time, one after the other; and a door that hardly gets the processor counted a request's time from when it read it.

--- a/frontdoor/client.go
+++ b/frontdoor/client.go
@@ -24,6 +24,7 @@
 	finished       atomic.Bool     // the last answer has been written, or failed: no more requests are accepted
 	writing        atomic.Bool     // the pending answer is being written: new input may follow it
 	writeFailed    atomic.Bool     // an answer could not be written
+	refused        atomic.Bool     // the latest request was answered without a backend
 	awaitsMemory   atomic.Bool     // the reader waits for memory
 	reason         atomic.Uint32   // closeReason, valid if closeRequested is set
 	largeSince     atomicInstant   // clock of the first byte of a partly received large request, ms; 0 is none
--- a/frontdoor/clientread.go
+++ b/frontdoor/clientread.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -29,9 +30,12 @@
 	discarded     int         // bytes discarded while an answer was pending
 	finalAnswered bool        // the last answer has been written; the connection is closed after it
 	reason        closeReason // why the connection ends
+	pacer         answerPacer
+	delayed       bool // the reader did not read for a while: the system is asked how long the next bytes were unread
 }
 
 const (
+	maxUnreadTime = time.Minute           // for which bytes can have been unread; connections with requests end long before
 	minQueueDelay = 10 * time.Millisecond // from this time in the listener's queue on, the kernel is asked how long bytes were unread
 	maxDrainReads = 32                    // buffers read after a last answer
 	finalReadSize = smallMessage          // bytes read before an idle connection is closed
@@ -40,7 +44,7 @@
 
 // run reads from the connection until it ends.
 func (cl *client) run() {
-	r := readState{memory: memoryLease{budget: cl.c.memory}, input: memoryLease{budget: cl.c.memory}}
+	r := readState{memory: memoryLease{budget: cl.c.memory}, input: memoryLease{budget: cl.c.memory}, pacer: answerPacer{waiting: &cl.c.pausedClients}}
 	defer func() {
 		r.releaseMemory()
 		if r.finalAnswered {
@@ -51,6 +55,7 @@
 		cl.c.budget.release()
 		cl.c.post(clientClosed{cl, r.reason})
 	}()
+	r.delayed = cl.c.noteLateness(cl.c.clock.now() - cl.openedAt)
 	for cl.step(&r) {
 	}
 }
@@ -109,6 +114,15 @@
 func (r *readState) answerWritten(cl *client) {
 	cl.writing.Store(false)
 	r.answerPending = false
+	if cl.refused.Load() {
+		r.pace()
+	}
+}
+
+// pace delays the next request after one that was answered without a backend, and lets other goroutines run.
+func (r *readState) pace() {
+	r.delayed = r.pacer.pause() || r.delayed
+	runtime.Gosched()
 }
 
 // read reads once. It does so while an answer is pending too, so that a closed connection is noticed whatever the client sent
@@ -164,6 +178,7 @@
 	}
 	r.discarded += len(r.buffered)
 	r.buffered = nil
+	runtime.Gosched() // input that never ends must not keep others from running
 	return true
 }
 
@@ -179,7 +194,7 @@
 		n, err = sockio.Read(cl.nc, r.buf[len(r.buffered):len(r.buffered)+limit])
 	}
 	if n > 0 {
-		r.buffered, r.receivedAt = r.buf[:len(r.buffered)+n], cl.c.clock.now()-cl.queueDelay()
+		r.buffered, r.receivedAt = r.buf[:len(r.buffered)+n], cl.c.clock.now()-cl.unreadTime(r)
 	}
 	return err
 }
@@ -240,11 +255,14 @@
 	return cl.respondAfter(r, http.StatusServiceUnavailable, cl.c.cfg.Settings.Terms.MaxRetryAfter, true)
 }
 
-// queueDelay returns how long, in ms, the first bytes of a connection were unread: it may have waited in the listener's queue while
-// its client's time was running. Later calls return 0.
-func (cl *client) queueDelay() float64 {
+// unreadTime returns how long, in ms, the bytes that have just been read were unread, while the client's time was running: a connection
+// may have waited in the listener's queue, its reader may have been delayed, or the whole process.
+func (cl *client) unreadTime(r *readState) float64 {
 	limit := cl.maxQueued
-	if cl.maxQueued = 0; limit < minQueueDelay || cl.raw == nil {
+	if r.delayed || cl.c.clock.now() < cl.c.lateUntil.load() {
+		limit = maxUnreadTime
+	}
+	if cl.maxQueued, r.delayed = 0, false; limit < minQueueDelay || cl.raw == nil {
 		return 0
 	}
 	return float64(min(limit, sockio.LastReceived(cl.raw))) / float64(time.Millisecond)
@@ -303,7 +321,9 @@
 		if msg.Path == http1.ReadyPath && !cl.c.ready.Load() {
 			status = http.StatusServiceUnavailable
 		}
-		return cl.respond(r, status, msg.Close)
+		continues := cl.respond(r, status, msg.Close)
+		r.pace()
+		return continues
 	}
 	var ev gate.Request
 	if err == nil {
@@ -311,7 +331,9 @@
 	}
 	if err != nil {
 		r.memory.release()
-		return cl.rejectInput(r, err, msg.Close)
+		continues := cl.rejectInput(r, err, msg.Close)
+		r.pace()
+		return continues
 	}
 	r.answerPending = true
 	cl.c.post(requestArrived{cl, msg, ev, r.firstByteAt, r.memory.transfer()})
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -111,6 +111,8 @@
 	traceEnabled    bool // single requests are logged
 
 	connections   atomic.Uint64 // client connections since the start, which numbers them
+	pausedClients atomic.Int64  // connections whose next request is delayed, as they send too many that no backend answers
+	lateUntil     atomicInstant // clock until which bytes may be read late, as the process hardly gets the processor, ms
 	memoryAskedAt atomicInstant // clock of the latest memoryNeeded, ms
 	crowdGrace    atomicInstant // how long a half-sent request may take while clients wait for sockets, ms; 0 if none ever did
 }
@@ -169,6 +171,7 @@
 
 // run is the event loop. It returns once the door has shut down.
 func (c *core) run(ctx context.Context) {
+	due := c.clock.now()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	defer c.closeAll()
@@ -192,6 +195,7 @@
 			break
 		}
 		c.now = c.clock.now()
+		c.noteLateness(c.now - due)
 		c.timeouts.expireDue(c)
 		if c.wakeAt > 0 && c.now >= c.wakeAt {
 			c.wakeAt = 0
@@ -208,7 +212,8 @@
 		if c.sweep(); c.shutdownComplete() {
 			return
 		}
-		timer.Reset(duration(c.nextTimer() - c.clock.now()))
+		due = c.nextTimer()
+		timer.Reset(duration(due - c.clock.now()))
 	}
 }
 
@@ -289,6 +294,7 @@
 	c.releasable = append(c.releasable, op)
 	cl := req.client
 	cl.op, cl.idleSince = -1, c.now
+	cl.refused.Store(len(req.attempts) == 0)
 	// The number of persistent client connections is limited: clients that send one request and stay must not use up all sockets.
 	a.last = req.msg.Close || c.shuttingDown || c.outOfService || cl.closeRequested.Load() || cl.overflowed.Load() || c.budget.low(c.budget.clientReserve) || c.activeClients*persistentDivisor > c.cfg.Sockets
 	go cl.answer(a)
@@ -311,6 +317,7 @@
 	if _, open := c.requestIDs[e.msg.ID]; open { // a backend could not tell the two apart, nor the decider their results
 		e.cl.idleSince = c.clock.now()
 		e.memory.release()
+		e.cl.refused.Store(true)
 		go e.cl.answer(answer{status: http.StatusConflict, last: e.msg.Close})
 		return
 	}
