State kept by what clients name, and timeouts of what has ended, have upper bounds

Cause: a customer's state is kept for 15 to 60 s after its last request, at any number of customers, and the timeout of an attempt stayed in the heap, with the attempt and its connections, until the request's deadline would have been over. Change: gate.Terms.MaxCustomers, a sixteenth of limits.memory_mb at 400 bytes each: beyond it customers without open requests are dropped, first those whose quota is full again, then those idle longest. A customer that comes back has a full quota, at most the same as a customer that never came; its slice of a ceiling counts from the latest use that was dropped, so that ceilings hold. A heap of timeouts that would grow first drops those of attempts and calls that have ended.

--- a/config/config.go
+++ b/config/config.go
@@ -43,6 +43,12 @@
 	minFirstByte      = 100 // ms; less would abandon responses that are on their way
 )
 
+// The state of customers may take up this share (1/16) of the memory limit.
+const (
+	customersShare = 16
+	customerMemory = 400 // bytes of the state of one customer, with its index
+)
+
 // discoveryDelay returns the worst-case delay before a published change is noticed, in ms.
 func (p *Pace) discoveryDelay(connectTimeout float64) float64 {
 	return p.Silence + 2*(connectTimeout+p.FirstByte+MaxRedialFactor*p.Redial)
@@ -195,6 +201,7 @@
 		return Door{Warnings: d.Warnings}, err
 	}
 	d.setDefaults()
+	d.Settings.Terms.MaxCustomers = d.MemoryMB << 20 / (customersShare * customerMemory)
 	if sum := d.Pace.discoveryDelay(d.Settings.ConnectTimeout); sum > maxDiscoveryDelay {
 		d.Warnings = append(d.Warnings, fmt.Sprintf("key \"pace.silence_ms\": together with connect_timeout, pace.first_word_ms and pace.redial_ms it allows a change of the fleet list to go unnoticed for %.0f ms; the limit is %.0f ms", sum, maxDiscoveryDelay))
 	}
--- a/frontdoor/backend.go
+++ b/frontdoor/backend.go
@@ -49,6 +49,9 @@
 	return att.stage.CompareAndSwap(stageWaiting, stageDropped) || att.stage.Load() != stageWriting
 }
 
+// settled reports whether the attempt has ended.
+func (att *attempt) settled() bool { return att.ended }
+
 // expire abandons an attempt that has timed out.
 func (att *attempt) expire(c *core) {
 	if !att.ended {
--- a/frontdoor/counter.go
+++ b/frontdoor/counter.go
@@ -26,6 +26,9 @@
 	done      bool    // its connection has no answer pending for it
 }
 
+// settled reports whether the connection has no answer pending for the call.
+func (call *counterCall) settled() bool { return call.done }
+
 // expire first reports a timeout of the call. If the answer is still pending after Pace.CounterStall, it closes the connection:
 // no read ever fails on a connection whose peer has become unreachable.
 func (call *counterCall) expire(c *core) {
--- a/frontdoor/timeouts.go
+++ b/frontdoor/timeouts.go
@@ -2,8 +2,11 @@
 
 import "container/heap"
 
-// expirer is something with a timeout. expire is called when the timeout is due.
-type expirer interface{ expire(*core) }
+// expirer is something with a timeout. expire is called when the timeout is due; settled reports that it would do nothing.
+type expirer interface {
+	expire(*core)
+	settled() bool
+}
 
 // timeout is one entry of a timeoutHeap.
 type timeout struct {
@@ -11,8 +14,8 @@
 	target expirer
 }
 
-// timeoutHeap is a heap of timeouts, the earliest first. A timeout is not removed when its target ends early; the target then
-// ignores it.
+// timeoutHeap is a heap of timeouts, the earliest first. A timeout is not removed when its target ends early, which then ignores it;
+// but when the heap has doubled, all those are.
 type timeoutHeap []timeout
 
 func (h timeoutHeap) Len() int           { return len(h) }
@@ -27,7 +30,28 @@
 	return x
 }
 
-func (h *timeoutHeap) add(at float64, target expirer) { heap.Push(h, timeout{at, target}) }
+// add adds a timeout.
+func (h *timeoutHeap) add(at float64, target expirer) {
+	if len(*h) == cap(*h) && len(*h) >= minTimeoutRoom {
+		h.removeEnded()
+	}
+	heap.Push(h, timeout{at, target})
+}
+
+// minTimeoutRoom is the number of timeouts below which those of ended targets are left alone.
+const minTimeoutRoom = 256
+
+// removeEnded removes the timeouts of ended targets, and makes room for as many as are left.
+func (h *timeoutHeap) removeEnded() {
+	left := make(timeoutHeap, 0, len(*h))
+	for _, t := range *h {
+		if !t.target.settled() {
+			left = append(left, t)
+		}
+	}
+	*h = append(make(timeoutHeap, 0, max(minTimeoutRoom, 2*len(left))), left...)
+	heap.Init(h)
+}
 
 // expireDue expires the targets of all timeouts that are due.
 func (h *timeoutHeap) expireDue(c *core) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -87,6 +87,7 @@
 	WarmupTime        float64 // time after which a started backend is warm at the latest, ms
 	OverloadMultiple  float64 // multiple of its present capacity above which a cold backend collapses
 	OverloadWindow    float64 // time after which a load above OverloadMultiple makes a cold backend collapse, ms
+	MaxCustomers      int     // most customers without open requests whose state is kept; 0 means no limit
 }
 
 // Event is one of the event types below.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -331,7 +331,10 @@
 func (d *Door) updateBucket(customer, plan, firstDoor, spread int) *bucket {
 	d.buckets = growTo(d.buckets, customer)
 	k, p := &d.buckets[customer], &d.terms.Plans[plan]
-	k.assign(plan, firstDoor, max(1, spread), p.Depth, d.now, d.startedAt)
+	if !k.known {
+		d.knownCustomers++
+	}
+	k.assign(plan, firstDoor, max(1, spread), p.Depth, d.now, max(d.startedAt, d.ceilingUnknownAt))
 	dt := d.now - k.filledAt
 	k.filledAt = d.now
 	k.presentDoors += (d.countPresentDoors(k) - k.presentDoors) * (1 - math.Exp(-dt/shareTransferSpan))
@@ -1103,6 +1106,7 @@
 		}
 	}
 	d.active = stillActive
+	d.limitBuckets()
 	if d.now-d.sweptAt >= sweepInterval {
 		d.sweptAt = d.now
 		d.dropIdleBuckets()
--- a/policy/state.go
+++ b/policy/state.go
@@ -86,10 +86,10 @@
 }
 
 // assign binds the bucket to a customer's plan and doors; a change of either resets it to a full quota. A new customer's slice of
-// the ceiling has refilled since the door's start, as the door would know of any use since then.
-func (k *bucket) assign(plan, firstDoor, spread int, depth, now, startedAt float64) {
+// the ceiling has refilled since a time from which on the door would know of any use: its start, or when it last dropped customers.
+func (k *bucket) assign(plan, firstDoor, spread int, depth, now, knownSince float64) {
 	if !k.known {
-		now = startedAt
+		now = knownSince
 	}
 	if !k.known || k.plan != plan || k.firstDoor != firstDoor || k.spread != spread {
 		*k = bucket{known: true, plan: plan, firstDoor: firstDoor, spread: spread, level: depth, filledAt: now,
@@ -281,6 +281,8 @@
 	requests          []request
 	active            []int // requests that may still need attention, in order of arrival
 	buckets           []bucket
+	knownCustomers    int     // buckets in use
+	ceilingUnknownAt  float64 // latest use of a customer that was dropped before its slice of the ceiling was full again
 	fleet             fleet
 	latencies         []latencyStats
 	inFlight          []int         // attempts in flight, by class
@@ -310,20 +312,6 @@
 	return d.updateBucket(customer, k.plan, k.firstDoor, k.spread)
 }
 
-// dropIdleBuckets drops the buckets of customers without open requests: after a minute, or as soon as a new bucket would
-// hold the same.
-func (d *Door) dropIdleBuckets() {
-	for c := range d.buckets {
-		k := &d.buckets[c]
-		idle := d.now - k.filledAt
-		if p := &d.terms.Plans[k.plan]; k.known && k.openRequests == 0 && (idle > idleExpiry || idle > idleFullExpiry &&
-			k.level+p.Rate*idle >= p.Depth && p.CeilingRate*idle >= p.CeilingDepth) {
-			*k = bucket{}
-			d.freedIndices = append(d.freedIndices, gate.FreeCustomer{Customer: c})
-		}
-	}
-}
-
 // freeGoneBackends frees the indices of backends that are gone. The backends of a request's earlier attempts are looked up
 // for as long as it may be sent again, so an index must outlive them.
 func (d *Door) freeGoneBackends() {
