The id of a request that may have run is remembered when its client has left

Cause: an id was forgotten with its client's last attempt, but a cancelled attempt may still run. Idempotent requests may come again. The account counts repeated_ids.

--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -79,6 +80,7 @@
 	pending         []gate.Event
 	requests        []request
 	requestIDs      map[string]struct{} // of open requests
+	recentIDs       *recentIDs          // of requests that are over and may have run
 	freeSlots       []int               // free indices of requests
 	releasable      []int               // requests to check at the end of the batch: their slots may be free
 	customers       index.Table[uint64]
@@ -128,7 +130,7 @@
 )
 
 func newCore(cfg config.Door, decider gate.Decider, log logrus.FieldLogger) *core {
-	c := &core{cfg: cfg, log: log, decider: decider, clock: newClock(), budget: newSocketBudget(availableSockets(cfg.Sockets)), memory: newMemoryBudget(cfg.MemoryMB),
+	c := &core{cfg: cfg, log: log, decider: decider, clock: newClock(), budget: newSocketBudget(availableSockets(cfg.Sockets)), memory: newMemoryBudget(cfg.MemoryMB), recentIDs: newRecentIDs(cfg.MemoryMB),
 		events: make(chan event, maxBatch), done: make(chan struct{}), customers: index.New[uint64](), backendIDs: index.New[string](),
 		zones: index.New[string](), cells: index.New[int64](),
 		requestIDs: map[string]struct{}{}, clients: map[*client]struct{}{}, backendConns: map[*backendConn]struct{}{}}
@@ -239,6 +241,9 @@
 	for _, op := range c.releasable {
 		if req := &c.requests[op]; req.msg != nil && req.done && req.outstanding == 0 {
 			delete(c.requestIDs, req.msg.ID)
+			if c.mustRunOnce(req.class) && req.mayHaveRun() {
+				c.recentIDs.add(req.msg.ID, c.now)
+			}
 			req.memory.release()
 			clear(req.attempts)
 			*req = request{attempts: req.attempts[:0]}
@@ -248,6 +253,16 @@
 	c.releasable = c.releasable[:0]
 }
 
+// mustRunOnce reports whether requests of a class must not run twice.
+func (c *core) mustRunOnce(class int) bool {
+	return c.cfg.Settings.Terms.Classes[class].Semantics != gate.Idempotent
+}
+
+// mayHaveRun reports whether a request whose attempts have ended may have run.
+func (req *request) mayHaveRun() bool {
+	return slices.ContainsFunc(req.attempts, func(att *attempt) bool { return !att.outcome.result().NeverRan() })
+}
+
 // execute executes one action.
 func (c *core) execute(a gate.Action) {
 	switch a := a.(type) {
@@ -314,7 +329,9 @@
 		e.cl.hasRequested = true
 		c.activeClients++
 	}
-	if _, open := c.requestIDs[e.msg.ID]; open { // a backend could not tell the two apart, nor the decider their results
+	// A backend could not tell two open requests with the same id apart, nor the decider their results.
+	if _, open := c.requestIDs[e.msg.ID]; open || c.mustRunOnce(e.ev.Class) && c.recentIDs.contains(e.msg.ID, c.clock.now()) {
+		c.tally.repeatedIDs++
 		e.cl.idleSince = c.clock.now()
 		e.memory.release()
 		e.cl.refused.Store(true)
--- a/frontdoor/tally.go
+++ b/frontdoor/tally.go
@@ -22,6 +22,7 @@
 	differences      [gate.DifferenceCount]int
 	retried          int
 	watchesEnded     int
+	repeatedIDs      int
 	ended            [outcomes]int
 	closed           [closeReasons]int
 	violations       [invariants]int
@@ -49,6 +50,9 @@
 	if t.watchesEnded > 0 {
 		f[fields.Watches] = t.watchesEnded
 	}
+	if t.repeatedIDs > 0 {
+		f[fields.RepeatedIDs] = t.repeatedIDs
+	}
 	for how, n := range t.ended {
 		if n > 0 {
 			f[fields.Ended+outcome(how).String()] = n
