A client is read on until its close is seen, and nothing starts for one that is not

Cause: after 256 KB the door stopped reading until the answer, so the close behind the rest was not delivered; the check before an attempt asks the system, which cannot know it either. A client that sends more is not read from until its answer, and no attempt starts for it any more.

--- a/frontdoor/backend.go
+++ b/frontdoor/backend.go
@@ -185,6 +185,10 @@
 		conn.c.post(attemptTooLate{att})
 		return
 	}
+	if att.client.mayHaveGone() {
+		conn.c.post(attemptTooLate{att})
+		return
+	}
 	if att.client.peerClosed() {
 		return // the client's reader is about to report this, and the event loop then drops the attempt
 	}
--- a/frontdoor/client.go
+++ b/frontdoor/client.go
@@ -24,6 +24,7 @@
 	finished       atomic.Bool     // the last answer has been written, or failed: no more requests are accepted
 	writing        atomic.Bool     // the pending answer is being written: new input may follow it
 	writeFailed    atomic.Bool     // an answer could not be written
+	unobserved     atomic.Bool     // the client is not read from until its answer: whether it has closed its connection is unknown
 	refused        atomic.Bool     // the latest request was answered without a backend
 	awaitsMemory   atomic.Bool     // the reader waits for memory
 	reason         atomic.Uint32   // closeReason, valid if closeRequested is set
@@ -53,6 +54,9 @@
 // peerClosed reports whether the client has closed its connection, even if the reader has not reached the end of its input yet.
 func (cl *client) peerClosed() bool { return cl != nil && cl.raw != nil && sockio.PeerClosed(cl.raw) }
 
+// mayHaveGone reports whether the client may have closed its connection long ago without the door's notice. Nothing must start for it.
+func (cl *client) mayHaveGone() bool { return cl != nil && cl.unobserved.Load() }
+
 // wake makes the reader return from its present or next read. The flag and the deadline are set under the same lock that
 // setReadDeadline takes: a deadline that the reader sets at the same moment would otherwise cancel the wake-up.
 func (cl *client) wake() {
--- a/frontdoor/clientread.go
+++ b/frontdoor/clientread.go
@@ -39,7 +39,7 @@
 	minQueueDelay = 10 * time.Millisecond // from this time in the listener's queue on, the kernel is asked how long bytes were unread
 	maxDrainReads = 32                    // buffers read after a last answer
 	finalReadSize = smallMessage          // bytes read before an idle connection is closed
-	maxDiscarded  = 1 << 18               // bytes discarded before an answer; beyond that the client is not read from until the answer
+	maxDiscarded  = 16 << 20              // bytes discarded before an answer, more than the system holds for a client that has closed; beyond that the client is not read from until the answer
 )
 
 // run reads from the connection until it ends.
@@ -169,6 +169,7 @@
 	r.buffered = nil
 	r.releaseBuffer()
 	if r.discarded >= maxDiscarded {
+		cl.unobserved.Store(true)
 		<-cl.answerDone
 		r.answerWritten(cl)
 		return true
