A keyed request is repeated only at processes that are surely the listed ones

Cause: a backend was known by its address; between its end and the list's word for it nothing told the two processes apart. Change: identity/, without I/O: a connection that a backend's side ends, or that cannot be established, puts its process in doubt for the 6 s after which a change counts as told, or until the list names another start or address; an open connection of before proves that it lives. Keyed requests that only a zone or cell deduplicates are repeated only if no attempt of theirs was in doubt and the next one isn't; what is ruled out ends as unconfirmed at once, counted in the account. A backend whose address is listed for another one is taken off the list, whatever order the list tells it in.

--- a/frontdoor/backend.go
+++ b/frontdoor/backend.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/identity"
 	"github.com/swifthall/swifthall/internal/http1"
 	"github.com/swifthall/swifthall/internal/pool"
 	"github.com/swifthall/swifthall/internal/sockio"
@@ -23,6 +24,7 @@
 	conn                *backendConn
 	client              *client
 	stage               atomic.Int32
+	unconfirmed         bool // the process that it was sent to may be another one than the listed one
 	ended               bool
 	outcome             outcome // valid once ended
 }
@@ -76,10 +78,11 @@
 	answerPending bool
 
 	// Used by the event loop only.
-	attempt     *attempt // in progress; nil if idle
-	idleSince   float64  // clock, ms
-	hasAnswered bool     // has carried an answer
-	closed      bool
+	attempt       *attempt // in progress; nil if idle
+	establishedAt float64  // clock, ms; identity.NewConnection while it is not known to be established
+	idleSince     float64  // clock, ms
+	hasAnswered   bool     // has carried an answer
+	closed        bool
 }
 
 // begin claims an attempt for writing and marks its answer as pending. It reports false if the connection has ended, if bytes have
@@ -171,6 +174,7 @@
 		return
 	}
 	defer conn.nc.Close()
+	conn.c.post(connEstablished{conn, conn.c.clock.now()})
 	conn.writeAttempt(first, msg)
 	conn.c.post(connClosed{conn, conn.readAnswers()})
 }
@@ -364,9 +368,14 @@
 			c.finish(att, outcomeNoSocket, c.now, -1, -1)
 			return
 		}
-		att.conn = &backendConn{c: c, backend: att.backend, addr: b.addr, processStart: b.processStart}
+		att.conn = &backendConn{c: c, backend: att.backend, addr: b.addr, processStart: b.processStart, establishedAt: identity.NewConnection}
 	}
 	conn := att.conn
+	if !c.confirmGroup(att) {
+		c.returnUnused(conn)
+		c.finish(att, outcomeUnconfirmed, c.now, -1, -1)
+		return
+	}
 	conn.attempt = att
 	msg := c.requests[att.op].msg
 	c.timeouts.add(att.deadline, att)
@@ -380,6 +389,16 @@
 	go conn.run(ctx, att, msg)
 }
 
+// returnUnused takes back a connection that carries no attempt after all.
+func (c *core) returnUnused(conn *backendConn) {
+	if conn.nc == nil {
+		c.releaseBackend()
+		return
+	}
+	b := &c.backends[conn.backend]
+	b.idle = append(b.idle, conn)
+}
+
 // acquireBackend takes a socket and the memory of a connection for one more backend connection, if the budgets have both.
 func (c *core) acquireBackend() bool {
 	if !c.budget.acquire(c.budget.backendReserve) {
@@ -522,6 +541,9 @@
 	}
 	conn.attempt = nil
 	c.closeConn(conn)
+	if e.outcome == outcomeBroken || e.outcome == outcomeNoConnection {
+		c.connectionLost(conn.backend)
+	}
 	if att == nil {
 		return
 	}
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -12,6 +12,7 @@
 
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/identity"
 	"github.com/swifthall/swifthall/internal/fields"
 	"github.com/swifthall/swifthall/internal/http1"
 	"github.com/swifthall/swifthall/internal/index"
@@ -40,11 +41,12 @@
 type backend struct {
 	id           string
 	addr         string
-	status       gate.Status    // on the list
-	processStart wallTime       // start of its process, as listed; 0 is long ago
-	startedAt    float64        // the same on the door's clock, ms; 0 is long ago
-	weight       float64        // capacity relative to other backends, as listed
-	eligible     bool           // new attempts may be sent to it: up on the list, and not withheld
+	status       gate.Status // on the list
+	processStart wallTime    // start of its process, as listed; 0 is long ago
+	startedAt    float64     // the same on the door's clock, ms; 0 is long ago
+	weight       float64     // capacity relative to other backends, as listed
+	eligible     bool        // new attempts may be sent to it: up on the list, and not withheld
+	process      identity.Process
 	counts       Counts         // of attempts that ended
 	idle         []*backendConn // most recently used last
 
--- a/frontdoor/fleet.go
+++ b/frontdoor/fleet.go
@@ -32,18 +32,28 @@
 			c.backends[i].eligible, c.backends[i].status = false, gate.Gone
 		}
 	}
+	addresses := map[string]int{} // of the backends in this update that are up
 	for _, e := range u.list.Backends {
 		i := c.backendIDs.Add(e.ID)
 		if i == len(c.backends) {
 			c.backends = append(c.backends, backend{})
 		}
 		b := &c.backends[i]
+		if e.Addr != "" && e.Addr != b.addr || wallTime(e.Started) != b.processStart {
+			b.process.Listed()
+		}
 		c.setProcessStart(b, wallTime(e.Started), u.lastReceived)
 		b.id, b.status, b.weight, b.listed = e.ID, e.Status(), e.Weight, true
 		b.zone, b.cell = c.zones.Add(e.Zone), c.cells.Add(e.Cell)
 		if e.Addr != "" {
 			b.addr = e.Addr
 		}
+		if b.status == gate.Up {
+			addresses[b.addr] = i
+		}
+		ev.Entries = append(ev.Entries, c.gateEntry(i))
+	}
+	for _, i := range c.releaseAddresses(addresses) {
 		ev.Entries = append(ev.Entries, c.gateEntry(i))
 	}
 	c.fleetChanged(ev)
--- a/frontdoor/identity_test.go
+++ b/frontdoor/identity_test.go
@@ -159,7 +159,9 @@
 	assert.False(t, c.backends[0].eligible, "its address belongs to another backend now")
 	assert.True(t, c.backends[1].eligible)
 	ended := c.pending[len(c.pending)-1].(gate.FleetUpdate)
-	assert.Contains(t, ended.Entries, gate.Entry{Backend: 0, Status: gate.Gone, RingPosition: ended.Entries[0].RingPosition, Weight: ended.Entries[0].Weight})
+	require.Len(t, ended.Entries, 2)
+	assert.Equal(t, 0, ended.Entries[1].Backend)
+	assert.Equal(t, gate.Gone, ended.Entries[1].Status, "the decider hears of it")
 	c.pending = nil
 	fleetUpdate{list: registry.List{Backends: []registry.Entry{{ID: "s", Addr: "127.0.0.1:2", State: "Ready"}}}}.handle(c)
 	assert.True(t, c.backends[0].eligible, "it is listed at an address of its own again")
--- a/frontdoor/outcome.go
+++ b/frontdoor/outcome.go
@@ -10,6 +10,7 @@
 	outcomeError                          // complete answer with any other status
 	outcomeTurnedAway                     // complete answer: the request was turned away without being run
 	outcomeNoSocket                       // the socket budget is used up
+	outcomeUnconfirmed                    // the process at the backend's address may be another one than the listed one
 	outcomeNoConnection                   // the connection was refused or not established
 	outcomeBrokenUnsent                   // connection broke before the last byte was written
 	outcomeBroken                         // connection broke after the last byte was written
@@ -23,14 +24,14 @@
 
 // String returns the name of the outcome in periodic summaries and logs.
 func (o outcome) String() string {
-	return [...]string{"well", "ill", "turned_away", "no_socket", "no_connection", "cut_unsent", "cut", "garbled", "late_unsent", "late",
+	return [...]string{"well", "ill", "turned_away", "no_socket", "unconfirmed", "no_connection", "cut_unsent", "cut", "garbled", "late_unsent", "late",
 		"left_unsent", "left"}[o]
 }
 
 // results maps each outcome to the result reported to the decider. A request whose last byte was not written never ran.
 var results = [...]gate.Result{
 	outcomeOK: gate.Finished, outcomeError: gate.Errored, outcomeTurnedAway: gate.Full,
-	outcomeNoSocket: gate.Skipped, outcomeNoConnection: gate.Unreachable,
+	outcomeNoSocket: gate.Skipped, outcomeUnconfirmed: gate.Skipped, outcomeNoConnection: gate.Unreachable,
 	outcomeBrokenUnsent: gate.Unreachable, outcomeBroken: gate.Reset, outcomeMalformed: gate.Malformed,
 	outcomeTimeoutUnsent: gate.Skipped, outcomeTimeout: gate.TimedOut,
 	outcomeAbandonedUnsent: gate.Skipped, outcomeAbandoned: gate.Cancelled,
