Soak: crowds at two doors, floods, ids that come again, memory limits by seed

Clients also flood and close, and send a request again under its id after they have left; the checker tells the two apart by time, and has planted violations and an allowed case for it. Large answers that are not read are a crowd of their own. The summary of a run tells its crowd and the largest resident memory.

--- a/lab/soak/backend.go
+++ b/lab/soak/backend.go
@@ -114,7 +114,11 @@
 	default:
 		sleepBetween(3, 30)
 	}
-	_, err := fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+	body := id
+	if strings.HasPrefix(id, largeAnswerID) {
+		body = strings.Repeat("x", largeBody)
+	}
+	_, err := fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	return err == nil
 }
 
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -144,7 +144,7 @@
 	case killed && (inc.KilledWithoutTerm || q.Sent >= inc.Kill): // lost to the kill, which is allowed
 	case killed:
 		c.report(RuleLost, q.ID, "door %d, sent %v after SIGTERM, open at SIGKILL %v", q.Door, q.Sent-inc.Term, inc.Kill-inc.Term)
-	case len(c.arrivals[q.ID]) > 0:
+	case slices.ContainsFunc(c.arrivals[q.ID], q.owns):
 		c.report(RuleLost, q.ID, "forwarded, but its connection was closed without an answer")
 	case q.Ended-q.Sent > maxDoorDelay+timingSlack+c.delay(q.Door, q.Ended):
 		c.report(RuleLost, q.ID, "its connection was closed without an answer %v after it was sent%s", q.Ended-q.Sent, c.sinceTerm(inc, q))
@@ -171,6 +171,14 @@
 	ran := 0
 	firstRun := Never
 	for _, a := range c.arrivals[q.ID] {
+		if a.LastByte != Never && !a.Refused { // whichever of the requests with this id it belongs to
+			if ran++; firstRun == Never || a.LastByte < firstRun {
+				firstRun = a.LastByte
+			}
+		}
+		if !q.owns(a) {
+			continue
+		}
 		delay := c.delay(q.Door, a.FirstByte)
 		if q.End == ClientClosed && a.FirstByte > q.Ended+closeGrace+timingSlack+delay {
 			c.report(RuleGone, q.ID, "an attempt began %v after its client's close", a.FirstByte-q.Ended)
@@ -181,12 +189,6 @@
 		if over := a.Remaining - (q.Sent + q.Wait - a.FirstByte); over > deadlineSlack+timingSlack+delay {
 			c.report(RuleDeadline, q.ID, "the backend was given %v, %v more than its client had left", a.Remaining, over)
 		}
-		if a.Refused {
-			continue
-		}
-		if ran++; firstRun == Never || a.LastByte < firstRun {
-			firstRun = a.LastByte
-		}
 	}
 	if q.Semantics == NonIdempotent && ran > 1 {
 		c.report(RuleDuplicate, q.ID, "not idempotent, but ran %d times", ran)
@@ -199,6 +201,11 @@
 	}
 }
 
+// owns reports whether an attempt belongs to the request, and not to another one that its client sent with the same id.
+func (q *Request) owns(a Arrival) bool {
+	return a.FirstByte >= q.Began && (q.Until == 0 || a.FirstByte < q.Until)
+}
+
 // checkDrains checks that no attempt went to a backend after its door was notified that the backend drains.
 func (c *checker) checkDrains() {
 	door := map[string]int{}
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -33,6 +33,12 @@
 		"attempt begun after the client closed": {RuleGone, func(r *History) {
 			r.Requests[0].End, r.Requests[0].Ended, r.Arrivals[0].FirstByte = ClientClosed, at(1), at(1.16)
 		}},
+		"ran again when its id came again": {RuleDuplicate, func(r *History) {
+			first := &r.Requests[0]
+			first.Semantics, first.End, first.Ended, first.Until = NonIdempotent, ClientClosed, at(1.05), at(1.2)
+			r.Requests = append(r.Requests, Request{ID: "a", Semantics: NonIdempotent, Began: at(1.2), Sent: at(1.2), Wait: time.Second, End: Answered, Ended: at(1.3), Status: 200, Body: "a"})
+			r.Arrivals = append(r.Arrivals, Arrival{ID: "a", FirstByte: at(1.25), LastByte: at(1.25), Remaining: at(0.9)})
+		}},
 		"ran twice": {RuleDuplicate, func(r *History) {
 			r.Requests[0].Semantics, r.Arrivals = NonIdempotent, append(r.Arrivals, r.Arrivals[0])
 		}},
@@ -74,6 +80,12 @@
 			r.Arrivals[0].Refused = true
 			r.Arrivals = append(r.Arrivals, Arrival{ID: "a", FirstByte: 1, LastByte: 1})
 		},
+		"not run before its id came again": func(r *History) {
+			first := &r.Requests[0]
+			first.Semantics, first.End, first.Ended, first.Until = NonIdempotent, ClientClosed, 1001*time.Millisecond, 1005*time.Millisecond
+			r.Requests = append(r.Requests, Request{ID: "a", Semantics: NonIdempotent, Began: 1005 * time.Millisecond, Sent: 1005 * time.Millisecond,
+				Wait: time.Second, End: Answered, Ended: 1100 * time.Millisecond, Status: 200, Body: "a"})
+		},
 		"refused and not sent again": func(r *History) {
 			r.Requests[0].Semantics = Keyed
 			r.Requests[0].Status, r.Arrivals[0].Refused = 429, true
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -78,6 +78,8 @@
 	sendInTwoParts          // in two parts, with a pause between
 	sendAndClose            // whole, and closes before the answer
 	sendHalf                // only a part, and keeps the connection open
+	sendAndFlood            // whole, with much more behind it, and closes before the answer
+	sendAgain               // whole, closes before the answer, and sends the same request again
 )
 
 // drawMode draws a mode; the thresholds are cumulative percentages.
@@ -91,10 +93,14 @@
 		return sendDelayed
 	case n < 90:
 		return sendInTwoParts
-	case n < 98:
+	case n < 95:
 		return sendAndClose
+	case n < 97:
+		return sendHalf
+	case n < 98:
+		return sendAndFlood
 	}
-	return sendHalf
+	return sendAgain
 }
 
 // sendRequest sends one request in a random mode and records how it ended.
@@ -136,17 +142,43 @@
 		c.record(q)
 		return
 	}
-	if mode == sendAndClose {
-		time.Sleep(c.randomDelay(200))
+	switch mode {
+	case sendAndClose, sendAndFlood, sendAgain:
+		if mode == sendAndFlood {
+			writeFlood(c.nc, text)
+		} else {
+			time.Sleep(c.randomDelay(200))
+		}
 		c.disconnect()
 		q.End, q.Ended = ClientClosed, c.rig.now()
-		c.rig.history.addRequest(q)
+	default:
+		c.readAnswer(&q)
+	}
+	if mode == sendAgain {
+		c.sendOnceMore(q, text)
 		return
 	}
-	c.readAnswer(&q)
 	c.record(q)
 }
 
+// sendOnceMore records a request whose client closed its connection, and sends it again, with the same id, on a new connection.
+func (c *client) sendOnceMore(q Request, text string) {
+	time.Sleep(c.randomDelay(400))
+	again := Request{ID: q.ID, Door: q.Door, Semantics: q.Semantics, Wait: q.Wait, Began: c.rig.now()}
+	again.Sent = again.Began
+	q.Until = again.Began
+	c.rig.history.addRequest(q)
+	if !c.connect() {
+		return
+	}
+	if _, err := io.WriteString(c.nc, text); err != nil {
+		again.End, again.Ended = WriteFailed, c.rig.now()
+	} else {
+		c.readAnswer(&again)
+	}
+	c.record(again)
+}
+
 // closedByPeer reports whether the door has closed a connection: a client does not send a request on a connection that it knows to
 // be closed.
 func closedByPeer(nc net.Conn) (closed bool) {
--- a/lab/soak/crowd.go
+++ b/lab/soak/crowd.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -24,6 +23,7 @@
 	CompleteFields         // complete requests whose heads have many short fields, on connections that are kept
 	LargeRequests          // complete requests with large bodies, all of one customer
 	UnreadAnswers          // health checks at full speed, whose answers are not read
+	LargeAnswers           // complete requests whose large answers are not read
 	PipelinedHealth        // health checks at full speed, without waiting for answers
 	PipelinedInvalid       // invalid requests at full speed, without waiting for answers
 	NewCustomers           // requests at full speed, each of a new customer
@@ -34,7 +34,7 @@
 // String returns the name of the kind.
 func (k Crowd) String() string {
 	return [...]string{"none", "slow heads", "stalled bodies", "stalled bodies after fields", "complete heads of fields", "large requests",
-		"unread answers", "pipelined health checks", "pipelined invalid requests", "new customers", "flood and close"}[k]
+		"unread answers", "unread large answers", "pipelined health checks", "pipelined invalid requests", "new customers", "flood and close"}[k]
 }
 
 const (
@@ -52,6 +52,12 @@
 	newCustomerEvery  = 200 * time.Microsecond // shortest time between two requests of a client of NewCustomers
 )
 
+// Prefixes of the ids of crowd requests. A normal backend answers those with the second one with a large body.
+const (
+	crowdID       = "crowd"
+	largeAnswerID = "large"
+)
+
 const healthCheck = "GET /health/live HTTP/1.1\r\nHost: d\r\n\r\n"
 
 // crowdClient is one client of a crowd.
@@ -97,6 +103,8 @@
 		c.repeat(nc, func() string { return c.request("POST /pay", "", largeBody) + "\r\n" + strings.Repeat("x", largeBody) })
 	case UnreadAnswers:
 		c.write(nc, healthCheck)
+	case LargeAnswers:
+		c.stall(nc, c.request("GET /look", "", 0)+"\r\n")
 	case PipelinedHealth:
 		c.pipeline(nc, healthCheck)
 	case PipelinedInvalid:
@@ -122,8 +130,12 @@
 	case LargeRequests:
 		key = 1
 	}
-	head := fmt.Sprintf("%s?key=%016x HTTP/1.1\r\nHost: d\r\nX-Txn: crowd%016x\r\nX-Tariff: team\r\nX-Remaining: %dm\r\nX-Weight: units=1,spread=1,first=0\r\n%s",
-		line, key, n, crowdRequestLimit.Milliseconds(), fields)
+	id := crowdID
+	if c.kind == LargeAnswers {
+		id = largeAnswerID
+	}
+	head := fmt.Sprintf("%s?key=%016x HTTP/1.1\r\nHost: d\r\nX-Txn: %s%016x\r\nX-Tariff: team\r\nX-Remaining: %dm\r\nX-Weight: units=1,spread=1,first=0\r\n%s",
+		line, key, id, n, crowdRequestLimit.Milliseconds(), fields)
 	if body > 0 {
 		head += fmt.Sprintf("Content-Length: %d\r\n", body)
 	}
@@ -208,14 +220,15 @@
 
 // flood writes one request with many more behind it, and closes the connection before an answer can have come.
 func (c *crowdClient) flood(nc net.Conn) {
-	first := c.request("GET /look", "", 0) + "\r\n"
-	rest := bytes.Repeat([]byte(c.request("GET /look", "", 0)+"\r\n"), floodSize/len(first))
-	nc.SetWriteDeadline(time.Now().Add(floodCloseDelay))
-	if _, err := io.WriteString(nc, first); err == nil {
-		_, err = nc.Write(rest)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
+	if _, err := io.WriteString(nc, c.request("GET /look", "", 0)+"\r\n"); err == nil {
+		writeFlood(nc, c.request("GET /look", "", 0)+"\r\n")
 	}
-	time.Sleep(floodCloseDelay)
+}
+
+// writeFlood writes requests until floodCloseDelay is over, floodSize bytes at most.
+func writeFlood(nc net.Conn, request string) {
+	end := time.Now().Add(floodCloseDelay)
+	nc.SetWriteDeadline(end)
+	_, _ = io.WriteString(nc, strings.Repeat(request, floodSize/len(request)))
+	time.Sleep(time.Until(end))
 }
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -49,6 +49,7 @@
 	Ended     Instant
 	Status    int
 	Body      string
+	Until     Instant // when the client sent the same id again; 0 if it did not
 }
 
 // Arrival is an attempt as a backend observed it.
--- a/lab/soak/rig.go
+++ b/lab/soak/rig.go
@@ -26,6 +26,7 @@
 	MemoryMB       int              // limit of resident memory per door, MB
 	Crowd          Crowd            // kind of the ill-behaved clients of each door
 	CrowdClients   int              // number of ill-behaved clients per door
+	CrowdDoors     int              // number of doors that have a crowd; 0 for all
 	MaxDeadline    time.Duration    // longest request deadline of the deployment
 	Length         time.Duration    // until every door is terminated
 	NoRandomFaults bool             // there are no random events, and no system call faults except FaultPlans
@@ -45,6 +46,14 @@
 	LogClosed          // the read end of the pipe is closed
 )
 
+// crowdAt returns the number of ill-behaved clients of a door.
+func (cfg *Config) crowdAt(door int) int {
+	if cfg.CrowdDoors > 0 && door >= cfg.CrowdDoors {
+		return 0
+	}
+	return cfg.CrowdClients
+}
+
 // rig is the environment of the doors of a run.
 type rig struct {
 	seed          uint64
@@ -170,7 +179,7 @@
 		for range cfg.IdleClients {
 			clients.Go(func() { r.idle(d) })
 		}
-		for k := range cfg.CrowdClients {
+		for k := range cfg.crowdAt(d.number) {
 			c := &crowdClient{rig: r, door: d, kind: cfg.Crowd, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(crowdStream+d.number*1000+k)))}
 			clients.Go(c.run)
 		}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -48,15 +48,20 @@
 	return out
 }
 
-// soakConfig returns the configuration of the soak run of a seed, with a few dozen processes. Its deadlines, descriptor limit
-// and idle clients vary by seed.
+// soakConfig returns the configuration of the soak run of a seed, with a few dozen processes. Its deadlines, limits, idle clients and
+// crowds vary by seed.
 func soakConfig(program string, seed uint64) Config {
 	deadlines := []time.Duration{400 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second}
 	cfg := Config{Seed: seed, Program: program, LogDir: *logDir, Doors: 24, Backends: 8, Clients: 6, Descriptors: 512, MemoryMB: 192,
 		MaxDeadline: deadlines[seed%4], Length: 8 * time.Second}
+	cfg.MemoryMB = []int{192, 32, 64, 128}[seed/4%4]
 	if seed%3 == 0 {
 		cfg.Descriptors, cfg.IdleClients = 128, 120
 	}
+	if seed%3 == 1 { // two doors of the least memory have a crowd
+		cfg.MemoryMB, cfg.Descriptors = 32, []int{256, 1024}[seed/3%2]
+		cfg.Crowd, cfg.CrowdClients, cfg.CrowdDoors = 1+Crowd(seed/3)%(crowdKinds-1), 600, 2
+	}
 	return cfg
 }
 
@@ -69,8 +74,12 @@
 	for _, q := range r.Requests {
 		ends[q.End]++
 	}
-	t.Logf("seed %d: %d requests, %d answered, %d closed without an answer, %d closed by the client; %d attempts, %d processes, longest stall of the rig %v", cfg.Seed,
-		len(r.Requests), ends[Answered], ends[ConnClosed], ends[ClientClosed], len(r.Arrivals), len(r.Incarnations), longestRigStall(r.Stalls))
+	var peak int64
+	for _, inc := range r.Incarnations {
+		peak = max(peak, inc.PeakMemory)
+	}
+	t.Logf("seed %d: crowd %v, largest resident memory %.1f MB of %d MB; %d requests, %d answered, %d closed without an answer, %d closed by the client; %d attempts, %d processes, longest stall of the rig %v", cfg.Seed,
+		cfg.Crowd, megabytes(peak), cfg.MemoryMB, len(r.Requests), ends[Answered], ends[ConnClosed], ends[ClientClosed], len(r.Arrivals), len(r.Incarnations), longestRigStall(r.Stalls))
 	return r
 }
 
