A crowd's sockets come back at once, and a shutdown empties its queue in time

Cause: whether time is short was read off the budget at that moment, which a batch of closes leaves free for an instant, so that its connections were drained for 350 ms each; and a failed accept stretched the time for a first request again. Change: a crowd lasts until 1 s after clients last waited; in it what did not come in time is not drained; failed accepts ask for the queue's length too; in a shutdown the shortest time holds.

--- a/frontdoor/accept.go
+++ b/frontdoor/accept.go
@@ -144,7 +144,7 @@
 	}
 	a.log(err)
 	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-		c.post(socketNeeded{waiting: 1})
+		c.post(socketNeeded{listenQueue(c.listener)})
 	}
 	if a.failures++; a.failures > immediateAcceptRetries {
 		a.queueFilled = true
--- a/frontdoor/clientanswer.go
+++ b/frontdoor/clientanswer.go
@@ -51,13 +51,17 @@
 
 // drain closes the sending side after a last answer, and reads and discards input for a while: a connection closed with unread
 // input is reset, which can destroy the answer before the client reads it.
-func (cl *client) drain() {
+func (cl *client) drain(reason closeReason) {
+	limit := duration(cl.c.drainTime(reason))
+	if limit == 0 {
+		return
+	}
 	if half, ok := cl.nc.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
 		return
 	}
 	cl.mu.Lock()
 	cl.draining = true
-	cl.nc.SetReadDeadline(time.Now().Add(duration(cl.c.drainTime())))
+	cl.nc.SetReadDeadline(time.Now().Add(limit))
 	cl.mu.Unlock()
 	var r readState
 	for range maxDrainReads {
--- a/frontdoor/clientread.go
+++ b/frontdoor/clientread.go
@@ -48,7 +48,7 @@
 	defer func() {
 		r.releaseMemory()
 		if r.finalAnswered {
-			cl.drain()
+			cl.drain(r.reason)
 		}
 		cl.nc.Close()
 		cl.c.memory.release(connectionMemory)
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -118,7 +118,8 @@
 	pausedClients atomic.Int64  // connections whose next request is delayed, as they send too many that no backend answers
 	lateUntil     atomicInstant // clock until which bytes may be read late, as the process hardly gets the processor, ms
 	memoryAskedAt atomicInstant // clock of the latest memoryNeeded, ms
-	crowdGrace    atomicInstant // how long a half-sent request may take while clients wait for sockets, ms; 0 if none ever did
+	crowdUntil    atomicInstant // clock until which clients are taken to wait for sockets, ms
+	crowdGrace    atomicInstant // how long a half-sent request may take then, ms
 }
 
 const (
--- a/frontdoor/crowd.go
+++ b/frontdoor/crowd.go
@@ -10,6 +10,7 @@
 	silentLingerDivisor = 3   // a client that never sent a request may be closed after this fraction (1/3) of Pace.Linger
 	drainLingerDivisor  = 8   // input behind a last answer is discarded for this fraction of Pace.Linger while clients wait for sockets
 	maxQueueWait        = 250 // ms that clients should wait in the listener's queue, at most
+	crowdSpan           = 1e3 // ms for which clients are taken to wait for sockets after some did
 	minCrowdGrace       = 20  // ms that a connection has for its first request in any crowd: one that waited in the queue has sent it
 )
 
@@ -22,6 +23,7 @@
 
 func (e socketNeeded) handle(c *core) {
 	c.crowdGrace.store(c.graceFor(e.waiting))
+	c.crowdUntil.store(c.clock.now() + crowdSpan)
 	idle := c.longIdleClients()
 	for _, i := range idle[:min(len(idle), max(1, e.waiting))] {
 		i.client.requestClose(closedForSocket)
@@ -34,8 +36,11 @@
 // graceFor returns how long a connection may keep its socket without a whole request, ms, while others wait: with so many in the
 // queue that none of them waits for longer than maxQueueWait, if possible.
 func (c *core) graceFor(waiting int) float64 {
-	if waiting == 0 {
+	switch {
+	case waiting == 0:
 		return c.cfg.Pace.Linger
+	case c.shuttingDown: // the listener closes soon
+		return minCrowdGrace
 	}
 	sockets := float64(c.cfg.Sockets - c.cfg.Sockets/clientReserveDivisor)
 	return min(c.cfg.Pace.Linger, max(minCrowdGrace, maxQueueWait*sockets/float64(waiting)))
@@ -63,15 +68,25 @@
 	return idle
 }
 
+// crowded reports whether clients have been waiting for sockets until a moment ago.
+func (c *core) crowded() bool { return c.clock.now() < c.crowdUntil.load() }
+
 // halfSentLimit returns how long a half-sent request may take on a connection that is to be closed, ms.
 func (c *core) halfSentLimit() float64 {
-	return cmp.Or(c.crowdGrace.load(), c.cfg.Pace.Linger)
+	if c.crowded() {
+		return c.crowdGrace.load()
+	}
+	return c.cfg.Pace.Linger
 }
 
-// drainTime returns how long input behind a last answer is discarded, ms.
-func (c *core) drainTime() float64 {
-	if c.budget.low(c.budget.clientReserve) {
-		return c.cfg.Pace.Linger / drainLingerDivisor
+// drainTime returns how long input behind a last answer is discarded, ms. In a crowd a client that did not send its request in time may
+// lose the answer to that.
+func (c *core) drainTime(reason closeReason) float64 {
+	switch {
+	case !c.crowded():
+		return c.cfg.Pace.Linger / 2
+	case reason == closedSlowRequest:
+		return 0
 	}
-	return c.cfg.Pace.Linger / 2
+	return c.cfg.Pace.Linger / drainLingerDivisor
 }
