A client that closed in the listener's queue behind its input gets no attempt

Cause: an attempt was held back only once the reader had stopped; a close behind input that is being read, or waits in the client's system, was not known yet. Change: while input is unread or has just been dropped, an attempt waits for the reader to come to its end, 1 s at most, and then starts only if the client is known to be there: nothing more came for 10 ms, or what was read last was sent a moment ago. The usual request needs no further system call.

--- a/frontdoor/backend.go
+++ b/frontdoor/backend.go
@@ -183,19 +183,16 @@
 func (conn *backendConn) writeAttempt(att *attempt, msg *http1.Request) {
 	conn.writeInProgress.Store(true)
 	defer conn.writeInProgress.Store(false)
-	// Dialling may have taken long, or the process may have been suspended. An attempt past its time would run for nobody, or run
-	// twice at a backend that may have forgotten the request's key.
-	if att.tooLate(conn.c.clock.now()) && att.stage.CompareAndSwap(stageWaiting, stageDropped) {
-		conn.c.post(attemptTooLate{att})
+	// Dialling or the client's input may have taken long, or the process may have been suspended. An attempt past its time would run for
+	// nobody, or run twice at a backend that may have forgotten the request's key.
+	client := att.client.presence()
+	if client == departed {
 		return
 	}
-	if att.client.mayHaveGone() {
+	if (client == uncertain || att.tooLate(conn.c.clock.now())) && att.stage.CompareAndSwap(stageWaiting, stageDropped) {
 		conn.c.post(attemptTooLate{att})
 		return
 	}
-	if att.client.peerClosed() {
-		return // the client's reader is about to report this, and the event loop then drops the attempt
-	}
 	if !conn.begin(att) {
 		if att.stage.Load() == stageWaiting {
 			conn.nc.Close() // the event loop then launches the attempt on another connection
@@ -471,7 +468,8 @@
 	}
 }
 
-// attemptTooLate reports that an attempt's connection was established too late for it to begin. The connection is closed too: it
+// attemptTooLate reports that an attempt may not begin: its connection was established too late, or its client may have gone, which
+// the client's reader cannot tell. The connection is closed too: it
 // may be about to break, and a later attempt should use a connection known to work.
 type attemptTooLate struct{ attempt *attempt }
 
--- a/frontdoor/client.go
+++ b/frontdoor/client.go
@@ -24,6 +24,7 @@
 	finished       atomic.Bool     // the last answer has been written, or failed: no more requests are accepted
 	writing        atomic.Bool     // the pending answer is being written: new input may follow it
 	writeFailed    atomic.Bool     // an answer could not be written
+	discardedAt    atomicInstant   // clock of the latest discarded input, ms
 	unobserved     atomic.Bool     // the client is not read from until its answer: whether it has closed its connection is unknown
 	refused        atomic.Bool     // the latest request was answered without a backend
 	awaitsMemory   atomic.Bool     // the reader waits for memory
@@ -51,11 +52,41 @@
 	return cl
 }
 
-// peerClosed reports whether the client has closed its connection, even if the reader has not reached the end of its input yet.
-func (cl *client) peerClosed() bool { return cl != nil && cl.raw != nil && sockio.PeerClosed(cl.raw) }
+const (
+	inputQuietTime   = 10 * time.Millisecond // without input, after which a client that sent much is taken to have sent all
+	inputWait        = time.Second           // for which the reader has to come to the end of a client's input
+	inputWaitPolling = time.Millisecond
+	maxUnobserved    = 50 * time.Millisecond // after the reader has stopped reading, within which a client has not closed long ago
+)
+
+// presence is what is known of a client with a pending answer.
+type presence uint8
+
+const (
+	present   presence = iota // its connection is open
+	departed                  // it has closed its connection, which its reader is about to report
+	uncertain                 // it may have closed its connection behind input that has not been read
+)
 
-// mayHaveGone reports whether the client may have closed its connection long ago without the door's notice. Nothing must start for it.
-func (cl *client) mayHaveGone() bool { return cl != nil && cl.unobserved.Load() }
+// presence reports whether the client has closed its connection. While more input arrives behind the request, a close may be behind
+// that, so the reader has to come to its end first.
+func (cl *client) presence() presence {
+	if cl == nil || cl.raw == nil {
+		return present
+	}
+	for end := time.Now().Add(inputWait); ; time.Sleep(inputWaitPolling) {
+		closed, unread := sockio.PeerState(cl.raw)
+		sinceInput := duration(cl.c.clock.now() - cl.discardedAt.load())
+		switch {
+		case closed:
+			return departed
+		case !unread && (!cl.overflowed.Load() || sinceInput >= inputQuietTime), cl.unobserved.Load() && sinceInput <= maxUnobserved:
+			return present
+		case cl.unobserved.Load(), time.Now().After(end):
+			return uncertain
+		}
+	}
+}
 
 // wake makes the reader return from its present or next read. The flag and the deadline are set under the same lock that
 // setReadDeadline takes: a deadline that the reader sets at the same moment would otherwise cancel the wake-up.
--- a/frontdoor/clientread.go
+++ b/frontdoor/clientread.go
@@ -164,12 +164,13 @@
 		r.answerWritten(cl)
 		return true
 	}
+	cl.discardedAt.store(cl.c.clock.now())
 	cl.overflowed.Store(true)
 	r.discarded += len(r.buffered)
 	r.buffered = nil
 	r.releaseBuffer()
 	if r.discarded >= maxDiscarded {
-		cl.unobserved.Store(true)
+		cl.unobserved.Store(true) // what was read last was sent a moment ago: the system does not hold that much
 		<-cl.answerDone
 		r.answerWritten(cl)
 		return true
--- a/frontdoor/departure_test.go
+++ b/frontdoor/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -126,3 +127,42 @@
 		})
 	}
 }
+
+func TestNoAttemptStartsForClientThatClosedInListenQueueBehindItsInput(t *testing.T) {
+	var log arrivalLog
+	td := newPolicyDoor(t, log.failingBackend(0))
+	held := make(chan struct{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	td.network.Listen = func(context.Context, string) (net.Listener, error) {
+		return &heldListener{ln.(*net.TCPListener), held}, nil
+	}
+	td.start(t)
+	td.addr = ln.Addr().String()
+	td.waitReady(t)
+	nc := connect(t, td.addr)
+	flood := strings.Repeat(requestWithID("next"), (1500<<10)/len(lookRequest))
+	_, err = io.WriteString(nc, requestWithID("first"))
+	require.NoError(t, err)
+	nc.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+	io.WriteString(nc, flood)
+	nc.Close()
+	closed := time.Now()
+	time.Sleep(2 * maxAttemptAfterClose)
+	close(held) // the door accepts the connection now
+	time.Sleep(2 * maxAttemptAfterClose)
+	td.stop()
+	require.NoError(t, await(t, td.ended, "the end of Serve"))
+	assert.Empty(t, log.after(closed.Add(maxAttemptAfterClose)))
+}
+
+// heldListener is a listener that accepts nothing until held is closed.
+type heldListener struct {
+	*net.TCPListener
+	held <-chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	<-l.held
+	return l.TCPListener.Accept()
+}
--- a/frontdoor/guard.go
+++ b/frontdoor/guard.go
@@ -45,9 +45,6 @@
 
 // mayStart reports whether an attempt may start now.
 func (c *core) mayStart(req *request, backend int) bool {
-	if req.client.mayHaveGone() {
-		return false
-	}
 	which, violated := c.startViolation(req, &c.backends[backend])
 	if !violated {
 		which, violated = c.repeatViolation(req, &c.backends[backend])
--- a/internal/sockio/sockio.go
+++ b/internal/sockio/sockio.go
@@ -109,19 +109,27 @@
 }
 
 // PeerClosed reports whether the peer has closed or reset the connection, even if data that it sent before is still unread.
-func PeerClosed(raw syscall.RawConn) (is bool) {
+func PeerClosed(raw syscall.RawConn) bool {
+	closed, _ := PeerState(raw)
+	return closed
+}
+
+// PeerState reports whether the peer has closed or reset the connection, as PeerClosed does, and whether data is unread. The system
+// may not have received a close yet that the peer made behind much unread data.
+func PeerState(raw syscall.RawConn) (closed, unread bool) {
 	err := raw.Control(func(fd uintptr) {
 		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
 		case IsTransient(err), err == syscall.EAGAIN:
 		case err != nil, n == 0:
-			is = true
+			closed = true
 		default:
+			unread = true
 			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-			is = err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
+			closed = err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
 		}
 	})
-	return is || err != nil
+	return closed || err != nil, unread
 }
 
 // IsIdle reports whether a connection is open and has no data to read.
