The state of listed backends counts against the memory budget

Cause: the budget of connections was the same with 10 and with 3,200 backends, whose state is some MB. Change: 2 KiB for each index in use, taken whether it is free or not. The tests' fake backends share their loop over requests.

--- a/frontdoor/fleet.go
+++ b/frontdoor/fleet.go
@@ -37,6 +37,7 @@
 		i := c.backendIDs.Add(e.ID)
 		if i == len(c.backends) {
 			c.backends = append(c.backends, backend{})
+			c.memory.take(backendMemory)
 		}
 		b := &c.backends[i]
 		if e.Addr != "" && e.Addr != b.addr || wallTime(e.Started) != b.processStart {
--- a/frontdoor/identity_test.go
+++ b/frontdoor/identity_test.go
@@ -49,17 +49,10 @@
 }
 
 func (p *fakeProcess) serve(nc net.Conn, handle func(net.Conn)) {
-	for r := bufio.NewReader(nc); ; {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
+	eachRequest(nc, func(req *http.Request) {
 		p.received <- req.Header.Get("X-Txn")
 		handle(nc)
-	}
+	})
 }
 
 // die ends the process: its listener is closed and its connections are reset.
--- a/frontdoor/memory.go
+++ b/frontdoor/memory.go
@@ -13,6 +13,7 @@
 	processMemory    = 12 << 20 // bytes that a process needs without connections: program, runtime, fleet list, state of the decider
 	collectorReserve = 0.6      // bytes of garbage and fragmentation for each byte held
 	minMemoryBudget  = 2 << 20  // bytes, for limits that hardly suffice for the process itself
+	backendMemory    = 2 << 10  // bytes of the state of a backend on the fleet list
 	connectionMemory = 6 << 10  // bytes of a connection's goroutines and state, of either direction
 	smallMessage     = 4 << 10  // bytes up to which a request or an answer counts as small; the first read of a request stays below
 
@@ -53,6 +54,10 @@
 	return true
 }
 
+// take takes bytes that are held already, whether they are free or not.
+func (b *memoryBudget) take(bytes int) { b.release(-bytes) }
+
+// release returns bytes.
 func (b *memoryBudget) release(bytes int) {
 	b.mu.Lock()
 	b.free += int64(bytes)
--- a/frontdoor/serve_test.go
+++ b/frontdoor/serve_test.go
@@ -39,6 +39,20 @@
 	}
 }
 
+// eachRequest calls a function with every request that arrives whole on a connection, until that ends.
+func eachRequest(nc net.Conn, handle func(*http.Request)) {
+	for r := bufio.NewReader(nc); ; {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		handle(req)
+	}
+}
+
 // discoveryServer returns a discovery server that sends a list with one backend on every watch. It reports the URI of each request
 // and then calls a function with the connection.
 func discoveryServer(backend string, requests chan<- string, then func(net.Conn)) func(net.Conn) {
