Repeats of scoped keyed requests need connections of a certain age

Change: an attempt counts as having reached the listed process only over a connection that is 0.5 s old, and what may have run is repeated only if it did, and only over such a connection; repeats no longer dial. Connections that surely reach the listed process are preferred for these classes.

--- a/frontdoor/backend.go
+++ b/frontdoor/backend.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/swifthall/swifthall/gate"
-	"github.com/swifthall/swifthall/identity"
 	"github.com/swifthall/swifthall/internal/http1"
 	"github.com/swifthall/swifthall/internal/pool"
 	"github.com/swifthall/swifthall/internal/sockio"
@@ -24,7 +23,7 @@
 	conn                *backendConn
 	client              *client
 	stage               atomic.Int32
-	unconfirmed         bool // the process that it was sent to may be another one than the listed one
+	confirmed           bool // it was sent to the listed process for sure
 	ended               bool
 	outcome             outcome // valid once ended
 }
@@ -79,7 +78,7 @@
 
 	// Used by the event loop only.
 	attempt       *attempt // in progress; nil if idle
-	establishedAt float64  // clock, ms; identity.NewConnection while it is not known to be established
+	establishedAt float64  // clock, ms; notEstablished at first
 	idleSince     float64  // clock, ms
 	hasAnswered   bool     // has carried an answer
 	closed        bool
@@ -344,12 +343,12 @@
 	c.launch(att)
 }
 
-// takeIdle removes and returns the most recently used connection among those idle since the given clock or longer, nil if there
-// is none. The pause matters as a backend may send a second answer shortly after the first: on a connection that already carries
-// the next attempt, it would be taken for that attempt's answer.
-func (b *backend) takeIdle(before float64) *backendConn {
+// takeIdle removes and returns the most recently used connection that is suitable among those idle since the given clock or longer, nil
+// if there is none. The pause matters as a backend may send a second answer shortly after the first: on a connection that already
+// carries the next attempt, it would be taken for that attempt's answer.
+func (b *backend) takeIdle(before float64, suitable func(*backendConn) bool) *backendConn {
 	for i := len(b.idle) - 1; i >= 0; i-- {
-		if conn := b.idle[i]; conn.idleSince <= before {
+		if conn := b.idle[i]; conn.idleSince <= before && suitable(conn) {
 			b.idle = append(b.idle[:i], b.idle[i+1:]...)
 			return conn
 		}
@@ -359,21 +358,12 @@
 
 // launch assigns an attempt to an idle connection, or to a new one if there is none, and starts writing it.
 func (c *core) launch(att *attempt) {
-	b := &c.backends[att.backend]
-	if att.conn = b.takeIdle(c.now - c.cfg.Pace.Settle); att.conn == nil {
-		if !c.acquireBackend() && !(c.evictIdle() && c.acquireBackend()) {
-			c.finish(att, outcomeNoSocket, c.now, -1, -1)
-			return
-		}
-		att.conn = &backendConn{c: c, backend: att.backend, addr: b.addr, processStart: b.processStart, establishedAt: identity.NewConnection}
-	}
-	conn := att.conn
-	if !c.confirmGroup(att) {
-		c.returnUnused(conn)
-		c.finish(att, outcomeUnconfirmed, c.now, -1, -1)
+	conn, how := c.connectionFor(att)
+	if conn == nil {
+		c.finish(att, how, c.now, -1, -1)
 		return
 	}
-	conn.attempt = att
+	att.conn, att.confirmed, conn.attempt = conn, c.reached(conn), att
 	msg := c.requests[att.op].msg
 	c.timeouts.add(att.deadline, att)
 	if conn.nc != nil {
@@ -386,14 +376,30 @@
 	go conn.run(ctx, att, msg)
 }
 
-// returnUnused takes back a connection that carries no attempt after all.
-func (c *core) returnUnused(conn *backendConn) {
-	if conn.nc == nil {
-		c.releaseBackend()
-		return
+// connectionFor returns a connection for an attempt: an idle one, for a request that only some backends deduplicate preferably one that
+// surely reaches the listed process, or a new one. If there may be none, it returns the attempt's outcome.
+func (c *core) connectionFor(att *attempt) (conn *backendConn, how outcome) {
+	b, rested := &c.backends[att.backend], c.now-c.cfg.Pace.Settle
+	confirm, allowed := c.mustConfirm(att)
+	if !allowed {
+		return nil, outcomeUnconfirmed
+	}
+	if c.scoped(c.requests[att.op].class) {
+		conn = b.takeIdle(rested, c.reached)
+	}
+	if conn == nil && confirm {
+		return nil, outcomeUnconfirmed
+	}
+	if conn == nil {
+		conn = b.takeIdle(rested, func(*backendConn) bool { return true })
+	}
+	if conn != nil {
+		return conn, outcomeOK
+	}
+	if !c.acquireBackend() && !(c.evictIdle() && c.acquireBackend()) {
+		return nil, outcomeNoSocket
 	}
-	b := &c.backends[conn.backend]
-	b.idle = append(b.idle, conn)
+	return &backendConn{c: c, backend: att.backend, addr: b.addr, processStart: b.processStart, establishedAt: notEstablished}, outcomeOK
 }
 
 // acquireBackend takes a socket and the memory of a connection for one more backend connection, if the budgets have both.
@@ -540,7 +546,7 @@
 	conn.attempt = nil
 	c.closeConn(conn)
 	if e.outcome == outcomeBroken || e.outcome == outcomeNoConnection {
-		c.connectionLost(conn.backend)
+		c.backends[conn.backend].process.ConnectionLost(c.now)
 	}
 	if att == nil {
 		return
--- a/frontdoor/identity.go
+++ b/frontdoor/identity.go
@@ -1,12 +1,16 @@
 package frontdoor
 
 import (
+	"math"
+
 	"github.com/swifthall/swifthall/gate"
-	"github.com/swifthall/swifthall/identity"
 )
 
-// A keyed request may be repeated only where backends share its key, which depends on which backend a process belongs to. Repeats
-// therefore go only to processes that are surely the listed ones, and only if earlier attempts did.
+// A keyed request may be repeated only where backends share its key, which depends on which backend a process belongs to. Where not all
+// share it, an attempt is repeated only if it surely reached the listed process, and only where the next one surely does.
+
+// notEstablished is the time of establishment of a connection that is not known to be established.
+var notEstablished = math.Inf(1)
 
 // scoped reports whether only some backends discard repeats of a class's requests.
 func (c *core) scoped(class int) bool {
@@ -14,37 +18,27 @@
 	return t.Semantics == gate.Keyed && t.Scope != gate.ScopeAll
 }
 
-// confirmGroup reports whether an attempt may be sent over its connection, and records whether the process that it reaches is surely
-// the listed one.
-func (c *core) confirmGroup(att *attempt) bool {
+// mustConfirm reports whether an attempt may be sent only over a connection that surely reaches the listed process, as an earlier
+// attempt may have run; allowed is false if that one may have reached another process, so that no repeat is safe.
+func (c *core) mustConfirm(att *attempt) (confirm, allowed bool) {
 	req := &c.requests[att.op]
 	if !c.scoped(req.class) {
-		return true
+		return false, true
 	}
-	att.unconfirmed = !c.backends[att.backend].process.Certain(c.now, att.conn.establishedAt)
 	for _, earlier := range req.attempts {
-		repeats := earlier != att && !(earlier.ended && earlier.outcome.result().NeverRan())
-		if repeats && (earlier.unconfirmed || att.unconfirmed) {
-			return false
-		}
-	}
-	return true
-}
-
-// connectionLost records that a backend's side ended a connection, or that none could be established. Attempts that wait for a new
-// connection to it may reach another process.
-func (c *core) connectionLost(backend int) {
-	c.backends[backend].process.ConnectionLost(c.now)
-	for conn := range c.backendConns {
-		att := conn.attempt
-		if conn.backend != backend || att == nil || att.ended || conn.establishedAt != identity.NewConnection || c.confirmGroup(att) {
+		if earlier == att || earlier.number == att.number || earlier.ended && earlier.outcome.result().NeverRan() {
 			continue
 		}
-		if att.stage.CompareAndSwap(stageWaiting, stageDropped) {
-			c.closeConn(conn)
-			c.finish(att, outcomeUnconfirmed, c.now, -1, -1)
+		if confirm = true; !earlier.confirmed {
+			return true, false
 		}
 	}
+	return confirm, true
+}
+
+// reached reports whether a connection surely reaches the listed process.
+func (c *core) reached(conn *backendConn) bool {
+	return c.backends[conn.backend].process.Reached(c.now, conn.establishedAt)
 }
 
 // connEstablished reports that a connection to a backend has been established.
--- a/identity/identity.go
+++ b/identity/identity.go
@@ -1,18 +1,21 @@
-// Package identity decides whether the process at a backend's address is surely the one that the fleet list names. When a process ends,
-// another one, of another backend, may have its address at once, and the list says so only later. It does no I/O. Times are
-// milliseconds on the driver's clock.
+// Package identity decides whether the process at the other end of a connection is surely the one that the fleet list names for its
+// address. When a process ends, another one, of another backend, may have its address at once, and the list says so only later. It
+// does no I/O. Times are milliseconds on the driver's clock.
 package identity
 
-import "math"
+const (
+	// minAge is the age from which on a connection is taken to reach the listed process, if nothing speaks against that: had the process
+	// ended before it was established, the list would have said so by then.
+	minAge = 500
 
-// confirmTime is the time in ms after which a change of the fleet list counts as told, whatever failed: a list that still names a process
-// then is right about it.
-const confirmTime = 6000
+	// confirmTime is the time after which a change of the fleet list counts as told, whatever failed.
+	confirmTime = 6000
+)
 
-// Process is what a driver knows about the process at one backend's address. The zero value is a process that is surely the listed one.
+// Process is what a driver knows about the process at one backend's address. The zero value is a process that nothing speaks against.
 type Process struct {
-	doubtedAt float64 // time at which its end became possible; valid if doubted
 	doubted   bool
+	doubtedAt float64 // time at which its end became possible; valid if doubted
 }
 
 // ConnectionLost records that a connection to the process was ended by its side, or could not be established: the process may have
@@ -22,11 +25,11 @@
 // Listed records that the fleet list names another process than before, which is the one that has the address now.
 func (p *Process) Listed() { *p = Process{} }
 
-// Certain reports whether a connection reaches the listed process. establishedAt is the time at which it was established, NewConnection
-// for one that is still to be. A connection that was established before the doubt and is open proves that its process has not ended.
-func (p *Process) Certain(now, establishedAt float64) bool {
-	return !p.doubted || now >= p.doubtedAt+confirmTime || establishedAt < p.doubtedAt
+// Reached reports whether an open connection surely reaches the listed process. One that was established before the process came into
+// doubt proves that it has not ended.
+func (p *Process) Reached(now, establishedAt float64) bool {
+	if now < establishedAt+minAge {
+		return false
+	}
+	return !p.doubted || establishedAt < p.doubtedAt || now >= p.doubtedAt+confirmTime
 }
-
-// NewConnection is the time of establishment of a connection that is still to be established.
-var NewConnection = math.Inf(1)
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -39,6 +39,11 @@
 			r.Requests = append(r.Requests, Request{ID: "a", Semantics: NonIdempotent, Began: at(1.2), Sent: at(1.2), Wait: time.Second, End: Answered, Ended: at(1.3), Status: 200, Body: "a"})
 			r.Arrivals = append(r.Arrivals, Arrival{ID: "a", FirstByte: at(1.25), LastByte: at(1.25), Remaining: at(0.9)})
 		}},
+		"ran in two zones": {RuleDuplicate, func(r *History) {
+			r.ZoneScope, r.Requests[0].Semantics, r.Arrivals[0].Zone = true, Keyed, "a"
+			r.Arrivals = append(r.Arrivals, r.Arrivals[0])
+			r.Arrivals[1].Zone = "b"
+		}},
 		"ran twice": {RuleDuplicate, func(r *History) {
 			r.Requests[0].Semantics, r.Arrivals = NonIdempotent, append(r.Arrivals, r.Arrivals[0])
 		}},
@@ -86,6 +91,14 @@
 			r.Requests = append(r.Requests, Request{ID: "a", Semantics: NonIdempotent, Began: 1005 * time.Millisecond, Sent: 1005 * time.Millisecond,
 				Wait: time.Second, End: Answered, Ended: 1100 * time.Millisecond, Status: 200, Body: "a"})
 		},
+		"run again after a restart": func(r *History) {
+			first := &r.Requests[0]
+			first.Semantics, first.End, first.Ended, first.Until = NonIdempotent, ClientClosed, 1020*time.Millisecond, 4*time.Second
+			r.Requests = append(r.Requests, Request{ID: "a", Semantics: NonIdempotent, Began: 4 * time.Second, Sent: 4 * time.Second,
+				Wait: time.Second, End: Answered, Ended: 4100 * time.Millisecond, Status: 200, Body: "a"})
+			r.Arrivals = append(r.Arrivals, Arrival{ID: "a", FirstByte: 4010 * time.Millisecond, LastByte: 4010 * time.Millisecond, Remaining: 900 * time.Millisecond})
+			r.Incarnations = append(r.Incarnations, Incarnation{Started: 3 * time.Second, Ready: 3100 * time.Millisecond, Term: 8 * time.Second, Kill: Never, Exited: 9 * time.Second})
+		},
 		"refused and not sent again": func(r *History) {
 			r.Requests[0].Semantics = Keyed
 			r.Requests[0].Status, r.Arrivals[0].Refused = 429, true
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -60,6 +60,7 @@
 	LastByte  Instant       // its last byte was read; Never if the connection broke before
 	Remaining time.Duration // how long the front door waits for the answer, according to its request header
 	Refused   bool          // refused without running
+	Zone      string        // zone of the process that received it
 }
 
 // Incarnation is one process of a door.
@@ -97,6 +98,7 @@
 type History struct {
 	MaxDeadline time.Duration // longest request deadline of the deployment
 	DedupWindow time.Duration // how long backends discard repeats of a keyed request
+	ZoneScope   bool          // only the backends of a zone discard each other's repeats, not all
 	DrainGrace  time.Duration // how long a door may still send to a backend after it was notified of its drain
 	MaxMemory   int64         // memory that the settings give each process, bytes; 0 for no limit
 
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -177,6 +177,7 @@
 const (
 	behaviorsPerS     = 1.5 // changes of a backend's behavior
 	drainsPerS        = 0.3
+	replacementsPerS  = 0.4 // of backend processes by others at their addresses
 	outagesPerS       = 0.6 // of one door's discovery agents
 	counterFaultsPerS = 0.3
 	pausesPerS        = 3.0 // for 8 doors; scaled to their number
@@ -195,6 +196,7 @@
 	}
 	draw(behaviorsPerS, s.drawBehavior)
 	draw(drainsPerS, s.drawDrain)
+	draw(replacementsPerS, s.drawReplacement)
 	draw(outagesPerS, s.drawOutage)
 	draw(counterFaultsPerS, s.drawCounterFault)
 	draw(pausesPerS*float64(len(s.rig.doors))/8, s.drawPause)
@@ -223,6 +225,23 @@
 	return event{at, s.drawMs(1000, 3000), set(draining), set(ready)}
 }
 
+// drawReplacement draws the end of a backend process, whose address another one has at once. Discovery tells it some time later.
+func (s *schedule) drawReplacement(at time.Duration) event {
+	b, told := s.rig.backends[s.rng.IntN(len(s.rig.backends))], s.drawMs(5, 300)
+	return event{at: at, begin: func() {
+		ended, started := b.replace()
+		if started == nil {
+			return
+		}
+		time.Sleep(told)
+		for _, d := range s.rig.doors {
+			for _, a := range d.agents {
+				a.replace(b.number, ended, started, b.addr)
+			}
+		}
+	}}
+}
+
 // drawOutage draws an outage of one door's discovery agents.
 func (s *schedule) drawOutage(at time.Duration) event {
 	d, reset := s.rig.doors[s.rng.IntN(len(s.rig.doors))], s.rng.IntN(2) == 0
