--- a/lab/soak/crowd.go
+++ b/lab/soak/crowd.go
@@ -37,6 +37,11 @@
 		"unread answers", "unread large answers", "pipelined health checks", "pipelined invalid requests", "new customers", "flood and close"}[k]
 }
 
+// fullSpeed reports whether clients of the kind send as fast as they can.
+func (k Crowd) fullSpeed() bool {
+	return k == UnreadAnswers || k == PipelinedHealth || k == PipelinedInvalid || k == NewCustomers
+}
+
 const (
 	largeBody         = 65000                  // bytes of the body of a large request; the limit is 65,536
 	partialBody       = 60000                  // bytes that are written of a body of maxBody bytes before silence
