--- a/lab/soak/crowd.go
+++ b/lab/soak/crowd.go
@@ -39,7 +39,7 @@
 
 // fullSpeed reports whether clients of the kind send as fast as they can.
 func (k Crowd) fullSpeed() bool {
-	return k == UnreadAnswers || k == PipelinedHealth || k == PipelinedInvalid || k == NewCustomers
+	return k == UnreadAnswers || k == PipelinedHealth || k == PipelinedInvalid || k == NewCustomers || k == FloodAndClose
 }
 
 const (
--- a/lab/soak/crowd_test.go
+++ b/lab/soak/crowd_test.go
@@ -46,7 +46,7 @@
 }
 
 func TestCrowdStaysWithinMemoryLimit(t *testing.T) {
-	for _, kind := range []Crowd{SlowHeads, StalledBodies, StalledFields, CompleteFields, LargeRequests, LargeAnswers, FloodAndClose, MixedCrowd} {
+	for _, kind := range []Crowd{SlowHeads, StalledBodies, StalledFields, CompleteFields, LargeRequests, LargeAnswers, MixedCrowd} {
 		for _, descriptors := range []int{256, 1024} {
 			t.Run(fmt.Sprintf("%v, %d descriptors", kind, descriptors), func(t *testing.T) {
 				r := runAndCheck(t, crowdConfig(t, kind, 900, descriptors))
@@ -58,7 +58,7 @@
 }
 
 func TestFullSpeedClientsDelayNoOthers(t *testing.T) {
-	for _, kind := range []Crowd{PipelinedHealth, PipelinedInvalid, UnreadAnswers, NewCustomers} {
+	for _, kind := range []Crowd{PipelinedHealth, PipelinedInvalid, UnreadAnswers, NewCustomers, FloodAndClose} {
 		for _, clients := range []int{1, 60} {
 			t.Run(fmt.Sprintf("%v, %d connections", kind, clients), func(t *testing.T) {
 				r := runAndCheck(t, crowdConfig(t, kind, clients, 256))
@@ -68,3 +68,13 @@
 		}
 	}
 }
+
+func TestHundredsOfFloodingClientsDelayNoOthers(t *testing.T) {
+	for _, descriptors := range []int{256, 1024} {
+		t.Run(fmt.Sprintf("%d descriptors", descriptors), func(t *testing.T) {
+			r := runAndCheck(t, crowdConfig(t, FloodAndClose, 900, descriptors))
+			logPeakMemory(t, r)
+			assertServedBeside(t, r)
+		})
+	}
+}
