A crowd that comes at once is noticed as lateness, and waits for memory look less often

Cause: the acceptor itself wakes late in such a burst, which nothing measured; and up to 600 waits for memory looked every 5 ms, a good part of the core. Change: more than 50 accepts in 100 ms count as a late process, in which the system is asked how long bytes were unread; waits for memory look every 25 ms.

--- a/frontdoor/accept.go
+++ b/frontdoor/accept.go
@@ -20,6 +20,8 @@
 	queuePollTimeout       = 5 * time.Millisecond   // how long an accept waits for the listener's queue during shutdown
 	minBlockedAccept       = time.Millisecond       // an accept that takes longer has found the queue empty
 	maxSuspension          = 200 * time.Millisecond // unless the process was suspended within it, for 150 ms at most
+	burstSpan              = 100 * time.Millisecond // in which more than minBurst accepted connections are a burst
+	minBurst               = 50                     // connections
 	acceptLogInterval      = time.Second            // time between log lines for failed accepts
 )
 
@@ -31,6 +33,8 @@
 	lastLogged   time.Time     // when a failure was last logged
 	unlogged     int           // failures since lastLogged
 	askedAt      time.Time     // when connections to close were last searched for
+	burstBegan   time.Time     // when burst began to be counted
+	burst        int           // connections accepted since then
 	queueEmptyAt time.Time     // when the listener's queue was last known to be empty
 	queueFilled  bool          // the queue may have filled since then, because nothing was accepted for a while
 }
@@ -55,11 +59,22 @@
 		a.failures, a.backoff = 0, minAcceptBackoff
 		cl := newClient(c, nc)
 		cl.maxQueued = time.Since(a.queueEmptyAt)
+		a.noteBurst()
 		c.post(clientOpened{cl})
 		go cl.run()
 	}
 }
 
+// noteBurst records that many connections come at once: their requests will be read late.
+func (a *acceptor) noteBurst() {
+	if time.Since(a.burstBegan) > burstSpan {
+		a.burstBegan, a.burst = time.Now(), 0
+	}
+	if a.burst++; a.burst > minBurst {
+		a.c.lateUntil.store(a.c.clock.now() + lateSpan)
+	}
+}
+
 // acquireClient takes a socket and the memory of a connection for one more client, if the budgets have both.
 func (c *core) acquireClient() bool {
 	if !c.budget.acquire(c.budget.clientReserve) {
--- a/frontdoor/memory.go
+++ b/frontdoor/memory.go
@@ -22,7 +22,7 @@
 	smallRequestReserve = 1.0 / 4 // share that small requests leave to backend connections and answers
 	largeAnswerReserve  = 1.0 / 8 // share that large answers leave to small ones
 
-	memoryPollInterval = 5 * time.Millisecond  // between two tries to get memory
+	memoryPollInterval = 25 * time.Millisecond // between two tries to get memory
 	memoryAskInterval  = 10 * time.Millisecond // between two searches for requests that have to give theirs back
 )
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -107,6 +107,6 @@
 
 func TestARunWithoutFaultsKeepsEveryRule(t *testing.T) {
 	cfg := soakConfig(buildProgram(t), 4)
-	cfg.NoRandomFaults, cfg.Doors, cfg.Length = true, 4, 2*time.Second
+	cfg.NoRandomFaults, cfg.Crowd, cfg.CrowdClients, cfg.Doors, cfg.Length = true, NoCrowd, 0, 4, 2*time.Second
 	assert.Empty(t, Check(runAndLog(t, cfg)))
 }
