--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -157,31 +158,41 @@
 	return path, os.WriteFile(path, raw, 0o600)
 }
 
-// freeAddress returns a loopback address that is free for TCP and UDP. The port is below those that the system hands out by itself.
+// freeAddress returns a loopback address that is free for TCP and UDP. The port is below those that the system hands out by itself, and is
+// reserved, by a name that only one process can hold, against other cases that are played at the same time.
 func freeAddress() (string, error) {
-	for try := range 500 {
-		port := 12000 + (os.Getpid()*37+int(time.Now().UnixNano()/1000)+try*101)%20000
-		if given[port] {
-			continue
-		}
-		at := fmt.Sprintf("127.0.0.1:%d", port)
-		ln, err := net.Listen("tcp", at)
+	for range 1000 {
+		port := 12000 + rand.IntN(20000)
+		held, err := net.Listen("unix", fmt.Sprintf("@swifthall/loopback/%d", port))
 		if err != nil {
 			continue
 		}
-		pc, err := net.ListenPacket("udp", at)
-		ln.Close()
-		if err != nil {
-			continue
+		at := fmt.Sprintf("127.0.0.1:%d", port)
+		if isFree(at) {
+			reserved = append(reserved, held)
+			return at, nil
 		}
-		pc.Close()
-		given[port] = true
-		return at, nil
+		held.Close()
 	}
 	return "", fmt.Errorf("no free port")
 }
 
-var given = map[int]bool{} // ports that freeAddress has returned
+var reserved []net.Listener // of the ports that freeAddress has returned, until the case has ended
+
+// isFree reports whether an address is free for TCP and UDP.
+func isFree(at string) bool {
+	ln, err := net.Listen("tcp", at)
+	if err != nil {
+		return false
+	}
+	ln.Close()
+	pc, err := net.ListenPacket("udp", at)
+	if err != nil {
+		return false
+	}
+	pc.Close()
+	return true
+}
 
 // waitFor waits until a condition holds.
 func waitFor(limit time.Duration, condition func() bool) bool {
