--- a/review/rig2/clock.go
+++ b/review/rig2/clock.go
@@ -37,7 +37,7 @@
 	for range 15 { // until c-0 leads
 		out, ok := f.operator(10*time.Second, "status")
 		if !ok {
-			return false, fmt.Errorf("no status")
+			return false, r.cannot("no status")
 		}
 		leader := -1
 		for i := range 3 {
@@ -60,7 +60,7 @@
 	began := time.Now()
 	out, ok := f.operator(30*time.Second, "drain", "backend", victim.name, "--for", "40s")
 	if !ok {
-		return false, fmt.Errorf("not drained: %s", out)
+		return false, r.cannot("not drained: %s", out)
 	}
 	time.Sleep(25 * time.Second)
 	f.operator(5*time.Second, "status")
--- a/review/rig2/drained.go
+++ b/review/rig2/drained.go
@@ -1,9 +1,6 @@
 package main
 
-import (
-	"fmt"
-	"time"
-)
+import "time"
 
 // drainGrace is the time after which nothing new may go to a backend, of the settings, with what real time is given more.
 const drainGrace = 550 * time.Millisecond
@@ -30,7 +27,7 @@
 		time.Sleep(2 * time.Second)
 		if r.trouble {
 			if out, ok := f.operator(10*time.Second, "release", "start", file); !ok {
-				return fmt.Errorf("no release: %s", out)
+				return r.cannot("no release: %s", out)
 			}
 		}
 		return nil
--- a/review/rig2/early.go
+++ b/review/rig2/early.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"syscall"
 	"time"
 )
@@ -21,7 +20,7 @@
 	if r.trouble {
 		time.Sleep(100 * time.Millisecond) // its supervisor starts it again
 	} else if !f.doorProcs[0].ended(10 * time.Second) {
-		return false, fmt.Errorf("the door has not ended")
+		return false, r.cannot("the door has not ended")
 	}
 	p, err := f.startDoor(0)
 	if err != nil {
--- a/review/rig2/environment.go
+++ b/review/rig2/environment.go
@@ -35,12 +35,12 @@
 	time.Sleep(time.Until(limit.Add(time.Second)))
 	for _, b := range f.backends {
 		if n := len(b.got(limit)); n > 0 {
-			return false, fmt.Errorf("%d requests at %s before anything else was done", n, b.name)
+			return false, r.cannot("%d requests at %s before anything else was done", n, b.name)
 		}
 	}
 	if r.trouble {
 		if out, ok := f.operator(10*time.Second, "release", "start", file); !ok {
-			return false, fmt.Errorf("no release: %s", out)
+			return false, r.cannot("no release: %s", out)
 		}
 		if err := f.awaitRelease(); err != nil {
 			return false, err
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -121,7 +121,7 @@
 	}
 	for _, at := range f.doors {
 		if !ready(r, at, 15*time.Second) {
-			return nil, fmt.Errorf("a door is not ready")
+			return nil, r.cannot("a door is not ready")
 		}
 	}
 	budgets, err := r.file("budgets.json", []obj{{"kind": "door", "most_out": 1}, {"kind": "backend", "most_out": 1}, {"kind": "zone", "most_out": 1}})
@@ -129,7 +129,7 @@
 		return nil, err
 	}
 	if out, ok := f.operator(15*time.Second, "budgets", budgets); !ok {
-		return nil, fmt.Errorf("no budgets: %s", out)
+		return nil, r.cannot("no budgets: %s", out)
 	}
 	return f, nil
 }
@@ -226,7 +226,7 @@
 	out, ok := f.operator(5*time.Second, "release", "digest", path)
 	digest := strings.TrimSpace(out)
 	if !ok || len(digest) != 64 {
-		return "", fmt.Errorf("no digest: %s", out)
+		return "", f.r.cannot("no digest: %s", out)
 	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
--- a/review/rig2/known.go
+++ b/review/rig2/known.go
@@ -33,14 +33,14 @@
 	limit := told.Add(drainGrace)
 	time.Sleep(10 * time.Second)
 	if n := len(victim.got(limit)); n > 0 {
-		return false, fmt.Errorf("%d requests at %s before anything else was done", n, victim.name)
+		return false, r.cannot("%d requests at %s before anything else was done", n, victim.name)
 	}
 	if r.trouble {
 		f.disc.setDown(true)
 	}
 	down := time.Now()
 	if out, ok := f.operator(10*time.Second, "release", "start", file); !ok {
-		return false, fmt.Errorf("no release: %s", out)
+		return false, r.cannot("no release: %s", out)
 	}
 	waitFor(time.Until(down.Add(outage)), func() bool { return len(starts.late(victim.got(limit))) >= 3 })
 	f.endDrained(victim)
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -46,12 +46,29 @@
 			finish(couldNot, "could not run: no time left")
 		}
 	}()
-	broken, err := cases[os.Args[1]](r)
+	broken, failure := play(r, cases[os.Args[1]])
 	switch {
-	case err != nil:
-		finish(couldNot, "could not run: "+err.Error())
+	case failure != "":
+		finish(couldNot, "could not run: "+string(failure))
 	case broken:
 		finish(ruleBroken, "the rule was broken")
 	}
 	finish(ruleHeld, "the rule held")
 }
+
+// play plays a case and returns whether the rule was broken, or why it could not run.
+func play(r *rig, c testCase) (broken bool, failure setupFailure) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			var is bool
+			if failure, is = reason.(setupFailure); !is {
+				panic(reason)
+			}
+		}
+	}()
+	broken, err := c(r)
+	if err != nil {
+		failure = setupFailure(err.Error())
+	}
+	return broken, failure
+}
--- a/review/rig2/plain.go
+++ b/review/rig2/plain.go
@@ -31,7 +31,7 @@
 		return "", nil, err
 	}
 	if !ready(r, addr, 15*time.Second) {
-		return "", nil, fmt.Errorf("the door is not ready")
+		return "", nil, r.cannot("the door is not ready")
 	}
 	return addr, all, nil
 }
--- a/review/rig2/processes.go
+++ b/review/rig2/processes.go
@@ -31,7 +31,7 @@
 	before := make([][]int, len(f.doorProcs))
 	for i, p := range f.doorProcs {
 		if before[i] = children(p); len(before[i]) != 1 {
-			return 0, 0, fmt.Errorf("door-%d has not one serving process", i)
+			return 0, 0, f.r.cannot("door-%d has not one serving process", i)
 		}
 	}
 	ok := waitFor(15*time.Second, func() bool {
@@ -44,7 +44,7 @@
 		return false
 	})
 	if !ok {
-		return 0, 0, fmt.Errorf("no door takes the release")
+		return 0, 0, f.r.cannot("no door takes the release")
 	}
 	f.r.note("door-%d has started a process for the new configuration; %d serves", door, serving)
 	return door, serving, nil
@@ -57,7 +57,7 @@
 		out, _ := f.operator(5*time.Second, "release", "status")
 		return strings.Contains(out, " done ")
 	}) {
-		return fmt.Errorf("the release is not done")
+		return f.r.cannot("the release is not done")
 	}
 	return nil
 }
@@ -66,7 +66,7 @@
 // as is allowed then: in the moment in which the third request sent after the grace has come there, or at the end of the time.
 func (f *fleetRig) drainAndReplace(b *backend, within time.Duration, meanwhile func() error) (told, limit time.Time, err error) {
 	if out, ok := f.operator(30*time.Second, "drain", "backend", b.name, "--wait", "--wait-most", "20s"); !ok {
-		return told, limit, fmt.Errorf("not drained: %s", out)
+		return told, limit, f.r.cannot("not drained: %s", out)
 	}
 	told = time.Now()
 	limit = told.Add(drainGrace)
@@ -106,7 +106,7 @@
 	}()
 	time.Sleep(2 * time.Second)
 	if out, ok := f.operator(10*time.Second, "release", "start", file); !ok {
-		return false, fmt.Errorf("no release: %s", out)
+		return false, r.cannot("no release: %s", out)
 	}
 	door, serving, err := f.awaitChange()
 	if err != nil {
--- a/review/rig2/reload.go
+++ b/review/rig2/reload.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"os"
 	"path/filepath"
 	"time"
@@ -31,7 +30,7 @@
 	}()
 	time.Sleep(2 * time.Second)
 	if out, ok := f.operator(10*time.Second, "release", "start", file); !ok {
-		return false, fmt.Errorf("no release: %s", out)
+		return false, r.cannot("no release: %s", out)
 	}
 	door, _, err := f.awaitChange()
 	if err != nil {
--- a/review/rig2/restore.go
+++ b/review/rig2/restore.go
@@ -26,7 +26,7 @@
 	time.Sleep(2 * time.Second)
 	out, ok := f.operator(10*time.Second, "status")
 	if !ok {
-		return false, fmt.Errorf("no status: %s", out)
+		return false, r.cannot("no status: %s", out)
 	}
 	last := 2 // one that doesn't lead
 	if strings.Contains(out, "reported by c-2") {
@@ -38,17 +38,17 @@
 	}
 	for range 2 {
 		if out, ok := f.operator(30*time.Second, "drain", "backend", "b-2", "--wait", "--wait-most", "20s"); !ok {
-			return false, fmt.Errorf("not drained: %s", out)
+			return false, r.cannot("not drained: %s", out)
 		}
 		if out, ok := f.operator(10*time.Second, "undrain", "backend", "b-2"); !ok {
-			return false, fmt.Errorf("not undrained: %s", out)
+			return false, r.cannot("not undrained: %s", out)
 		}
 		if !waitFor(20*time.Second, func() bool {
 			time.Sleep(300 * time.Millisecond)
 			out, _ := f.operator(5*time.Second, "status")
 			return !strings.Contains(out, "coming back")
 		}) {
-			return false, fmt.Errorf("b-2 is not back")
+			return false, r.cannot("b-2 is not back")
 		}
 	}
 	for i, p := range f.coordinators {
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -59,6 +59,14 @@
 	fmt.Fprintf(r.record, "%9.1f ms  %s\n", r.ms(), fmt.Sprintf(format, args...))
 }
 
+// setupFailure is why a case could not run.
+type setupFailure string
+
+// cannot ends the case, as it cannot run. It does not return; its result lets it stand in a return statement.
+func (r *rig) cannot(format string, args ...any) error {
+	panic(setupFailure(fmt.Sprintf(format, args...)))
+}
+
 // proc is a process that the case started, with its log.
 type proc struct {
 	r    *rig
@@ -174,7 +182,7 @@
 		}
 		held.Close()
 	}
-	return "", fmt.Errorf("no free port")
+	panic(setupFailure("no free port"))
 }
 
 var reserved []net.Listener // of the ports that freeAddress has returned, until the case has ended
--- a/review/rig2/start.go
+++ b/review/rig2/start.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"path/filepath"
 	"time"
 )
@@ -38,7 +37,7 @@
 	exited := p.ended(30 * time.Second)
 	d.setDown(false)
 	if !exited && !ready(r, at[0], 10*time.Second) {
-		return false, fmt.Errorf("the door is not ready though discovery is back")
+		return false, r.cannot("the door is not ready though discovery is back")
 	}
 	return exited, nil
 }
