--- a/review/rig2/stands.go
+++ b/review/rig2/stands.go
@@ -139,6 +139,8 @@
 	number  int64
 	entries []obj
 	watches map[net.Conn]bool
+	delay   time.Duration // before a call is answered
+	calls   int
 	down    bool // the agent is silent: open watches hear nothing, new ones are not answered
 }
 
@@ -184,6 +186,10 @@
 		return
 	}
 	d.mu.Lock()
+	d.calls++
+	d.mu.Unlock()
+	time.Sleep(d.delay)
+	d.mu.Lock()
 	if d.down {
 		d.watches[nc] = true
 		d.mu.Unlock()
@@ -226,16 +232,27 @@
 
 func chunk(nc net.Conn, data []byte) { fmt.Fprintf(nc, "%x\r\n%s\r\n", len(data), data) }
 
+// called returns how many calls there were.
+func (d *discovery) called() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls
+}
+
 // change tells a change of one entry to all watches.
 func (d *discovery) change(e obj) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.number++
+	listed := false
 	for i := range d.entries {
 		if d.entries[i]["instanceId"] == e["instanceId"] {
-			d.entries[i] = e
+			d.entries[i], listed = e, true
 		}
 	}
+	if !listed {
+		d.entries = append(d.entries, e)
+	}
 	for nc := range d.watches {
 		chunk(nc, list(d.number, false, []obj{e}))
 	}
