--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -12,7 +12,7 @@
 // A testCase plays one test and returns whether the rule was broken. An error means that it could not run.
 type testCase func(r *rig) (broken bool, err error)
 
-var cases = map[string]testCase{"two-processes": twoProcesses, "missed-reload": missedReload, "new-configurations": newConfigurations, "pipeline": pipeline, "flood": flood, "drained": drained, "no-length": noLength, "clock": clock, "early-reload": earlyReload, "start": startWithoutDiscovery, "restored": restored, "forgotten-list": forgottenList, "slow-discovery": slowDiscovery}
+var cases = map[string]testCase{"two-processes": twoProcesses, "missed-reload": missedReload, "new-configurations": newConfigurations, "pipeline": pipeline, "flood": flood, "drained": drained, "no-length": noLength, "clock": clock, "early-reload": earlyReload, "start": startWithoutDiscovery, "restored": restored, "forgotten-list": forgottenList, "slow-discovery": slowDiscovery, "second-command": secondCommand}
 
 const timeLimit = 110 * time.Second // a case that takes longer could not run
 
