Fleet watch: its error tells how far the call had come, the account counts calls

The door's log said 'i/o timeout' once and nothing of when or where, which fits a connect that times out, an answer that is cut off by the door, a watch that falls silent after its head, and a lack of sockets alike.

WatchError has the phase, the time waited in it and the bytes received; the account counts discovery_calls beside watches_ended.

--- a/frontdoor/errors.go
+++ b/frontdoor/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/swifthall/swifthall/internal/remedy"
 )
@@ -45,6 +46,34 @@
 	return "The door dials again by itself; if this goes on, look at the addresses in the keys \"discovery\" and \"counter\" and at \"limits.sockets\"."
 }
 
+// watchPhase is how far a watch of the fleet list had come.
+type watchPhase string
+
+const (
+	phaseConnecting watchPhase = "connecting"
+	phaseUnanswered watchPhase = "awaiting the first byte of the answer"
+	phaseAnswered   watchPhase = "awaiting more of the answer"
+)
+
+// WatchError says how far a watch of the fleet list had come when it ended. The door calls discovery again.
+type WatchError struct {
+	Phase    watchPhase
+	Waited   time.Duration // in this phase, since the call began or the last byte arrived
+	Received int           // bytes of the answer
+	Cause    error
+}
+
+func (e *WatchError) Error() string {
+	return fmt.Sprintf("%v after %v %s, with %d bytes received", e.Cause, e.Waited.Round(time.Millisecond), e.Phase, e.Received)
+}
+func (e *WatchError) Unwrap() error     { return e.Cause }
+func (e *WatchError) Kind() remedy.Kind { return remedy.Unreachable }
+
+// Remedy names the settings to check if the error persists.
+func (e *WatchError) Remedy() string {
+	return "The door calls discovery again by itself; if this goes on, look at the server in the key \"discovery\" and at how long it takes to answer."
+}
+
 var (
 	errNoSocket        = &LinkError{"no socket is free"}
 	errUnexpectedReply = &LinkError{"a reply without a pending call"}
--- a/frontdoor/fleet.go
+++ b/frontdoor/fleet.go
@@ -121,6 +121,11 @@
 	c.updateReady()
 }
 
+// discoveryCalled reports that a call of discovery has begun.
+type discoveryCalled struct{}
+
+func (discoveryCalled) handle(c *core) { c.tally.discoveryCalls++ }
+
 // watchEnded reports that a watch has ended, or could not be opened.
 type watchEnded struct{}
 
@@ -231,9 +236,11 @@
 		return errNoSocket
 	}
 	defer c.budget.release()
+	c.post(discoveryCalled{})
+	began := time.Now()
 	nc, err := c.dial(ctx, addr)
 	if err != nil {
-		return err
+		return &WatchError{phaseConnecting, time.Since(began), 0, err}
 	}
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
@@ -242,7 +249,7 @@
 	wait := duration(shortened(c.cfg.Pace.FirstByte, redialJitter, random))
 	firstBy := time.Now().Add(wait)
 	if _, err := sockio.Write(nc, registry.AppendWatch(buf, addr, version), firstBy); err != nil {
-		return err
+		return &WatchError{phaseUnanswered, time.Since(began), 0, err}
 	}
 	return c.readWatch(nc, buf[:pool.Size], firstBy, random, received)
 }
@@ -254,10 +261,15 @@
 func (c *core) readWatch(nc net.Conn, buf []byte, firstBy time.Time, random *rand.Rand, received func(l registry.List, lastReceived float64)) error {
 	var w registry.Watch
 	hasList := false // a list has arrived on this watch
+	progress := WatchError{Phase: phaseUnanswered}
+	lastByte := time.Now()
 	nc.SetReadDeadline(firstBy)
 	for {
 		n, err := sockio.Read(nc, buf)
 		lastReceived := c.listReceivedAt()
+		if n > 0 {
+			progress.Phase, progress.Received, lastByte = phaseAnswered, progress.Received+n, time.Now()
+		}
 		done, parseErr := w.Feed(buf[:n], func(l registry.List) {
 			hasList = true
 			received(l, lastReceived)
@@ -269,7 +281,8 @@
 		case parseErr != nil:
 			return parseErr
 		case err != nil:
-			return err
+			progress.Waited, progress.Cause = time.Since(lastByte), err
+			return &progress
 		case done:
 			return errWatchEnded
 		}
--- a/frontdoor/tally.go
+++ b/frontdoor/tally.go
@@ -21,6 +21,7 @@
 	rejected, failed [gate.CauseCount]int
 	differences      [gate.DifferenceCount]int
 	retried          int
+	discoveryCalls   int
 	watchesEnded     int
 	repeatedIDs      int
 	ended            [outcomes]int
@@ -47,6 +48,9 @@
 	if t.retried > 0 {
 		f[fields.Retried] = t.retried
 	}
+	if t.discoveryCalls > 0 {
+		f[fields.DiscoveryCalls] = t.discoveryCalls
+	}
 	if t.watchesEnded > 0 {
 		f[fields.Watches] = t.watchesEnded
 	}
--- a/internal/fields/fields.go
+++ b/internal/fields/fields.go
@@ -11,17 +11,18 @@
 
 // Fields of a door's periodic summary: counts since the previous one.
 const (
-	Arrived     = "arrived"       // requests received
-	Sent        = "sent"          // attempts started
-	Rejected    = "rejected_"     // prefix of a cause: requests rejected for it
-	Failed      = "scrapped_"     // prefix of a cause: requests failed for it
-	Differs     = "differs_"      // prefix of a kind: decisions that the alternative settings would have made differently
-	Retried     = "retried"       // attempts started after the first one of their request
-	Watches     = "watches_ended" // watches of the fleet list that ended
-	RepeatedIDs = "repeated_ids"  // requests refused because their id is open, or may have run a short time ago
-	Ended       = "ended_"        // prefix of an outcome: attempts that ended with it
-	Closed      = "closed_"       // prefix of a reason: client connections closed for it
-	Violated    = "violations_"   // prefix of an invariant: times that a violation was prevented
+	Arrived        = "arrived"         // requests received
+	Sent           = "sent"            // attempts started
+	Rejected       = "rejected_"       // prefix of a cause: requests rejected for it
+	Failed         = "scrapped_"       // prefix of a cause: requests failed for it
+	Differs        = "differs_"        // prefix of a kind: decisions that the alternative settings would have made differently
+	Retried        = "retried"         // attempts started after the first one of their request
+	DiscoveryCalls = "discovery_calls" // calls for the fleet list
+	Watches        = "watches_ended"   // watches of the fleet list that ended
+	RepeatedIDs    = "repeated_ids"    // requests refused because their id is open, or may have run a short time ago
+	Ended          = "ended_"          // prefix of an outcome: attempts that ended with it
+	Closed         = "closed_"         // prefix of a reason: client connections closed for it
+	Violated       = "violations_"     // prefix of an invariant: times that a violation was prevented
 )
 
 // Fields of what a door holds at the time of its summary.
