Fleet watch: a discovery that answers late is heard; a call stays open beside the next

It was called 99 times in 30 s and never heard.

Cause: each call was given up when its first byte had not come after Pace.FirstByte less up to half (0.375 to 0.75 s), and the next call began anew with the same limit.

Change: internal/hedge, which decides without I/O when a call is repeated and when it is given up. Waiting longer would have broken the 6 s after a silent server; so a call that is not answered in FirstByte is repeated as before, but stays open: 2.5 s, the oldest 6 s, doubling up to 30 s while nothing is heard. The first answer ends the others. Where answers are known to be slow the repetition comes later, within what the 6 s leave. frontdoor/watch.go is the driver, out of fleet.go. Sockets kept for discovery: 5, were 2.

Dead, silent or reset discovery: changes within 6 s in TestFleetRecoversFromDiscoveryOutageWithoutCallBursts and the new tests.

--- a/config/config.go
+++ b/config/config.go
@@ -33,14 +33,16 @@
 	Warnings                []string // warnings: unknown keys, and values that are valid but questionable
 }
 
-// Limits on the delay before a door notices a change that discovery has published. In the worst case a silent watch is
-// detected after Silence, the first redial fails and the second succeeds. Each of the two takes at most ConnectTimeout to
-// connect, FirstByte to the first byte and the longest pause after it. The sum must not exceed maxDiscoveryDelay.
+// Limits on the delay before a door notices a change that discovery has published. In the worst case a silent watch is detected
+// after Silence, the first call after it fails and the second one succeeds. Each of the two takes at most ConnectTimeout to
+// connect, FirstByte until the next call is made and the longest pause after it. The sum must not exceed MaxDiscoveryDelay. A call
+// that has not been answered by then stays outstanding beside the next: a discovery that needs longer is heard as well.
 const (
-	MaxRedialFactor   = 5   // the pause between failed dials doubles up to this multiple of Redial
-	maxDiscoveryDelay = 6e3 // ms after which the door is expected to know a published change
-	maxFirstByte      = 1e3 // ms; a working discovery server answers at once, a slower one is down and the next dial may reach it
-	minFirstByte      = 100 // ms; less would abandon responses that are on their way
+	MaxRedialFactor     = 5   // the pause between failed calls doubles up to this multiple of Redial
+	MaxDiscoveryDelay   = 6e3 // ms after which the door is expected to know a published change
+	DiscoveryAnswerTime = 2e3 // ms; the longest time in which discovery answers a call, from BENCH.md (timeout_ms)
+	maxFirstByte        = 1e3 // ms
+	minFirstByte        = 100 // ms
 )
 
 // The state of customers may take up this share (1/16) of the memory limit.
@@ -61,7 +63,7 @@
 	IdleBackend  float64 `json:"idle_backend_ms"` // backend connections that are idle for longer are closed
 	Settle       float64 `json:"settle_ms"`       // pause after a response before a backend connection is reused
 	Silence      float64 `json:"silence_ms"`      // a watch that receives nothing for longer is redialled
-	FirstByte    float64 `json:"first_word_ms"`   // a watch that has not started to respond within this time is redialled
+	FirstByte    float64 `json:"first_word_ms"`   // a call of discovery that has not been answered within this time is repeated
 	CounterStall float64 `json:"dead_counter_ms"` // a counter connection with a reply outstanding for longer is closed
 	Redial       float64 `json:"redial_ms"`       // pause between failed dials of the counter, and the initial one for discovery
 	Linger       float64 `json:"linger_ms"`       // new connections are accepted for this long after the signal to terminate
@@ -202,8 +204,8 @@
 	}
 	d.setDefaults()
 	d.Settings.Terms.MaxCustomers = d.MemoryMB << 20 / (customersShare * customerMemory)
-	if sum := d.Pace.discoveryDelay(d.Settings.ConnectTimeout); sum > maxDiscoveryDelay {
-		d.Warnings = append(d.Warnings, fmt.Sprintf("key \"pace.silence_ms\": together with connect_timeout, pace.first_word_ms and pace.redial_ms it allows a change of the fleet list to go unnoticed for %.0f ms; the limit is %.0f ms", sum, maxDiscoveryDelay))
+	if sum := d.Pace.discoveryDelay(d.Settings.ConnectTimeout); sum > MaxDiscoveryDelay {
+		d.Warnings = append(d.Warnings, fmt.Sprintf("key \"pace.silence_ms\": together with connect_timeout, pace.first_word_ms and pace.redial_ms it allows a change of the fleet list to go unnoticed for %.0f ms; the limit is %.0f ms", sum, MaxDiscoveryDelay))
 	}
 	return d, nil
 }
@@ -367,6 +369,6 @@
 	p.Silence = orDefault(p.Silence, 3e3) // a watch sends something every 2 s
 	p.CounterStall = orDefault(p.CounterStall, 10*l.CounterTimeout)
 	p.Redial = orDefault(p.Redial, 100)
-	p.FirstByte = orDefault(p.FirstByte, max(minFirstByte, min(maxFirstByte, (maxDiscoveryDelay-p.Silence)/2-l.ConnectTimeout-MaxRedialFactor*p.Redial)))
+	p.FirstByte = orDefault(p.FirstByte, max(minFirstByte, min(maxFirstByte, (MaxDiscoveryDelay-p.Silence)/2-l.ConnectTimeout-MaxRedialFactor*p.Redial)))
 	p.Linger = orDefault(p.Linger, 700) // new connections arrive for up to 0.4 s, with a margin of 0.3 s
 }
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -48,7 +48,7 @@
 		d, err := Read([]byte(strings.Replace(full, `"connect_timeout":0.25`, `"connect_timeout":`+connect, 1)), unset)
 		require.NoError(t, err)
 		assert.InDelta(t, want, d.Pace.FirstByte, 1e-6, connect)
-		assert.LessOrEqual(t, d.Pace.discoveryDelay(d.Settings.ConnectTimeout), maxDiscoveryDelay, connect)
+		assert.LessOrEqual(t, d.Pace.discoveryDelay(d.Settings.ConnectTimeout), MaxDiscoveryDelay, connect)
 		assert.Empty(t, d.Warnings)
 	}
 	d, err := Read([]byte(strings.Replace(full, `"seed"`, `"pace":{"silence_ms":9000},"seed"`, 1)), unset)
--- a/frontdoor/budget.go
+++ b/frontdoor/budget.go
@@ -1,6 +1,10 @@
 package frontdoor
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/swifthall/swifthall/internal/hedge"
+)
 
 // Reserves decide who may use the last sockets: discovery and the counter come before backends, and backends before new
 // clients. Without the reserve for discovery, idle clients and hanging attempts would keep a door from noticing that discovery
@@ -8,7 +12,7 @@
 const (
 	clientReserveDivisor = 4                                       // clients leave 1/4 of the sockets to backends, counter and discovery
 	maxBackendReserve    = 2*counterConnections + watchConnections // most sockets that backends leave to counter and discovery
-	watchConnections     = 2                                       // fleet watches that overlap: one that is ending, and the next
+	watchConnections     = hedge.MaxCalls                          // calls of discovery that are outstanding at the same time
 )
 
 // socketBudget limits the number of sockets that a door holds open.
--- a/frontdoor/clock_test.go
+++ b/frontdoor/clock_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -65,7 +63,20 @@
 		after float64
 	}
 	lists := make(chan receivedList, 9)
-	go c.readWatch(near, make([]byte, 64), time.Now().Add(waitTimeout), rand.New(rand.NewPCG(1, 1)), func(l registry.List, after float64) { lists <- receivedList{l, after} })
+	w := newFleetWatch(c, "discovery", 0, 0)
+	go w.read(w.advance(t.Context()), near, make([]byte, 64))
+	go func() {
+		for {
+			select {
+			case e := <-c.events:
+				if update, is := e.(fleetUpdate); is {
+					lists <- receivedList{update.list, update.lastReceived}
+				}
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
 	writeChunk := func(text string) { fmt.Fprintf(far, "%x\r\n%s\r\n", len(text), text) }
 	fmt.Fprint(far, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 	writeChunk(`{"generation":1,"reset":true,`)
--- a/frontdoor/errors.go
+++ b/frontdoor/errors.go
@@ -55,7 +55,7 @@
 	phaseAnswered   watchPhase = "awaiting more of the answer"
 )
 
-// WatchError says how far a watch of the fleet list had come when it ended. The door calls discovery again.
+// WatchError is the end of a watch of the fleet list, with how far it had come. The door calls discovery again.
 type WatchError struct {
 	Phase    watchPhase
 	Waited   time.Duration // in this phase, since the call began or the last byte arrived
@@ -78,4 +78,6 @@
 	errNoSocket        = &LinkError{"no socket is free"}
 	errUnexpectedReply = &LinkError{"a reply without a pending call"}
 	errWatchEnded      = &LinkError{"discovery ended the watch"}
+	errUnanswered      = &LinkError{"discovery has not answered a call for long"}
+	errSuperseded      = &LinkError{"another call of discovery was answered first"}
 )
--- a/frontdoor/fleet.go
+++ b/frontdoor/fleet.go
@@ -3,16 +3,11 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
-	"net"
 	"time"
 
-	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
 	"github.com/swifthall/swifthall/internal/index"
-	"github.com/swifthall/swifthall/internal/pool"
 	"github.com/swifthall/swifthall/internal/registry"
-	"github.com/swifthall/swifthall/internal/sockio"
 )
 
 // fleetUpdate reports a change of the fleet list that a watch received.
@@ -165,59 +160,6 @@
 	}
 }
 
-// startWatch starts a watch of the fleet list at an address, in place of the present one.
-func (c *core) startWatch(addr string, version int64) {
-	if c.cancelWatch != nil {
-		c.cancelWatch()
-	}
-	c.watchNumber++
-	var ctx context.Context
-	ctx, c.cancelWatch = context.WithCancel(c.background)
-	go c.runWatch(ctx, addr, version, c.watchNumber)
-}
-
-// runWatch keeps a watch of the fleet list until ctx ends. If the connection breaks, falls silent or is accepted but never
-// answered, it dials again and resumes from the last version received; config.Pace bounds how long that takes, whatever failed
-// before. Discovery sends what it knows at once: a door that has waited for the connect timeout becomes ready with the list it was
-// configured with.
-func (c *core) runWatch(ctx context.Context, addr string, version int64, number int) {
-	defer time.AfterFunc(duration(c.cfg.Settings.ConnectTimeout), func() { c.post(discoveryAttempted{}) }).Stop()
-	healthy, random := true, rand.New(rand.NewPCG(c.cfg.Seed, uint64(number)))
-	pause := c.cfg.Pace.Redial
-	for ctx.Err() == nil {
-		err := c.watchOnce(ctx, addr, version, random, func(l registry.List, lastReceived float64) {
-			version, pause = l.Version, c.cfg.Pace.Redial
-			c.post(fleetUpdate{l, number, lastReceived})
-			if !healthy {
-				healthy = true
-				c.log.Info("fleet watch restored")
-			}
-			c.post(discoveryAttempted{})
-		})
-		if ctx.Err() == nil {
-			c.post(watchEnded{})
-			if healthy {
-				healthy = false
-				c.log.WithError(err).Warn("fleet watch ended")
-			}
-		}
-		sleepMs(ctx, shortened(pause, redialJitter, random))
-		pause = min(2*pause, config.MaxRedialFactor*c.cfg.Pace.Redial)
-	}
-}
-
-// Jitter: doors that lose discovery at the same moment would otherwise call it in step ever after. Each wait is shortened by a
-// random part, at most this fraction.
-const (
-	redialJitter  = 0.5 // of a pause between dials, and of the wait for the first byte
-	silenceJitter = 0.2 // of the time a watch may be silent; the rest stays above the 2 s within which discovery sends something
-)
-
-// shortened returns ms less a random fraction, at most limit.
-func shortened(ms, limit float64, random *rand.Rand) float64 {
-	return ms * (1 - limit*random.Float64())
-}
-
 func sleepMs(ctx context.Context, ms float64) { sleep(ctx, duration(ms)) }
 
 // sleep waits for a duration, or until ctx ends.
@@ -229,66 +171,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// watchOnce watches the list over one connection and returns why it ended.
-func (c *core) watchOnce(ctx context.Context, addr string, version int64, random *rand.Rand, received func(l registry.List, lastReceived float64)) error {
-	if !c.budget.acquire(0) {
-		return errNoSocket
-	}
-	defer c.budget.release()
-	c.post(discoveryCalled{})
-	began := time.Now()
-	nc, err := c.dial(ctx, addr)
-	if err != nil {
-		return &WatchError{phaseConnecting, time.Since(began), 0, err}
-	}
-	defer nc.Close()
-	defer context.AfterFunc(ctx, func() { nc.Close() })()
-	buf := pool.Get()
-	defer pool.Put(buf)
-	wait := duration(shortened(c.cfg.Pace.FirstByte, redialJitter, random))
-	firstBy := time.Now().Add(wait)
-	if _, err := sockio.Write(nc, registry.AppendWatch(buf, addr, version), firstBy); err != nil {
-		return &WatchError{phaseUnanswered, time.Since(began), 0, err}
-	}
-	return c.readWatch(nc, buf[:pool.Size], firstBy, random, received)
-}
-
-// listReceivedAt returns the clock at which a watch that has received a list last received anything, ms; 0 is never.
-func (c *core) listReceivedAt() float64 { return math.Float64frombits(c.listReceived.Load()) }
-
-// readWatch reads a watch's stream until it ends or falls silent. The first byte must arrive by firstBy.
-func (c *core) readWatch(nc net.Conn, buf []byte, firstBy time.Time, random *rand.Rand, received func(l registry.List, lastReceived float64)) error {
-	var w registry.Watch
-	hasList := false // a list has arrived on this watch
-	progress := WatchError{Phase: phaseUnanswered}
-	lastByte := time.Now()
-	nc.SetReadDeadline(firstBy)
-	for {
-		n, err := sockio.Read(nc, buf)
-		lastReceived := c.listReceivedAt()
-		if n > 0 {
-			progress.Phase, progress.Received, lastByte = phaseAnswered, progress.Received+n, time.Now()
-		}
-		done, parseErr := w.Feed(buf[:n], func(l registry.List) {
-			hasList = true
-			received(l, lastReceived)
-		})
-		if hasList && n > 0 && w.AtBoundary() {
-			c.listReceived.Store(math.Float64bits(c.clock.now()))
-		}
-		switch {
-		case parseErr != nil:
-			return parseErr
-		case err != nil:
-			progress.Waited, progress.Cause = time.Since(lastByte), err
-			return &progress
-		case done:
-			return errWatchEnded
-		}
-		if w.Stalled() {
-			continue // the blank lines of a stream that stops within an object do not keep its watch
-		}
-		nc.SetReadDeadline(time.Now().Add(duration(shortened(c.cfg.Pace.Silence, silenceJitter, random))))
-	}
-}
