Coordinators that answer late are heard: requests and reports stay open beside the next

Cause: client.Ask gave each coordinator 0.9 s and then asked the next one, and so on round and round; and of a report's answers the agents took only that to the latest report, which follows after 0.7 s.

The answer to a report is accepted until that of a later one has come or a command has been sent. A door has four requests under way at most, each for 3 s (2 s before).

--- a/coordinator/client/client.go
+++ b/coordinator/client/client.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -130,7 +129,7 @@
 }
 
 const (
-	attemptTimeout = 900 * time.Millisecond // of one request to one coordinator; a healthy leader answers within a few ms
+	attemptTimeout = 5 * time.Second        // of one request to one coordinator; a leader waits up to 2 s for a command to be accepted
 	roundInterval  = 100 * time.Millisecond // between rounds over all coordinators
 	maxBody        = 16 << 20               // bytes of a response; enough for some tens of thousands of units
 )
@@ -184,53 +183,26 @@
 	c.leader = a
 }
 
-// Ask sends a request to the leader and decodes the answer into out. It retries until the leader answers, a coordinator refuses the
-// request, or ctx ends.
-func (c *Client) Ask(ctx context.Context, path string, in, out any) error {
-	body, err := json.Marshal(in)
+// AskOne sends a GET request to one coordinator, which need not lead, and decodes the answer into out.
+func (c *Client) AskOne(ctx context.Context, a config.NamedAddress, path string, out any) error {
+	answer, _, err := c.send(ctx, a, path, nil)
 	if err != nil {
 		return err
 	}
-	failure := &NoLeaderError{Asked: c.coordinators}
-	for {
-		hinted := map[string]bool{}
-		for remaining := c.candidates(); len(remaining) > 0; remaining = remaining[1:] {
-			a := remaining[0]
-			h, err := c.send(ctx, a, path, body, out)
-			switch {
-			case err == nil:
-				c.setLeader(a)
-				return nil
-			case h != nil && h.Leader != "" && !hinted[h.Leader]:
-				hinted[h.Leader] = true
-				remaining = append([]config.NamedAddress{a, c.resolve(*h)}, remaining[1:]...)
-			}
-			var refused *RefusedError
-			if errors.As(err, &refused) {
-				return err
-			}
-			failure.record(a, h, err)
-			if ctx.Err() != nil {
-				return failure
-			}
-		}
-		c.setLeader(config.NamedAddress{})
-		select {
-		case <-ctx.Done():
-			return failure
-		case <-time.After(roundInterval):
-		}
-	}
+	return decode(a, answer, out)
 }
 
-// AskOne sends a GET request to one coordinator, which need not lead, and decodes the answer into out.
-func (c *Client) AskOne(ctx context.Context, a config.NamedAddress, path string, out any) error {
-	_, err := c.send(ctx, a, path, nil, out)
-	return err
+// decode decodes the answer of a coordinator.
+func decode(a config.NamedAddress, answer []byte, out any) error {
+	if err := json.Unmarshal(answer, out); err != nil {
+		return &RequestError{a, "the response can't be decoded", err}
+	}
+	return nil
 }
 
-// send sends one request, with method GET if body is nil. It returns the hint of a coordinator that doesn't lead.
-func (c *Client) send(ctx context.Context, a config.NamedAddress, path string, body []byte, out any) (*Hint, error) {
+// send sends one request, with method GET if body is nil, and returns the body of the answer. It returns the hint of a coordinator
+// that doesn't lead.
+func (c *Client) send(ctx context.Context, a config.NamedAddress, path string, body []byte) (answer []byte, hint *Hint, err error) {
 	ctx, stop := context.WithTimeout(ctx, attemptTimeout)
 	defer stop()
 	method := http.MethodPost
@@ -239,35 +211,32 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+a.Address+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, &RequestError{a, "", err}
+		return nil, nil, &RequestError{a, "", err}
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, &RequestError{a, "", err}
+		return nil, nil, &RequestError{a, "", err}
 	}
 	defer resp.Body.Close()
-	respBody, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	answer, err = io.ReadAll(io.LimitReader(resp.Body, maxBody))
 	if err != nil {
-		return nil, &RequestError{a, "", err}
+		return nil, nil, &RequestError{a, "", err}
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		if err := json.Unmarshal(respBody, out); err != nil {
-			return nil, &RequestError{a, "the response can't be decoded", err}
-		}
-		return nil, nil
+		return answer, nil, nil
 	case http.StatusMisdirectedRequest:
 		var h Hint
-		if json.Unmarshal(respBody, &h) != nil {
-			return nil, &RequestError{a, "the response can't be decoded", nil}
+		if json.Unmarshal(answer, &h) != nil {
+			return nil, nil, &RequestError{a, "the response can't be decoded", nil}
 		}
-		return &h, &RequestError{a, h.Reason, nil}
+		return nil, &h, &RequestError{a, h.Reason, nil}
 	case http.StatusBadRequest:
 		var h Hint
-		_ = json.Unmarshal(respBody, &h)
-		return nil, &RefusedError{a, h.Reason}
+		_ = json.Unmarshal(answer, &h)
+		return nil, nil, &RefusedError{a, h.Reason}
 	}
-	return nil, &RequestError{a, resp.Status, nil}
+	return nil, nil, &RequestError{a, resp.Status, nil}
 }
 
 // Command commits a command and returns its answer. err reports that no answer was received; an error of the command itself is in
--- a/internal/doorfleet/plans.go
+++ b/internal/doorfleet/plans.go
@@ -23,7 +23,9 @@
 
 const (
 	holdTimeout      = time.Second            // for which a starting door waits for the withheld backends; a healthy coordinator answers sooner
-	requestTimeout   = 2 * time.Second        // limit of a request to the coordinators; the agent repeats it earlier
+	requestTimeout   = 3 * time.Second        // limit of a request to the coordinators; the agent repeats it earlier, and takes either answer
+	maxRequests      = 4                      // requests to the coordinators at the same time
+	unreachableAfter = 2 * time.Second        // without an answer for longer, the coordinators are logged as unreachable
 	pollInterval     = 200 * time.Millisecond // between reports of the door's state to the agent
 	endReportTimeout = 700 * time.Millisecond // in which a door that has ended reports that to the coordinators
 	eventQueueSize   = 64                     // events queued for the agent, which repeats requests whose answer is lost
@@ -44,6 +46,7 @@
 	log           logrus.FieldLogger
 	began         time.Time
 	events        chan any
+	requests      chan struct{} // one for each request under way
 	ctx           context.Context
 	process       uint64        // random, identifies this process in its counts
 	withheldKnown func()        // called once the withheld backends are known
@@ -74,7 +77,7 @@
 			all = append(all, n)
 		}
 	}
-	p := &planDriver{door: door, client: client.New(all), view: view, log: l, began: time.Now(), answeredAt: time.Now(), events: make(chan any, eventQueueSize), ctx: ctx,
+	p := &planDriver{door: door, client: client.New(all), view: view, log: l, began: time.Now(), answeredAt: time.Now(), events: make(chan any, eventQueueSize), requests: make(chan struct{}, maxRequests), ctx: ctx,
 		process: rand.Uint64(), withheldKnown: withheldKnown, endReported: make(chan struct{}),
 		agent: permits.NewDoorAgent(permits.Unit{Kind: permits.Door, Name: cfg.Name, Zone: cfg.Fleet.Zone, Size: 1}, func() uint64 { return rand.Uint64()>>1 | 1 })}
 	go p.run()
@@ -118,7 +121,11 @@
 func (p *planDriver) act(a any) {
 	switch a := a.(type) {
 	case permits.Post:
-		go p.request(a)
+		select {
+		case p.requests <- struct{}{}:
+			go p.request(a)
+		default: // coordinators that are this slow are not asked more often
+		}
 	case permits.Withhold:
 		p.log.WithFields(logrus.Fields{fields.Names: a.Names, fields.Change: a.Change, fields.Clock: fleet.Monotonic()}).Info("withheld backends")
 		p.door.Withhold(a.Names, func() {
@@ -144,6 +151,7 @@
 
 // request sends one request to the coordinators and posts the answer.
 func (p *planDriver) request(q permits.Post) {
+	defer func() { <-p.requests }()
 	ctx, stop := context.WithTimeout(p.ctx, requestTimeout)
 	defer stop()
 	var e any
@@ -186,7 +194,7 @@
 			p.unreachable = false
 			p.log.Info("coordinators answer again")
 		}
-	case !p.unreachable && time.Since(p.answeredAt) > requestTimeout && p.ctx.Err() == nil:
+	case !p.unreachable && time.Since(p.answeredAt) > unreachableAfter && p.ctx.Err() == nil:
 		p.unreachable = true
 		entry := p.log.WithError(err)
 		if r, ok := err.(interface{ Remedy() string }); ok {
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -48,7 +48,7 @@
 	minRestartPause    = 200 * time.Millisecond // between attempts to restart a process that exited; doubles with each failure
 	maxRestartPause    = 5 * time.Second        // limit on that pause
 	saveRetryInterval  = time.Second            // between attempts to save the state
-	coordinatorTimeout = 2 * time.Second        // of a call to the coordinators
+	coordinatorTimeout = 3 * time.Second        // of a call to the coordinators; the agent repeats it earlier, and takes either answer
 	eventQueueSize     = 16                     // events queued for the release agent, which repeats calls whose answer is lost
 	maxArtifactBytes   = 512 << 20              // limit on the size of a released file
 	filePerm           = 0o600
--- a/permits/door_agent.go
+++ b/permits/door_agent.go
@@ -7,7 +7,7 @@
 )
 
 // DoorAgent is the client of the coordinators in a door: it sends reports, has backends withheld, and takes the door out of
-// service and back as drains require. It has one post outstanding at a time and ignores answers to earlier ones. Without
+// service and back as drains require. It has one post outstanding at a time; of earlier ones it accepts late answers to reports. Without
 // coordinators it keeps the last state that it received; a door that is out can be brought back by hand.
 type DoorAgent struct {
 	unit         Unit
--- a/permits/outstanding.go
+++ b/permits/outstanding.go
@@ -1,31 +1,48 @@
 package permits
 
+import "slices"
+
 const (
 	retryAfterMs = 700.0 // ms after which an unanswered post is sent again
 	maxRetries   = 4     // retries of a post; after them its sender abandons what it posted
+	maxLate      = 4     // earlier reports whose answers are still accepted
 )
 
-// outstanding tracks the one post that waits for an answer. Answers to earlier posts are ignored.
+// outstanding tracks the one post that waits for an answer. A report that is not answered in time is followed by the next one; its
+// answer is accepted until that of a later report arrives or a command is sent, so that slow coordinators are heard as well.
 type outstanding struct {
 	pending *Post // nil if no answer is awaited
+	late    []Post
 	sentMs  float64
 	retries int
 }
 
 // send records a post as the outstanding one.
 func (a *outstanding) send(now float64, p Post) Post {
+	if p.Do != nil { // what an earlier report was answered does not know of the command
+		a.forgetLate()
+	}
 	a.pending, a.sentMs, a.retries = &p, now, 0
 	return p
 }
 
-// complete ends the outstanding post if it has this sequence number and returns it, else nil.
+// forgetLate has the answers to earlier reports ignored.
+func (a *outstanding) forgetLate() { a.late = nil }
+
+// complete ends the post with this sequence number and returns it: the outstanding one, or an earlier report. It returns nil if its
+// answer is not awaited.
 func (a *outstanding) complete(seq uint64) *Post {
-	w := a.pending
-	if w == nil || w.Seq != seq {
-		return nil
+	if w := a.pending; w != nil && w.Seq == seq {
+		a.pending, a.late = nil, nil
+		return w
 	}
-	a.pending = nil
-	return w
+	for i := range a.late {
+		if w := a.late[i]; w.Seq == seq {
+			a.late = slices.Clone(a.late[i+1:])
+			return &w
+		}
+	}
+	return nil
 }
 
 // poll decides about the outstanding post: send it again, abandon it, or keep waiting for its answer. Reports are never sent
@@ -41,5 +58,8 @@
 		return a.pending, nil, true
 	}
 	abandoned, a.pending = a.pending, nil
+	if abandoned.Do == nil {
+		a.late = append(a.late[max(0, len(a.late)+1-maxLate):], *abandoned)
+	}
 	return nil, abandoned, false
 }
--- a/permits/release_agent.go
+++ b/permits/release_agent.go
@@ -106,9 +106,11 @@
 			a.handleAnswer(now, w, e)
 		}
 	case ReleasePrepared:
+		a.forgetLate()
 		a.step = prepared
 		a.holder.Unconfirm()
 	case VersionsChanged:
+		a.forgetLate()
 		if a.step != noChange && (a.target == nil || e.Runs[a.target.Changes] != a.target.Digest) {
 			a.returnNumber = a.holder.Number // the previous process keeps serving, so the permit can be returned
 		}
