Counter: late answers grant their units, and a connection that owes one is kept for it

Cause: an answer after the time-out was passed over, and the next call subtracted the units that it had added; and after ten time-outs the connection was closed, with all answers that it owed.

Change: gate.CountedLate tells a late answer with the number of its call. The decisions apply its total if no later call has taken its units back; while answers are known to be late (30 s), the next call waits for twice their latency, and requests go by the door's part meanwhile, as before. A connection that owes an answer for ten time-outs is replaced at once and stays open for 6 s, four such at most; nothing waits for it, so a dead counter is noticed as soon. A connection that came up as its end was asked for was not closed; it is. Account: late_counts. Sockets kept for the counter: 6, were 4.

TestCounterCallIsReportedOnce asked that a late answer is told not at all. It now asks for exactly one result, and exactly one late answer with its number, and none for a customer that is gone: as strict, for the new contract.

--- a/frontdoor/budget.go
+++ b/frontdoor/budget.go
@@ -10,9 +10,9 @@
 // clients. Without the reserve for discovery, idle clients and hanging attempts would keep a door from noticing that discovery
 // is available again.
 const (
-	clientReserveDivisor = 4                                       // clients leave 1/4 of the sockets to backends, counter and discovery
-	maxBackendReserve    = 2*counterConnections + watchConnections // most sockets that backends leave to counter and discovery
-	watchConnections     = hedge.MaxCalls                          // calls of discovery that are outstanding at the same time
+	clientReserveDivisor = 4                                                  // clients leave 1/4 of the sockets to backends, counter and discovery
+	maxBackendReserve    = counterConnections + maxRetired + watchConnections // most sockets that backends leave to counter and discovery
+	watchConnections     = hedge.MaxCalls                                     // calls of discovery that are outstanding at the same time
 )
 
 // socketBudget limits the number of sockets that a door holds open.
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -99,6 +99,7 @@
 	wakeAt          float64 // when the decider asked to be called again; 0 is none
 	sweepAt         float64
 	counterConns    []*counterConn
+	retired         []*counterConn  // replaced because they owe an answer; the oldest first
 	withheld        map[string]bool // ids of backends that get no new attempts, whatever their listed status
 	afterDecide     []func()        // called once the decider has received the pending events
 	outOfService    bool            // by plan: not ready, but still serving the requests that arrive
--- a/frontdoor/core_test.go
+++ b/frontdoor/core_test.go
@@ -384,13 +384,18 @@
 	c, _ := newTestCore(t)
 	conn := newCounterConn(c, "")
 	c.counterConns = []*counterConn{conn}
-	c.callCounter(gate.Count{Customer: 0, Epoch: 7, Add: 2, TTL: 4000})
+	c.callCounter(gate.Count{Customer: 0, Epoch: 7, Add: 2, TTL: 4000, Call: 3})
 	call := conn.queue[0]
 	assert.Equal(t, "0/7", counterKey(call))
 	c.now += c.cfg.Settings.CounterTimeout
 	c.timeouts.expireDue(c)
-	callEnded{call, outcomeOK, 5}.handle(c)
 	assert.Equal(t, []gate.Event{gate.Counted{Epoch: 7, Result: gate.TimedOut}}, c.pending)
+	c.pending = nil
+	callEnded{call, outcomeOK, 5}.handle(c)
+	require.Len(t, c.pending, 1, "a late answer is reported as such, not as another result")
+	late := c.pending[0].(gate.CountedLate)
+	late.Latency = 0
+	assert.Equal(t, gate.CountedLate{Epoch: 7, Call: 3, Total: 5}, late)
 	assert.Zero(t, conn.outstanding)
 	c.callCounter(gate.Count{Customer: 0, Epoch: 8})
 	c.customers.Drop(0)
--- a/frontdoor/counter.go
+++ b/frontdoor/counter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -19,36 +20,67 @@
 	customer uint64
 	epoch    int64
 	add, ttl float64 // units to add; how long the counter keeps the total, ms
+	number   int64   // by which the decider knows the call
 
 	// Used by the event loop only.
 	startedAt float64 // clock, ms
 	reported  bool    // the decider has its result
+	timedOut  bool    // and that was a timeout
 	done      bool    // its connection has no answer pending for it
 }
 
 // settled reports whether the connection has no answer pending for the call.
 func (call *counterCall) settled() bool { return call.done }
 
-// expire first reports a timeout of the call. If the answer is still pending after Pace.CounterStall, it closes the connection:
-// no read ever fails on a connection whose peer has become unreachable.
+// expire first reports a timeout of the call. If the answer is still pending after Pace.CounterStall, another connection takes the
+// place of the call's, as no read ever fails on a connection whose peer has become unreachable. The answer may yet come: the
+// connection is closed later.
 func (call *counterCall) expire(c *core) {
-	switch dead := call.startedAt + c.cfg.Pace.CounterStall; {
-	case call.done:
-	case c.now < dead:
-		c.reportCall(call, outcomeTimeout, 0)
-		c.timeouts.add(dead, call)
+	stalled := call.startedAt + c.cfg.Pace.CounterStall
+	if call.done {
+		return
+	}
+	c.reportCall(call, outcomeTimeout, 0)
+	switch {
+	case c.now < stalled:
+		c.timeouts.add(stalled, call)
+	case c.retire(call.conn):
+		c.timeouts.add(c.now+retiredPatience, call)
+	case c.now < call.conn.closeAt:
+		c.timeouts.add(call.conn.closeAt, call)
 	default:
-		c.reportCall(call, outcomeTimeout, 0)
 		call.conn.disconnect()
 	}
 }
 
+// Of connections to the counter that were replaced because they owe an answer.
+const (
+	maxRetired      = 4   // open at the same time
+	retiredPatience = 6e3 // ms for which their answers are awaited
+)
+
+// retire replaces a connection of the counter that owes an answer by a new one, and reports whether it was in use until now. It stays open
+// for its answers.
+func (c *core) retire(conn *counterConn) bool {
+	i := slices.Index(c.counterConns, conn)
+	if i < 0 {
+		return false
+	}
+	conn.replaced, conn.closeAt = true, c.now+retiredPatience
+	if c.retired = append(c.retired, conn); len(c.retired) > maxRetired {
+		c.retired[0].disconnect()
+		c.retired = slices.Delete(c.retired, 0, 1)
+	}
+	c.counterConns[i] = c.startCounterConn(conn.addr)
+	return true
+}
+
 // reportCall reports the result of a call to the decider, once.
 func (c *core) reportCall(call *counterCall, how outcome, total float64) {
 	if call.reported {
 		return
 	}
-	call.reported = true
+	call.reported, call.timedOut = true, how == outcomeTimeout
 	if customer, known := c.customers.Find(call.customer); known {
 		c.pending = append(c.pending, gate.Counted{Customer: customer, Epoch: call.epoch, Result: how.result(), Total: total})
 	}
@@ -56,7 +88,7 @@
 
 // callCounter makes a call over the connection with the fewest outstanding calls.
 func (c *core) callCounter(a gate.Count) {
-	call := &counterCall{customer: c.customers.ID(a.Customer), epoch: a.Epoch, add: a.Add, ttl: a.TTL, startedAt: c.now}
+	call := &counterCall{customer: c.customers.ID(a.Customer), epoch: a.Epoch, add: a.Add, ttl: a.TTL, number: a.Call, startedAt: c.now}
 	for _, conn := range c.counterConns {
 		if call.conn == nil || conn.outstanding < call.conn.outstanding {
 			call.conn = conn
@@ -78,7 +110,18 @@
 	e.call.done = true
 	e.call.conn.outstanding--
 	c.reportCall(e.call, e.outcome, e.total)
-	e.call.conn.stopIfUnused()
+	c.reportLate(e)
+	if e.call.conn.stopIfUnused() {
+		c.retired = slices.DeleteFunc(c.retired, func(conn *counterConn) bool { return conn == e.call.conn })
+	}
+}
+
+// reportLate reports the answer to a call whose timeout the decider has been told.
+func (c *core) reportLate(e callEnded) {
+	if customer, known := c.customers.Find(e.call.customer); known && e.call.timedOut && e.outcome == outcomeOK {
+		c.tally.lateCounts++
+		c.pending = append(c.pending, gate.CountedLate{Customer: customer, Epoch: e.call.epoch, Call: e.call.number, Total: e.total, Latency: c.clock.now() - e.call.startedAt})
+	}
 }
 
 // useCounter directs new calls to the counter at an address. Outstanding calls finish on the connections they were made on.
@@ -89,19 +132,26 @@
 	}
 	c.counterConns = c.counterConns[:0]
 	for range counterConnections {
-		conn := newCounterConn(c, addr)
-		var ctx context.Context
-		ctx, conn.stop = context.WithCancel(c.background)
-		c.counterConns = append(c.counterConns, conn)
-		go conn.run(ctx)
+		c.counterConns = append(c.counterConns, c.startCounterConn(addr))
 	}
 }
 
-// stopIfUnused stops a connection that has been replaced and has no outstanding calls.
-func (conn *counterConn) stopIfUnused() {
-	if conn.replaced && conn.outstanding == 0 {
+// startCounterConn starts a connection to the counter at an address.
+func (c *core) startCounterConn(addr string) *counterConn {
+	conn := newCounterConn(c, addr)
+	var ctx context.Context
+	ctx, conn.stop = context.WithCancel(c.background)
+	go conn.run(ctx)
+	return conn
+}
+
+// stopIfUnused stops a connection that has been replaced and has no outstanding calls, and reports whether it did.
+func (conn *counterConn) stopIfUnused() bool {
+	unused := conn.replaced && conn.outstanding == 0
+	if unused {
 		conn.stop()
 	}
+	return unused
 }
 
 // counterConn is one connection to the counter, dialled when there are calls. One goroutine writes, another reads.
@@ -113,6 +163,7 @@
 	// Used by the event loop only.
 	outstanding int // calls enqueued and not done
 	replaced    bool
+	closeAt     float64 // clock at which it is closed if it still owes an answer, ms; 0 unless it was replaced for that
 	stop        context.CancelFunc
 
 	mu            sync.Mutex
@@ -147,6 +198,7 @@
 
 // run writes queued calls, dialling as needed, until ctx ends.
 func (conn *counterConn) run(ctx context.Context) {
+	defer conn.disconnect() // a connection that was established while ctx ended
 	defer context.AfterFunc(ctx, conn.disconnect)()
 	for ctx.Err() == nil {
 		select {
--- a/frontdoor/tally.go
+++ b/frontdoor/tally.go
@@ -23,6 +23,7 @@
 	retried          int
 	discoveryCalls   int
 	watchesEnded     int
+	lateCounts       int
 	repeatedIDs      int
 	ended            [outcomes]int
 	closed           [closeReasons]int
@@ -54,6 +55,9 @@
 	if t.watchesEnded > 0 {
 		f[fields.Watches] = t.watchesEnded
 	}
+	if t.lateCounts > 0 {
+		f[fields.LateCounts] = t.lateCounts
+	}
 	if t.repeatedIDs > 0 {
 		f[fields.RepeatedIDs] = t.repeatedIDs
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -172,6 +172,15 @@
 	Total    float64
 }
 
+// CountedLate reports the answer to a Count that was reported as TimedOut before.
+type CountedLate struct {
+	Customer int
+	Epoch    int64
+	Call     int64   // number of the Count
+	Total    float64 // the customer's total for the epoch after it, units
+	Latency  float64 // from the Count to its answer, ms
+}
+
 // Action is one of the action types below.
 type Action any
 
@@ -232,6 +241,7 @@
 	Epoch    int64   // number of the customer's window; all doors use the same
 	Add      float64 // units
 	TTL      float64 // time after which the counter may forget the total, ms
+	Call     int64   // number of the call
 }
 
 // SubscribeFleet subscribes to changes of the fleet list.
--- a/internal/fields/fields.go
+++ b/internal/fields/fields.go
@@ -19,6 +19,7 @@
 	Retried        = "retried"         // attempts started after the first one of their request
 	DiscoveryCalls = "discovery_calls" // calls for the fleet list
 	Watches        = "watches_ended"   // watches of the fleet list that ended
+	LateCounts     = "late_counts"     // answers of the counter that came after their timeout
 	RepeatedIDs    = "repeated_ids"    // requests refused because their id is open, or may have run a short time ago
 	Ended          = "ended_"          // prefix of an outcome: attempts that ended with it
 	Closed         = "closed_"         // prefix of a reason: client connections closed for it
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -125,6 +125,13 @@
 	// Time within which a counter call is answered if it is answered at all, ms; a few round trips.
 	counterTimeout = 120.
 
+	// Time after a late answer of the counter for which another is expected after a call has timed out, ms.
+	lateAnswerMemory = 30e3
+
+	// Multiple of the latency of the latest late answer after which a customer's counter is called again without one. Sooner,
+	// each late answer would find its units subtracted by the next call, and a slow counter would never grant any.
+	lateAnswerPatience = 2
+
 	// Time in which the quota shares of absent doors pass to a customer's other doors, ms; equal to demandSpan.
 	shareTransferSpan = 4e3
 
@@ -214,7 +221,7 @@
 func New(t gate.Terms, seed uint64) *Door {
 	return &Door{terms: t, random: newRandomSource(seed), mustSubscribe: t.MustSubscribe, latencies: make([]latencyStats, len(t.Classes)),
 		inFlight: make([]int, len(t.Classes)), startedAt: -1,
-		callShare: 1, answeredCallShare: 1, callShareCutAt: math.Inf(-1), callsScarceAt: math.Inf(-1),
+		callShare: 1, answeredCallShare: 1, lateAnsweredAt: math.Inf(-1), callShareCutAt: math.Inf(-1), callsScarceAt: math.Inf(-1),
 		fleet: fleet{suspicions: make([][]suspicion, len(t.Classes)+1)}}
 }
 
@@ -238,6 +245,8 @@
 			d.requests[e.Op].streaming = true
 		case gate.Counted:
 			d.handleCounted(e)
+		case gate.CountedLate:
+			d.handleCountedLate(e)
 		case gate.ShuttingDown:
 			d.shutDownBy(e.Deadline)
 		case gate.TimerFired:
@@ -545,14 +554,15 @@
 			return left
 		}
 	default:
-		c.callPending, c.requiredUnits = true, o.units
+		d.counterCallCount++
+		c.callPending, c.requiredUnits, c.lastCall, c.calledAt = true, o.units, d.counterCallCount, d.now
 		d.reportDifference(gate.NotCounted, func(w *gate.Terms) bool { return d.overQuotaPays(w, k.plan) })
 		// When overloaded, make fewer and larger calls, but ask for no more than this door's demand takes in the rest
 		// of the window: batches at doors that see the customer rarely are counted at each of them and used at none.
 		batch := min(1, counterBatchShare/d.callShare) * c.available / float64(k.spread)
 		c.askedUnits = max(o.units, min(batch, k.demand*left))
 		d.counterCalls = append(d.counterCalls, gate.Count{Customer: o.customer, Epoch: n, Add: c.askedUnits + c.pendingUnits - c.surplus,
-			TTL: left + counterTimeout})
+			TTL: left + counterTimeout, Call: c.lastCall})
 		c.pendingUnits = 0
 	}
 	return wait
@@ -576,7 +586,7 @@
 // handleCounted applies the answer to a counter call, or its failure.
 func (d *Door) handleCounted(e gate.Counted) {
 	k := d.currentBucket(e.Customer)
-	c, p := &k.counter, &d.terms.Plans[k.plan]
+	c := &k.counter
 	if e.Epoch != c.window {
 		return
 	}
@@ -595,6 +605,9 @@
 			c.surplus = c.askedUnits
 		}
 		c.retryAt = d.now + tickInterval // requests waiting for this call go by quota share
+		if e.Result == gate.TimedOut && d.now < d.lateAnsweredAt+lateAnswerMemory {
+			c.retryAt = max(c.retryAt, c.calledAt+lateAnswerPatience*d.lateAnswerLatency)
+		}
 		return
 	}
 	if d.missedCalls >= counterDownAfter {
@@ -602,10 +615,27 @@
 	}
 	d.callShare, d.missedCalls = min(1, d.callShare+callShareIncrease), 0
 	d.answeredCallShare = d.callShare
+	d.applyTotal(k, e.Total)
+}
+
+// handleCountedLate applies the answer to a counter call that had timed out. If the customer's next call has been made, it has
+// subtracted the units that this one added, and only the answer's latency counts.
+func (d *Door) handleCountedLate(e gate.CountedLate) {
+	d.lateAnswerLatency, d.lateAnsweredAt, d.missedCalls = e.Latency, d.now, 0
+	k := d.currentBucket(e.Customer)
+	if c := &k.counter; e.Epoch == c.window && e.Call == c.lastCall && !c.callPending {
+		c.retryAt = d.now
+		d.applyTotal(k, e.Total)
+	}
+}
+
+// applyTotal grants the units that a customer's latest call asked for, as far as the total on the counter leaves room for them.
+func (d *Door) applyTotal(k *bucket, total float64) {
+	c, p := &k.counter, &d.terms.Plans[k.plan]
 	_, left := d.counterWindow(k)
 	// Units are granted only as they refill: granted at once they would exceed the bucket, and granted at the end
 	// of the window they would go unused.
-	c.available, c.seenAt = c.initialLevel+c.refillRate*(p.Depth/p.Rate-left)-e.Total, d.now
+	c.available, c.seenAt = c.initialLevel+c.refillRate*(p.Depth/p.Rate-left)-total, d.now
 	c.overflow = max(c.overflow, c.available+c.askedUnits-p.Depth)
 	c.available -= c.overflow
 	grantable := max(0, min(c.askedUnits, c.available+c.askedUnits))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -447,6 +447,32 @@
 	assert.Zero(t, c.surplus)
 }
 
+// Guards against a counter that grants nothing because each of its answers is late (incident of 7 December).
+func TestALateAnswerGrantsItsUnits(t *testing.T) {
+	d := doorAtCounter()
+	c, call := &d.buckets[0].counter, d.counterCalls[0].(gate.Count)
+	d.handleCounted(gate.Counted{Epoch: c.window, Result: gate.TimedOut})
+	assert.Less(t, c.retryAt, d.now+counterTimeout, "no late answer is known: the counter is called again soon")
+	d.now += 300
+	d.handleCountedLate(gate.CountedLate{Epoch: c.window, Call: call.Call, Total: 12, Latency: 400})
+	assert.Equal(t, c.askedUnits, c.granted)
+	assert.Zero(t, c.surplus, "the next call subtracts nothing")
+	c.granted, c.callPending = 0, false
+	d.counterCalls = nil
+	d.takeFromCounter(&d.requests[0], &d.buckets[0])
+	next := d.counterCalls[0].(gate.Count)
+	d.now += counterTimeout
+	d.handleCounted(gate.Counted{Epoch: c.window, Result: gate.TimedOut})
+	assert.InDelta(t, c.calledAt+800, c.retryAt, 1e-9, "the late answer is awaited")
+	d.handleCountedLate(gate.CountedLate{Epoch: c.window, Call: call.Call, Total: 12, Latency: 500})
+	assert.Zero(t, c.granted, "the units of an earlier call have been subtracted")
+	d.handleCountedLate(gate.CountedLate{Epoch: c.window + 1, Call: next.Call, Total: 12, Latency: 500})
+	assert.Zero(t, c.granted, "another window")
+	c.callPending = true
+	d.handleCountedLate(gate.CountedLate{Epoch: c.window, Call: next.Call, Total: 12, Latency: 500})
+	assert.Zero(t, c.granted, "a call is in flight")
+}
+
 // A bucket that was full halfway through a window holds its depth, not its depth plus what would have refilled.
 func TestAWindowGrantsNoMoreThanTheBucketHolds(t *testing.T) {
 	d := doorAtCounter()
--- a/policy/state.go
+++ b/policy/state.go
@@ -123,6 +123,8 @@
 	askedUnits    float64 // units that the call in flight asks for
 	requiredUnits float64 // units of the request that caused the latest call
 	retryAt       float64 // clock before which no call is made, ms
+	lastCall      int64   // number of the latest call
+	calledAt      float64 // clock of the latest call, ms
 }
 
 // fleet holds the state of the backends in parallel slices, indexed by the driver's dense index.
@@ -303,6 +305,9 @@
 	missedCalls       int           // counter calls without an answer since its latest one
 	callShareCutAt    float64       // time of the latest decrease of callShare
 	callsScarceAt     float64       // time of the latest decrease of callShare to below reserveCallsBelow
+	counterCallCount  int64         // calls made, which numbers them
+	lateAnswerLatency float64       // of the latest late answer of the counter, ms
+	lateAnsweredAt    float64       // time of the latest late answer of the counter
 	actions           []gate.Action
 }
 
