Crowd: where the length of the listener's queue is unknown, each client gets room at once

Cause: where the system does not tell how many clients wait, the length was 0, and one connection was closed for it, once in 10 ms: room for 100 clients a second.

Change: unknown is no longer zero (internal/reading). Where the length is known, as many are closed as wait, and the next search is 10 ms later, as before. Where it is not, one is closed for each client that was accepted, so that the next one finds room at once, from the clients that the latest search found: the search, which is what the 10 ms were for, stays at 100 a second.

--- a/frontdoor/accept.go
+++ b/frontdoor/accept.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/swifthall/swifthall/internal/fields"
+	"github.com/swifthall/swifthall/internal/reading"
 	"github.com/swifthall/swifthall/internal/sockio"
 )
 
@@ -27,16 +28,17 @@
 
 // acceptor accepts client connections until the listener is closed.
 type acceptor struct {
-	c            *core
-	failures     int           // consecutive failed accepts
-	backoff      time.Duration // next pause, once immediateAcceptRetries are used up
-	lastLogged   time.Time     // when a failure was last logged
-	unlogged     int           // failures since lastLogged
-	askedAt      time.Time     // when connections to close were last searched for
-	burstBegan   time.Time     // when burst began to be counted
-	burst        int           // connections accepted since then
-	queueEmptyAt time.Time     // when the listener's queue was last known to be empty
-	queueFilled  bool          // the queue may have filled since then, because nothing was accepted for a while
+	c             *core
+	failures      int           // consecutive failed accepts
+	backoff       time.Duration // next pause, once immediateAcceptRetries are used up
+	lastLogged    time.Time     // when a failure was last logged
+	unlogged      int           // failures since lastLogged
+	askedAt       time.Time     // when connections to close were last asked for
+	acceptedSince bool          // a connection has been accepted since then
+	burstBegan    time.Time     // when burst began to be counted
+	burst         int           // connections accepted since then
+	queueEmptyAt  time.Time     // when the listener's queue was last known to be empty
+	queueFilled   bool          // the queue may have filled since then, because nothing was accepted for a while
 }
 
 // acceptLoop accepts connections until the listener is closed. The kernel has already completed the handshake of connections in
@@ -56,7 +58,7 @@
 			}
 			continue
 		}
-		a.failures, a.backoff = 0, minAcceptBackoff
+		a.failures, a.backoff, a.acceptedSince = 0, minAcceptBackoff, true
 		cl := newClient(c, nc)
 		cl.maxQueued = time.Since(a.queueEmptyAt)
 		a.noteBurst()
@@ -96,10 +98,7 @@
 		if !c.shutdown.Load().Answering(c.clock.now()) {
 			return false
 		}
-		if time.Since(a.askedAt) >= socketPollInterval {
-			a.askedAt = time.Now()
-			c.post(socketNeeded{listenQueue(c.listener)})
-		}
+		a.askForSocket()
 		wait := time.NewTimer(socketPollInterval)
 		select {
 		case <-c.budget.freed:
@@ -112,6 +111,24 @@
 	return true
 }
 
+// askForSocket asks for connections to be closed for the clients that wait. Where the system tells how many wait, that many are closed,
+// and the next search is after socketPollInterval. Where it does not, one is closed for each client that has been accepted: if another
+// one waits behind it, it gets a socket at once.
+func (a *acceptor) askForSocket() {
+	pausing := time.Since(a.askedAt) < socketPollInterval
+	if pausing && !a.acceptedSince {
+		return
+	}
+	queue := a.c.listenQueue()
+	if _, known := queue.Get(); pausing && known {
+		return
+	}
+	if a.acceptedSince = false; !pausing {
+		a.askedAt = time.Now()
+	}
+	a.c.post(socketNeeded{queue, pausing})
+}
+
 // acceptOne accepts one connection. During shutdown it only polls the queue, and fails with os.ErrDeadlineExceeded if the queue
 // is empty. A poll that took too long may have reached its deadline before it checked the queue, and is repeated.
 func (a *acceptor) acceptOne() (net.Conn, error) {
@@ -159,7 +176,7 @@
 	}
 	a.log(err)
 	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-		c.post(socketNeeded{listenQueue(c.listener)})
+		c.post(socketNeeded{waiting: c.listenQueue()})
 	}
 	if a.failures++; a.failures > immediateAcceptRetries {
 		a.queueFilled = true
@@ -169,18 +186,18 @@
 	return ctx.Err() == nil
 }
 
-// listenQueue returns how many connections wait in the listener's queue, 0 if that is unknown.
-func listenQueue(ln net.Listener) int {
+// systemListenQueue returns how many connections wait in a listener's queue, if the system tells.
+func systemListenQueue(ln net.Listener) reading.Value[int] {
 	if raw := rawListener(ln); raw != nil {
 		return sockio.ListenQueue(raw)
 	}
-	return 0
+	return reading.Unknown[int]()
 }
 
 // closeListenQueue keeps further connections out of the listener's queue if some wait there: with a crowd of clients that connect again
 // and again it would never be empty, and those that come last would be reset when the listener closes.
 func (c *core) closeListenQueue() {
-	if raw := rawListener(c.listener); raw != nil && !c.sharedListener && sockio.ListenQueue(raw) > 0 {
+	if raw := rawListener(c.listener); raw != nil && !c.sharedListener && c.listenQueue().Or(0) > 0 {
 		sockio.CloseListenQueue(raw)
 	}
 }
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -16,6 +16,7 @@
 	"github.com/swifthall/swifthall/internal/fields"
 	"github.com/swifthall/swifthall/internal/http1"
 	"github.com/swifthall/swifthall/internal/index"
+	"github.com/swifthall/swifthall/internal/reading"
 	"github.com/swifthall/swifthall/lifecycle"
 )
 
@@ -62,15 +63,16 @@
 
 // core is the event loop that owns the decider, and the state that it shares with other goroutines.
 type core struct {
-	cfg    config.Door
-	log    logrus.FieldLogger
-	clock  clock
-	budget *socketBudget
-	memory *memoryBudget
-	dial   func(ctx context.Context, addr string) (net.Conn, error)
-	listen func(ctx context.Context, addr string) (net.Listener, error)
-	events chan event
-	done   chan struct{} // closed when the event loop has ended
+	cfg         config.Door
+	log         logrus.FieldLogger
+	clock       clock
+	budget      *socketBudget
+	memory      *memoryBudget
+	dial        func(ctx context.Context, addr string) (net.Conn, error)
+	listen      func(ctx context.Context, addr string) (net.Listener, error)
+	listenQueue func() reading.Value[int] // connections that wait in the listener's queue
+	events      chan event
+	done        chan struct{} // closed when the event loop has ended
 
 	background context.Context                    // ends with the door
 	shutdown   atomic.Pointer[lifecycle.Shutdown] // nil until shutdown begins
@@ -119,6 +121,7 @@
 	pausedClients atomic.Int64  // connections whose next request is delayed, as they send too many that no backend answers
 	lateUntil     atomicInstant // clock until which bytes may be read late, as the process hardly gets the processor, ms
 	memoryAskedAt atomicInstant // clock of the latest memoryNeeded, ms
+	idleQueue     []idleClient  // clients found by the latest search that may be closed for others, idle longest first
 	crowdUntil    atomicInstant // clock until which clients are taken to wait for sockets, ms
 	crowdGrace    atomicInstant // how long a half-sent request may take then, ms
 }
@@ -140,6 +143,7 @@
 		requestIDs: map[string]struct{}{}, clients: map[*client]struct{}{}, backendConns: map[*backendConn]struct{}{}}
 	c.traceEnabled, c.guard = debugEnabled(log), guard{log, &c.tally}
 	c.dial, c.listen = systemDial(duration(cfg.Settings.ConnectTimeout)), systemListen
+	c.listenQueue = func() reading.Value[int] { return systemListenQueue(c.listener) }
 	return c
 }
 
--- a/frontdoor/crowd.go
+++ b/frontdoor/crowd.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/swifthall/swifthall/internal/reading"
 )
 
 // Clients that wait for a socket get those of connections that have no open request, idle longest first.
@@ -18,17 +20,26 @@
 // idle so briefly that a request may be on its way. A connection that never sent a request goes first, after a shorter time, as
 // clients normally send their first request at once. If there is none, an idle backend connection is closed.
 type socketNeeded struct {
-	waiting int // connections in the listener's queue; 0 if unknown
+	waiting  reading.Value[int] // connections in the listener's queue
+	repeated bool               // clients were searched for a moment ago: of those found the next are closed
 }
 
 func (e socketNeeded) handle(c *core) {
-	c.crowdGrace.store(c.graceFor(e.waiting))
+	c.crowdGrace.store(c.graceFor(e.waiting.Or(0)))
 	c.crowdUntil.store(c.clock.now() + crowdSpan)
-	idle := c.longIdleClients()
-	for _, i := range idle[:min(len(idle), max(1, e.waiting))] {
-		i.client.requestClose(closedForSocket)
+	if !e.repeated {
+		c.idleQueue = c.longIdleClients()
+	}
+	closed := 0
+	for closed < max(1, e.waiting.Or(0)) && len(c.idleQueue) > 0 {
+		cl := c.idleQueue[0].client
+		c.idleQueue = c.idleQueue[1:]
+		if _, open := c.clients[cl]; open && c.idleTooLong(cl) > 0 {
+			cl.requestClose(closedForSocket)
+			closed++
+		}
 	}
-	if len(idle) == 0 {
+	if !e.repeated && closed == 0 {
 		c.evictIdle()
 	}
 }
@@ -54,13 +65,8 @@
 
 // longIdleClients returns the clients that may be closed for others, idle longest first.
 func (c *core) longIdleClients() (idle []idleClient) {
-	now, grace := c.clock.now(), c.crowdGrace.load()
 	for cl := range c.clients {
-		over := now - cl.idleSince - c.cfg.Pace.Linger
-		if !cl.hasRequested {
-			over = now - cl.idleSince - min(c.cfg.Pace.Linger/silentLingerDivisor, grace)
-		}
-		if cl.op < 0 && over > 0 && !cl.closeRequested.Load() {
+		if over := c.idleTooLong(cl); over > 0 {
 			idle = append(idle, idleClient{cl, over})
 		}
 	}
@@ -68,6 +74,18 @@
 	return idle
 }
 
+// idleTooLong returns by how much a client has been idle for longer than it may while others wait, ms; 0 if it has not.
+func (c *core) idleTooLong(cl *client) float64 {
+	limit := c.cfg.Pace.Linger
+	if !cl.hasRequested {
+		limit = min(limit/silentLingerDivisor, c.crowdGrace.load())
+	}
+	if cl.op >= 0 || cl.closeRequested.Load() {
+		return 0
+	}
+	return max(0, c.clock.now()-cl.idleSince-limit)
+}
+
 // crowded reports whether clients have been waiting for sockets until a moment ago.
 func (c *core) crowded() bool { return c.clock.now() < c.crowdUntil.load() }
 
--- a/frontdoor/crowd_test.go
+++ b/frontdoor/crowd_test.go
@@ -3,10 +3,13 @@
 import (
 	"net"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/swifthall/swifthall/internal/reading"
 	"github.com/swifthall/swifthall/internal/sockio"
 )
 
@@ -34,13 +37,13 @@
 		}
 		return n
 	}
-	socketNeeded{waiting: 3}.handle(c)
+	socketNeeded{waiting: reading.Known(3)}.handle(c)
 	assert.Zero(t, closed(), "a short queue is served in time")
 	c.cfg.Sockets = 2
-	socketNeeded{waiting: 3}.handle(c)
+	socketNeeded{waiting: reading.Known(3)}.handle(c)
 	assert.Zero(t, closed(), "their time is not over")
 	c.cfg.Pace.Linger = 300
-	socketNeeded{waiting: 3}.handle(c)
+	socketNeeded{waiting: reading.Known(3)}.handle(c)
 	assert.Equal(t, 3, closed(), "as many as wait are closed")
 }
 
@@ -50,11 +53,11 @@
 	defer ln.Close()
 	raw, err := ln.(*net.TCPListener).SyscallConn()
 	require.NoError(t, err)
-	assert.Zero(t, sockio.ListenQueue(raw))
+	assert.Equal(t, reading.Known(0), sockio.ListenQueue(raw))
 	for range 3 {
 		connect(t, ln.Addr().String())
 	}
-	assert.Equal(t, 3, sockio.ListenQueue(raw))
+	assert.Equal(t, reading.Known(3), sockio.ListenQueue(raw))
 	sockio.CloseListenQueue(raw)
 	_, err = net.DialTimeout("tcp", ln.Addr().String(), minCrowdGrace*4e6)
 	assert.Error(t, err, "no further connection comes into the queue")
@@ -64,3 +67,49 @@
 		nc.Close()
 	}
 }
+
+// Guards against a door that makes room for 100 clients a second beside a crowd where the system does not tell how many wait (issue 65).
+func TestUnknownQueueMakesRoomForEachClient(t *testing.T) {
+	for name, play := range map[string]struct {
+		waiting      reading.Value[int]
+		fewest, most int // searches or closes that are asked for in a second
+	}{
+		"unknown":    {reading.Unknown[int](), 500, 2000},
+		"known":      {reading.Known(7), 50, 100},
+		"known none": {reading.Known(0), 50, 100},
+	} {
+		asked, searches := 0, 0
+		synctest.Test(t, func(t *testing.T) {
+			c, _ := newTestCore(t)
+			c.budget = newSocketBudget(0)
+			c.listenQueue = func() reading.Value[int] { return play.waiting }
+			a := &acceptor{c: c}
+			ended := make(chan struct{})
+			go func() { // each client that is closed takes a moment
+				for {
+					select {
+					case e := <-c.events:
+						if need, is := e.(socketNeeded); is {
+							asked++
+							if !need.repeated {
+								searches++
+							}
+							time.AfterFunc(time.Millisecond, c.budget.release)
+						}
+					case <-ended:
+						return
+					}
+				}
+			}()
+			for began := time.Now(); time.Since(began) < time.Second; a.acceptedSince = true {
+				require.True(t, a.acquireSocket(t.Context())) // and the client that waits is accepted
+			}
+			close(ended)
+			time.Sleep(time.Second)
+		})
+		t.Logf("%s: %d clients", name, asked)
+		assert.GreaterOrEqual(t, asked, play.fewest, name)
+		assert.LessOrEqual(t, asked, play.most, name)
+		assert.LessOrEqual(t, searches, 100, "%s: the search for idle clients is costly", name)
+	}
+}
--- a/internal/sockio/sockio.go
+++ b/internal/sockio/sockio.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/swifthall/swifthall/internal/reading"
 )
 
 // The pause between attempts starts at minPause and doubles up to maxPause.
@@ -92,11 +94,11 @@
 	return ago
 }
 
-// ListenQueue returns how many connections wait in the queue of a listening TCP socket, 0 if the system does not provide this.
-func ListenQueue(raw syscall.RawConn) (waiting int) {
+// ListenQueue returns how many connections wait in the queue of a listening TCP socket, if the system provides this.
+func ListenQueue(raw syscall.RawConn) (waiting reading.Value[int]) {
 	_ = raw.Control(func(fd uintptr) {
 		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.State == unix.BPF_TCP_LISTEN {
-			waiting = int(info.Unacked)
+			waiting = reading.Known(int(info.Unacked))
 		}
 	})
 	return waiting
