System signals: one that is unknown is not zero, and a crowd is served without any

Queue of unknown length: the time for a first request is halved with each 250 ms in which no accept had to wait for a client, and restored slowly (queuePressure, without I/O). Unknown age of a first request: the time since the queue was last seen empty, half of the request's time at most. A peer's unknown close behind unread bytes: not open until its input has been read.

TestIdleClientsDoNotExhaustSockets, TestNoAttemptStartsForClientThatClosedInListenQueueBehindItsInput and TestRemainingTimeExcludesListenerQueueTime run with and without signals.

--- a/frontdoor/accept.go
+++ b/frontdoor/accept.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/swifthall/swifthall/internal/fields"
-	"github.com/swifthall/swifthall/internal/reading"
 	"github.com/swifthall/swifthall/internal/sockio"
 )
 
@@ -28,17 +27,19 @@
 
 // acceptor accepts client connections until the listener is closed.
 type acceptor struct {
-	c             *core
-	failures      int           // consecutive failed accepts
-	backoff       time.Duration // next pause, once immediateAcceptRetries are used up
-	lastLogged    time.Time     // when a failure was last logged
-	unlogged      int           // failures since lastLogged
-	askedAt       time.Time     // when connections to close were last asked for
-	acceptedSince bool          // a connection has been accepted since then
-	burstBegan    time.Time     // when burst began to be counted
-	burst         int           // connections accepted since then
-	queueEmptyAt  time.Time     // when the listener's queue was last known to be empty
-	queueFilled   bool          // the queue may have filled since then, because nothing was accepted for a while
+	c               *core
+	failures        int           // consecutive failed accepts
+	backoff         time.Duration // next pause, once immediateAcceptRetries are used up
+	lastLogged      time.Time     // when a failure was last logged
+	unlogged        int           // failures since lastLogged
+	askedAt         time.Time     // when connections to close were last asked for
+	acceptedSince   bool          // a connection has been accepted since then
+	waitedForClient bool          // and an accept had to wait for a client
+	pressure        queuePressure
+	burstBegan      time.Time // when burst began to be counted
+	burst           int       // connections accepted since then
+	queueEmptyAt    time.Time // when the listener's queue was last known to be empty
+	queueFilled     bool      // the queue may have filled since then, because nothing was accepted for a while
 }
 
 // acceptLoop accepts connections until the listener is closed. The kernel has already completed the handshake of connections in
@@ -119,14 +120,16 @@
 	if pausing && !a.acceptedSince {
 		return
 	}
-	queue := a.c.listenQueue()
+	queue := a.c.signals.listenQueue(a.c.listener)
 	if _, known := queue.Get(); pausing && known {
 		return
 	}
 	if a.acceptedSince = false; !pausing {
 		a.askedAt = time.Now()
 	}
-	a.c.post(socketNeeded{queue, pausing})
+	a.pressure.update(a.c.clock.now(), a.waitedForClient)
+	a.waitedForClient = false
+	a.c.post(socketNeeded{queue, a.pressure, pausing})
 }
 
 // acceptOne accepts one connection. During shutdown it only polls the queue, and fails with os.ErrDeadlineExceeded if the queue
@@ -158,6 +161,7 @@
 // accepted updates when the queue was last known to be empty, by how long an accept took. An accept over a filled queue during which the
 // process is suspended looks like one that waited.
 func (a *acceptor) accepted(took time.Duration) {
+	a.waitedForClient = a.waitedForClient || took > minBlockedAccept
 	if took <= minBlockedAccept || a.queueFilled && took <= maxSuspension {
 		return
 	}
@@ -176,7 +180,7 @@
 	}
 	a.log(err)
 	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-		c.post(socketNeeded{waiting: c.listenQueue()})
+		c.post(socketNeeded{waiting: c.signals.listenQueue(c.listener), pressure: a.pressure})
 	}
 	if a.failures++; a.failures > immediateAcceptRetries {
 		a.queueFilled = true
@@ -186,32 +190,14 @@
 	return ctx.Err() == nil
 }
 
-// systemListenQueue returns how many connections wait in a listener's queue, if the system tells.
-func systemListenQueue(ln net.Listener) reading.Value[int] {
-	if raw := rawListener(ln); raw != nil {
-		return sockio.ListenQueue(raw)
-	}
-	return reading.Unknown[int]()
-}
-
 // closeListenQueue keeps further connections out of the listener's queue if some wait there: with a crowd of clients that connect again
 // and again it would never be empty, and those that come last would be reset when the listener closes.
 func (c *core) closeListenQueue() {
-	if raw := rawListener(c.listener); raw != nil && !c.sharedListener && c.listenQueue().Or(0) > 0 {
+	if raw := rawListener(c.listener); raw != nil && !c.sharedListener && c.signals.listenQueue(c.listener).Or(0) > 0 {
 		sockio.CloseListenQueue(raw)
 	}
 }
 
-// rawListener returns the system's socket of a listener, nil if it has none.
-func rawListener(ln net.Listener) syscall.RawConn {
-	if sc, ok := ln.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			return raw
-		}
-	}
-	return nil
-}
-
 // log logs a failed accept, at most once per acceptLogInterval, with the number of failures since the last line.
 func (a *acceptor) log(err error) {
 	if a.unlogged++; time.Since(a.lastLogged) < acceptLogInterval {
--- a/frontdoor/client.go
+++ b/frontdoor/client.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"github.com/swifthall/swifthall/internal/sockio"
 )
 
 // client is one client connection. Its goroutine reads, and closes the connection at the end; each answer is written by a
@@ -75,12 +73,12 @@
 		return present
 	}
 	for end := time.Now().Add(inputWait); ; time.Sleep(inputWaitPolling) {
-		closed, unread := sockio.PeerState(cl.raw)
+		peer := cl.c.signals.peerState(cl.raw)
 		sinceInput := duration(cl.c.clock.now() - cl.discardedAt.load())
 		switch {
-		case closed:
+		case peer.Closed.Or(false): // if unknown, data is unread, and the reader has to come to its end
 			return departed
-		case !unread && (!cl.overflowed.Load() || sinceInput >= inputQuietTime), cl.unobserved.Load() && sinceInput <= maxUnobserved:
+		case !peer.Unread && (!cl.overflowed.Load() || sinceInput >= inputQuietTime), cl.unobserved.Load() && sinceInput <= maxUnobserved:
 			return present
 		case cl.unobserved.Load(), time.Now().After(end):
 			return uncertain
--- a/frontdoor/clientread.go
+++ b/frontdoor/clientread.go
@@ -31,12 +31,14 @@
 	finalAnswered bool        // the last answer has been written; the connection is closed after it
 	reason        closeReason // why the connection ends
 	pacer         answerPacer
-	delayed       bool // the reader did not read for a while: the system is asked how long the next bytes were unread
+	delayed       bool    // the reader did not read for a while: the system is asked how long the next bytes were unread
+	maxQueued     float64 // bound of the time that the first request was in the listener's queue, ms, if the system does not tell; else 0
 }
 
 const (
 	maxUnreadTime = time.Minute           // for which bytes can have been unread; connections with requests end long before
 	minQueueDelay = 10 * time.Millisecond // from this time in the listener's queue on, the kernel is asked how long bytes were unread
+	maxAssumedAge = 0.5                   // part of a request's time, for one whose time in the listener's queue is unknown
 	maxDrainReads = 32                    // buffers read after a last answer
 	finalReadSize = smallMessage          // bytes read before an idle connection is closed
 
@@ -274,12 +276,28 @@
 	if r.delayed || cl.c.clock.now() < cl.c.lateUntil.load() {
 		limit = maxUnreadTime
 	}
+	queued := cl.maxQueued
 	if cl.maxQueued, r.delayed = 0, false; limit < minQueueDelay || cl.raw == nil {
 		return 0
 	}
-	return float64(min(limit, sockio.LastReceived(cl.raw))) / float64(time.Millisecond)
+	age, known := cl.c.signals.lastReceived(cl.raw).Get()
+	if !known {
+		r.maxQueued = milliseconds(queued)
+	}
+	return milliseconds(min(limit, age))
+}
+
+// assumedAge returns how long, in ms, a request with a time limit is taken to have been in the listener's queue if the system does not tell.
+// The bound may be many times that of the client, in a crowd whose queue is never empty: most of the time is left to the request.
+func (r *readState) assumedAge(limit float64) float64 {
+	age := min(r.maxQueued, maxAssumedAge*limit)
+	r.maxQueued = 0
+	return age
 }
 
+// milliseconds converts a duration to ms.
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // parse parses buffered input, up to one complete request, and reports whether the connection continues.
 func (cl *client) parse(r *readState) bool {
 	if !r.parser.Begun() {
@@ -348,7 +366,7 @@
 		return continues
 	}
 	r.answerPending = true
-	cl.c.post(requestArrived{cl, msg, ev, r.firstByteAt, r.memory.transfer()})
+	cl.c.post(requestArrived{cl, msg, ev, r.firstByteAt - r.assumedAge(ev.TTL), r.memory.transfer()})
 	return true
 }
 
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -16,7 +16,6 @@
 	"github.com/swifthall/swifthall/internal/fields"
 	"github.com/swifthall/swifthall/internal/http1"
 	"github.com/swifthall/swifthall/internal/index"
-	"github.com/swifthall/swifthall/internal/reading"
 	"github.com/swifthall/swifthall/lifecycle"
 )
 
@@ -63,16 +62,16 @@
 
 // core is the event loop that owns the decider, and the state that it shares with other goroutines.
 type core struct {
-	cfg         config.Door
-	log         logrus.FieldLogger
-	clock       clock
-	budget      *socketBudget
-	memory      *memoryBudget
-	dial        func(ctx context.Context, addr string) (net.Conn, error)
-	listen      func(ctx context.Context, addr string) (net.Listener, error)
-	listenQueue func() reading.Value[int] // connections that wait in the listener's queue
-	events      chan event
-	done        chan struct{} // closed when the event loop has ended
+	cfg     config.Door
+	log     logrus.FieldLogger
+	clock   clock
+	budget  *socketBudget
+	memory  *memoryBudget
+	dial    func(ctx context.Context, addr string) (net.Conn, error)
+	listen  func(ctx context.Context, addr string) (net.Listener, error)
+	signals signals
+	events  chan event
+	done    chan struct{} // closed when the event loop has ended
 
 	background context.Context                    // ends with the door
 	shutdown   atomic.Pointer[lifecycle.Shutdown] // nil until shutdown begins
@@ -137,13 +136,12 @@
 )
 
 func newCore(cfg config.Door, decider gate.Decider, log logrus.FieldLogger) *core {
-	c := &core{cfg: cfg, log: log, decider: decider, clock: newClock(), budget: newSocketBudget(availableSockets(cfg.Sockets)), memory: newMemoryBudget(cfg.MemoryMB), recentIDs: newRecentIDs(cfg.MemoryMB),
+	c := &core{cfg: cfg, signals: systemSignals(), log: log, decider: decider, clock: newClock(), budget: newSocketBudget(availableSockets(cfg.Sockets)), memory: newMemoryBudget(cfg.MemoryMB), recentIDs: newRecentIDs(cfg.MemoryMB),
 		events: make(chan event, maxBatch), done: make(chan struct{}), customers: index.New[uint64](), backendIDs: index.New[string](),
 		zones: index.New[string](), cells: index.New[int64](),
 		requestIDs: map[string]struct{}{}, clients: map[*client]struct{}{}, backendConns: map[*backendConn]struct{}{}}
 	c.traceEnabled, c.guard = debugEnabled(log), guard{log, &c.tally}
 	c.dial, c.listen = systemDial(duration(cfg.Settings.ConnectTimeout)), systemListen
-	c.listenQueue = func() reading.Value[int] { return systemListenQueue(c.listener) }
 	return c
 }
 
--- a/frontdoor/crowd.go
+++ b/frontdoor/crowd.go
@@ -21,11 +21,12 @@
 // clients normally send their first request at once. If there is none, an idle backend connection is closed.
 type socketNeeded struct {
 	waiting  reading.Value[int] // connections in the listener's queue
+	pressure queuePressure      // if that is unknown
 	repeated bool               // clients were searched for a moment ago: of those found the next are closed
 }
 
 func (e socketNeeded) handle(c *core) {
-	c.crowdGrace.store(c.graceFor(e.waiting.Or(0)))
+	c.crowdGrace.store(c.graceFor(e))
 	c.crowdUntil.store(c.clock.now() + crowdSpan)
 	if !e.repeated {
 		c.idleQueue = c.longIdleClients()
@@ -46,8 +47,11 @@
 
 // graceFor returns how long a connection may keep its socket without a whole request, ms, while others wait: with so many in the
 // queue that none of them waits for longer than maxQueueWait, if possible.
-func (c *core) graceFor(waiting int) float64 {
+func (c *core) graceFor(e socketNeeded) float64 {
+	waiting, known := e.waiting.Get()
 	switch {
+	case !known:
+		return e.pressure.grace(c.cfg.Pace.Linger)
 	case waiting == 0:
 		return c.cfg.Pace.Linger
 	case c.shuttingDown: // the listener closes soon
--- a/frontdoor/crowd_test.go
+++ b/frontdoor/crowd_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/swifthall/swifthall/internal/fields"
 	"github.com/swifthall/swifthall/internal/reading"
 	"github.com/swifthall/swifthall/internal/sockio"
 )
@@ -16,10 +17,10 @@
 func TestALongQueueShortensTheTimeForAFirstRequest(t *testing.T) {
 	c, _ := newTestCore(t)
 	c.cfg.Sockets = 256
-	assert.Equal(t, c.cfg.Pace.Linger, c.graceFor(0))
-	assert.Equal(t, c.cfg.Pace.Linger, c.graceFor(1))
-	assert.Equal(t, maxQueueWait*192/480.0, c.graceFor(480))
-	assert.EqualValues(t, minCrowdGrace, c.graceFor(1e6))
+	assert.Equal(t, c.cfg.Pace.Linger, c.graceFor(socketNeeded{waiting: reading.Known(0)}))
+	assert.Equal(t, c.cfg.Pace.Linger, c.graceFor(socketNeeded{waiting: reading.Known(1)}))
+	assert.Equal(t, maxQueueWait*192/480.0, c.graceFor(socketNeeded{waiting: reading.Known(480)}))
+	assert.EqualValues(t, minCrowdGrace, c.graceFor(socketNeeded{waiting: reading.Known(1_000_000)}))
 	var silent []*client
 	for range 4 {
 		far, near := net.Pipe()
@@ -82,7 +83,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			c, _ := newTestCore(t)
 			c.budget = newSocketBudget(0)
-			c.listenQueue = func() reading.Value[int] { return play.waiting }
+			c.signals.listenQueue = func(net.Listener) reading.Value[int] { return play.waiting }
 			a := &acceptor{c: c}
 			ended := make(chan struct{})
 			go func() { // each client that is closed takes a moment
@@ -113,3 +114,36 @@
 		assert.LessOrEqual(t, searches, 100, "%s: the search for idle clients is costly", name)
 	}
 }
+
+// A queue of unknown length that no accept finds empty shortens the time for a first request; an empty one restores it slowly.
+func TestQueuePressure(t *testing.T) {
+	var p queuePressure
+	now := 1000.0
+	p.update(now, false)
+	assert.Equal(t, 700.0, p.grace(700), "nothing is known yet")
+	for range 50 {
+		now += 10
+		p.update(now, false)
+	}
+	assert.InDelta(t, 175, p.grace(700), 1e-6, "after 0.5 s")
+	for range 1000 {
+		now += 10
+		p.update(now, false)
+	}
+	assert.EqualValues(t, minCrowdGrace, p.grace(700))
+	for range 100 {
+		now += 10
+		p.update(now, true)
+	}
+	assert.InDelta(t, 700/32., p.grace(700), 1e-6, "doubled after a second")
+	p.update(now+2*crowdSpan, false)
+	assert.Equal(t, 700.0, p.grace(700), "another crowd")
+}
+
+// A door that gets no signal of the system leaves resident memory out of its account.
+func TestUnknownMemoryIsNotLoggedAsZero(t *testing.T) {
+	c, _ := newTestCore(t)
+	assert.NotZero(t, c.resources().fields()[fields.ResidentKB])
+	c.signals = signalsTakenAway()
+	assert.NotContains(t, c.resources().fields(), fields.ResidentKB)
+}
--- a/frontdoor/departure_test.go
+++ b/frontdoor/departure_test.go
@@ -120,8 +120,14 @@
 }
 
 func TestNoAttemptStartsForClientThatClosedInListenQueueBehindItsInput(t *testing.T) {
+	t.Run("signals given", func(t *testing.T) { playCloseInListenQueue(t, systemSignals()) })
+	t.Run("signals taken away", func(t *testing.T) { playCloseInListenQueue(t, signalsTakenAway()) })
+}
+
+func playCloseInListenQueue(t *testing.T, system signals) {
 	var log arrivalLog
 	td := newPolicyDoor(t, log.failingBackend(0))
+	td.signals = &system
 	held := make(chan struct{})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/frontdoor/failure_test.go
+++ b/frontdoor/failure_test.go
@@ -20,6 +20,8 @@
 
 	"github.com/swifthall/swifthall/gate"
 	"github.com/swifthall/swifthall/internal/loopback/loopbacktest"
+	"github.com/swifthall/swifthall/internal/reading"
+	"github.com/swifthall/swifthall/internal/sockio"
 	"github.com/swifthall/swifthall/policy"
 )
 
@@ -346,8 +348,30 @@
 
 // Idle clients hold all the sockets that clients may have, and discovery is down. New clients must still be answered by backends
 // that have to be dialled, the counter must be called on a connection that has to be dialled, the watch must be restored when
-// discovery is available again, and clients with a pending answer must receive it.
+// discovery is available again, and clients with a pending answer must receive it. All this holds whether or not the system tells how many
+// clients wait.
 func TestIdleClientsDoNotExhaustSockets(t *testing.T) {
+	t.Run("queue known", func(t *testing.T) { playIdleClients(t, systemSignals()) })
+	t.Run("queue unknown", func(t *testing.T) { playIdleClients(t, signalsTakenAway()) })
+}
+
+// signalsTakenAway returns the signals of a system that tells nothing.
+func signalsTakenAway() signals {
+	return signals{
+		listenQueue:  func(net.Listener) reading.Value[int] { return reading.Unknown[int]() },
+		lastReceived: func(syscall.RawConn) reading.Value[time.Duration] { return reading.Unknown[time.Duration]() },
+		peerState: func(raw syscall.RawConn) sockio.Peer {
+			peer := sockio.PeerState(raw)
+			if peer.Unread {
+				peer.Closed = reading.Unknown[bool]()
+			}
+			return peer
+		},
+		resident: func() reading.Value[int64] { return reading.Unknown[int64]() },
+	}
+}
+
+func playIdleClients(t *testing.T, system signals) {
 	const busy, fresh, sockets = 5, 40, 256
 	proceed, arrived := make(chan struct{}), make(chan struct{}, busy)
 	backend := loopbacktest.Serve(t, func(nc net.Conn) { // closes each connection after one answer, so each request needs a new socket
@@ -386,7 +410,7 @@
 	td.cfg.Settings.MaxWait = 3600e3
 	terms := &td.cfg.Settings.Terms
 	terms.Counter, terms.Hedging, terms.Plans = true, false, []gate.Plan{{Price: 1, Rate: 1, Depth: 1000}}
-	td.decider = policy.New(*terms, 1)
+	td.decider, td.signals = policy.New(*terms, 1), &system
 	td.start(t)
 	td.waitReady(t)
 	await(t, requests, "the first watch")
--- a/frontdoor/guard_test.go
+++ b/frontdoor/guard_test.go
@@ -125,7 +125,7 @@
 			_, err = io.WriteString(far, extra)
 			require.NoError(t, err)
 			require.NoError(t, far.Close())
-			for !sockio.PeerClosed(cl.raw) {
+			for !sockio.PeerState(cl.raw).Closed.Or(false) {
 				time.Sleep(time.Millisecond)
 			}
 			att, backend := sendOverPipe(t, c)
--- a/frontdoor/interleaving_test.go
+++ b/frontdoor/interleaving_test.go
@@ -86,6 +86,7 @@
 	network  Network
 	decider  gate.Decider
 	connHook func(hookPoint) // hook of client connections; nil is none
+	signals  *signals        // nil is those of this system
 
 	door  *Door
 	addr  string
@@ -111,6 +112,9 @@
 	log.SetOutput(io.Discard)
 	td.door = New(td.cfg, td.decider, log)
 	td.door.UseNetwork(td.network)
+	if td.signals != nil {
+		td.door.core.signals = *td.signals
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	td.stop, td.ended = cancel, make(chan error, 1)
 	go func() { td.ended <- td.door.Serve(ctx) }()
--- a/frontdoor/remaining_test.go
+++ b/frontdoor/remaining_test.go
@@ -81,7 +81,13 @@
 }
 
 func TestRemainingTimeExcludesListenerQueueTime(t *testing.T) {
+	t.Run("signals given", func(t *testing.T) { playListenerQueueTime(t, systemSignals()) })
+	t.Run("signals taken away", func(t *testing.T) { playListenerQueueTime(t, signalsTakenAway()) })
+}
+
+func playListenerQueueTime(t *testing.T, system signals) {
 	td, reports := newReportingDoor(t)
+	td.signals = &system
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	td.network.Listen = func(context.Context, string) (net.Listener, error) {
--- a/frontdoor/resources.go
+++ b/frontdoor/resources.go
@@ -8,24 +8,29 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swifthall/swifthall/internal/fields"
+	"github.com/swifthall/swifthall/internal/reading"
 )
 
 // resources are what a door holds at a moment, for its periodic summary.
 type resources struct {
-	clients      int   // client connections
-	backendConns int   // backend connections
-	heldMemory   int64 // taken from the memory budget, bytes
-	resident     int64 // resident memory of the process, bytes; 0 if unknown
+	clients      int                  // client connections
+	backendConns int                  // backend connections
+	heldMemory   int64                // taken from the memory budget, bytes
+	resident     reading.Value[int64] // resident memory of the process, bytes
 }
 
 // resources returns what the door holds now.
 func (c *core) resources() resources {
-	return resources{len(c.clients), len(c.backendConns), c.memory.held(), residentMemory()}
+	return resources{len(c.clients), len(c.backendConns), c.memory.held(), c.signals.resident()}
 }
 
 // fields returns the resources as log fields.
 func (r resources) fields() logrus.Fields {
-	return logrus.Fields{fields.Connections: r.clients, fields.BackendConns: r.backendConns, fields.HeldKB: r.heldMemory >> 10, fields.ResidentKB: r.resident >> 10}
+	f := logrus.Fields{fields.Connections: r.clients, fields.BackendConns: r.backendConns, fields.HeldKB: r.heldMemory >> 10}
+	if resident, known := r.resident.Get(); known {
+		f[fields.ResidentKB] = resident >> 10
+	}
+	return f
 }
 
 // writeSummary writes the periodic summary when it is due.
@@ -37,16 +42,16 @@
 	c.tally.writeIfDue(c.now, log)
 }
 
-// residentMemory returns the resident memory of the process in bytes, 0 if the system does not tell it (proc_pid_statm(5)).
-func residentMemory() int64 {
+// residentMemory returns the resident memory of the process in bytes, if the system tells it (proc_pid_statm(5)).
+func residentMemory() reading.Value[int64] {
 	statm, err := os.ReadFile("/proc/self/statm")
 	columns := bytes.Fields(statm)
 	if err != nil || len(columns) < 2 {
-		return 0
+		return reading.Unknown[int64]()
 	}
 	pages, err := strconv.ParseInt(string(columns[1]), 10, 64)
 	if err != nil {
-		return 0
+		return reading.Unknown[int64]()
 	}
-	return pages * int64(os.Getpagesize())
+	return reading.Known(pages * int64(os.Getpagesize()))
 }
--- a/internal/fields/fields.go
+++ b/internal/fields/fields.go
@@ -31,7 +31,7 @@
 	Connections  = "connections"         // client connections
 	BackendConns = "backend_connections" // connections to backends
 	HeldKB       = "held_kb"             // memory that connections and messages hold, by the door's own count, in KiB
-	ResidentKB   = "resident_kb"         // resident memory of the process, in KiB; 0 if unknown
+	ResidentKB   = "resident_kb"         // resident memory of the process, in KiB; left out if unknown
 )
 
 // Fields of a door's shutdown.
--- a/internal/sockio/sockio.go
+++ b/internal/sockio/sockio.go
@@ -83,12 +83,12 @@
 	}
 }
 
-// LastReceived returns the time since a TCP connection last received data, or since it was established if it has received none. It
-// returns 0 if the system does not provide this.
-func LastReceived(raw syscall.RawConn) (ago time.Duration) {
+// LastReceived returns the time since a TCP connection last received data, or since it was established if it has received none, if the
+// system provides this.
+func LastReceived(raw syscall.RawConn) (ago reading.Value[time.Duration]) {
 	_ = raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			ago = time.Duration(info.Last_data_recv) * time.Millisecond
+		if info, known := tcpInfo(fd).Get(); known {
+			ago = reading.Known(time.Duration(info.Last_data_recv) * time.Millisecond)
 		}
 	})
 	return ago
@@ -97,7 +97,7 @@
 // ListenQueue returns how many connections wait in the queue of a listening TCP socket, if the system provides this.
 func ListenQueue(raw syscall.RawConn) (waiting reading.Value[int]) {
 	_ = raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.State == unix.BPF_TCP_LISTEN {
+		if info, known := tcpInfo(fd).Get(); known && info.State == unix.BPF_TCP_LISTEN {
 			waiting = reading.Known(int(info.Unacked))
 		}
 	})
@@ -110,28 +110,33 @@
 	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) })
 }
 
-// PeerClosed reports whether the peer has closed or reset the connection, even if data that it sent before is still unread.
-func PeerClosed(raw syscall.RawConn) bool {
-	closed, _ := PeerState(raw)
-	return closed
+// Peer is the state of a connection's peer.
+type Peer struct {
+	Closed reading.Value[bool] // it has closed or reset the connection, even if data that it sent before is still unread
+	Unread bool                // data is unread
 }
 
-// PeerState reports whether the peer has closed or reset the connection, as PeerClosed does, and whether data is unread. The system
-// may not have received a close yet that the peer made behind much unread data.
-func PeerState(raw syscall.RawConn) (closed, unread bool) {
+// PeerState returns the state of a connection's peer. The system may not have received a close yet that the peer made behind much
+// unread data; whether it closed behind any is unknown where the system does not provide the connection's state.
+func PeerState(raw syscall.RawConn) (peer Peer) {
 	err := raw.Control(func(fd uintptr) {
 		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
 		case IsTransient(err), err == syscall.EAGAIN:
+			peer.Closed = reading.Known(false)
 		case err != nil, n == 0:
-			closed = true
+			peer.Closed = reading.Known(true)
 		default:
-			unread = true
-			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-			closed = err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
+			peer.Unread = true
+			if info, known := tcpInfo(fd).Get(); known {
+				peer.Closed = reading.Known(info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
+			}
 		}
 	})
-	return closed || err != nil, unread
+	if err != nil { // the descriptor is closed
+		peer.Closed = reading.Known(true)
+	}
+	return peer
 }
 
 // IsIdle reports whether a connection is open and has no data to read.
--- a/internal/sockio/sockio_test.go
+++ b/internal/sockio/sockio_test.go
@@ -133,5 +133,5 @@
 	defer far.Close()
 	raw, err := far.(syscall.Conn).SyscallConn()
 	require.NoError(t, err)
-	assert.InDelta(t, time.Since(sent), LastReceived(raw), float64(50*time.Millisecond))
+	assert.InDelta(t, time.Since(sent), LastReceived(raw).Or(0), float64(50*time.Millisecond))
 }
--- a/lab/soak/crowd_test.go
+++ b/lab/soak/crowd_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // Tests of crowds of ill-behaved clients at one real process, beside clients whose requests have to be answered.
@@ -57,6 +58,45 @@
 	}
 }
 
+// Guards against a door that takes what the system does not tell for zero: the queue of its listener, the age of unread bytes and the
+// state of a peer (issue 65).
+func TestCrowdIsServedWithoutSystemSignals(t *testing.T) {
+	runUninformed(t, func(t *testing.T, r *History) {
+		for _, v := range Check(r) {
+			if v.Rule != RuleDeadline { // TestDeadlinesHoldWithoutSystemSignals
+				t.Error(v)
+			}
+		}
+		assertServedBeside(t, r)
+	})
+}
+
+// Without the age of unread bytes a request's time in the listener's queue is estimated.
+func TestDeadlinesHoldWithoutSystemSignals(t *testing.T) {
+	runUninformed(t, func(t *testing.T, r *History) {
+		for _, v := range Check(r) {
+			if v.Rule == RuleDeadline {
+				t.Error(v)
+			}
+		}
+	})
+}
+
+// runUninformed runs crowds at a program that the system tells nothing about its TCP sockets.
+func runUninformed(t *testing.T, check func(*testing.T, *History)) {
+	program, err := uninformed()
+	require.NoError(t, err)
+	for _, kind := range []Crowd{SlowHeads, StalledBodies, MixedCrowd} {
+		t.Run(kind.String(), func(t *testing.T) {
+			cfg := crowdConfig(t, kind, 900, 256)
+			cfg.Program = program
+			r := runAndLog(t, cfg)
+			logPeakMemory(t, r)
+			check(t, r)
+		})
+	}
+}
+
 func TestFullSpeedClientsDelayNoOthers(t *testing.T) {
 	for _, kind := range []Crowd{PipelinedHealth, PipelinedInvalid, UnreadAnswers, NewCustomers, FloodAndClose} {
 		for _, clients := range []int{1, 60} {
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -21,23 +21,30 @@
 	logDir = flag.String("logs", "", "directory in which the doors' logs are kept")
 )
 
-// program builds swifthall with injectable system call faults, once, and returns its path.
-var program = sync.OnceValues(func() (string, error) {
-	var err error
-	if programDir, err = os.MkdirTemp("", "soak-program"); err != nil {
-		return "", err
-	}
-	out := filepath.Join(programDir, "swifthall")
-	return out, sysfaults.Build("../..", "./cmd/swifthall", out)
-})
+// program builds swifthall with injectable system call faults, once, and returns its path; uninformed builds one that the system tells
+// nothing about its TCP sockets.
+var (
+	program    = programBuilder("informed")
+	uninformed = programBuilder("uninformed", sysfaults.NoTCPInfo)
+)
 
-var programDir string // empty until the program is built
+// programBuilder returns a function that builds swifthall in a directory of its own, once, and returns its path.
+func programBuilder(directory string, tags ...string) func() (string, error) {
+	return sync.OnceValues(func() (string, error) {
+		out := filepath.Join(programDir, directory, "swifthall")
+		return out, sysfaults.Build("../..", "./cmd/swifthall", out, tags...)
+	})
+}
+
+var programDir string
 
 func TestMain(m *testing.M) {
-	code := m.Run()
-	if programDir != "" {
-		os.RemoveAll(programDir)
+	var err error
+	if programDir, err = os.MkdirTemp("", "soak-program"); err != nil {
+		panic(err)
 	}
+	code := m.Run()
+	os.RemoveAll(programDir)
 	os.Exit(code)
 }
 
--- a/lab/sysfaults/sysfaults.go
+++ b/lab/sysfaults/sysfaults.go
@@ -98,8 +98,12 @@
 	`func openat\(dirfd int, path string, `:           `	if e, _ := fault(9, -1, 0); e != 0 { return -1, e }`,
 }
 
-// Build builds a command of the repository at root, such as ./cmd/swifthall, with the overlay, and writes the program to out.
-func Build(root, command, out string) error {
+// NoTCPInfo is the build tag of a program that the system tells nothing about its TCP sockets.
+const NoTCPInfo = "notcpinfo"
+
+// Build builds a command of the repository at root, such as ./cmd/swifthall, with the overlay and build tags, and writes the program
+// to out.
+func Build(root, command, out string, tags ...string) error {
 	dir, err := os.MkdirTemp("", "sysfaults")
 	if err != nil {
 		return &BuildError{command, "", err}
@@ -114,7 +118,7 @@
 	if err != nil {
 		return &BuildError{command, "", err}
 	}
-	cmd := exec.Command("go", "build", "-overlay", overlayFile, "-o", out, command)
+	cmd := exec.Command("go", "build", "-overlay", overlayFile, "-tags", strings.Join(tags, ","), "-o", out, command)
 	cmd.Dir = root
 	if output, err := cmd.CombinedOutput(); err != nil {
 		return &BuildError{command, string(output), err}
