Counter: an answer that comes after its window tells the level at that window's end

What callers saw: now and then 429 for a customer far within its quota, and a door that counts the customer's next window of quota as used up.

Cause: an answer is accepted by the window that the customer's state stands at, which turns with its next request, while the time passed in the window came from the clock. In between, the refill of a whole window counted as none, and its overflow was still subtracted.

Load, sockets and holds are excluded by the cause of the rejection.

Change: such an answer is applied at the end of its own window. TestAnAnswerAfterItsWindowTellsTheLevelAtItsEnd, red on the code before (nothing granted, blocked for 1 s, level -0.002 in place of 8 for the next window).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -629,13 +629,18 @@
 	}
 }
 
-// applyTotal grants the units that a customer's latest call asked for, as far as the total on the counter leaves room for them.
+// applyTotal grants the units that a customer's latest call asked for, as far as the total on the counter leaves room for them. The
+// answer may come after the end of its window: it then tells the level at that end.
 func (d *Door) applyTotal(k *bucket, total float64) {
 	c, p := &k.counter, &d.terms.Plans[k.plan]
-	_, left := d.counterWindow(k)
+	n, left := d.counterWindow(k)
+	seenAt := d.now
+	if n != c.window {
+		seenAt, left = d.now+left-p.Depth/p.Rate, 0
+	}
 	// Units are granted only as they refill: granted at once they would exceed the bucket, and granted at the end
 	// of the window they would go unused.
-	c.available, c.seenAt = c.initialLevel+c.refillRate*(p.Depth/p.Rate-left)-total, d.now
+	c.available, c.seenAt = c.initialLevel+c.refillRate*(p.Depth/p.Rate-left)-total, seenAt
 	c.overflow = max(c.overflow, c.available+c.askedUnits-p.Depth)
 	c.available -= c.overflow
 	grantable := max(0, min(c.askedUnits, c.available+c.askedUnits))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -447,6 +447,26 @@
 	assert.Zero(t, c.surplus)
 }
 
+// Guards against a customer that is rejected as over its quota, and counted without units for a whole window, because an answer of the
+// counter came just after its window had ended and was read as one from the next window's beginning.
+func TestAnAnswerAfterItsWindowTellsTheLevelAtItsEnd(t *testing.T) {
+	d := doorAtCounter()
+	k := &d.buckets[0]
+	c, p := &k.counter, &d.terms.Plans[plain]
+	c.refillRate = p.Rate
+	_, left := d.counterWindow(k)
+	d.now += left - 1
+	d.handleCounted(gate.Counted{Epoch: c.window, Total: 2})
+	assert.InDelta(t, p.Depth, c.available+c.granted, 0.01, "the bucket is full at the end of its window")
+	c.granted, c.callPending, c.askedUnits, c.requiredUnits = 0, true, 2, 2
+	d.now += 2 // the call was made before the window ended
+	d.handleCounted(gate.Counted{Epoch: c.window, Total: 4})
+	assert.Equal(t, 2.0, c.granted)
+	assert.LessOrEqual(t, k.blockedUntil, d.now)
+	d.takeFromCounter(&request{units: 3}, k)
+	assert.InDelta(t, p.Depth-4, c.initialLevel, 0.01, "the next window begins at that level: both calls have taken their units")
+}
+
 // Guards against a counter that grants nothing because each of its answers is late (incident of 7 December).
 func TestALateAnswerGrantsItsUnits(t *testing.T) {
 	d := doorAtCounter()
