Releases: processes that the holder starts follow the file that SIGHUP had read

Cause: the holder passes its own environment on, with the GW_DISCOVERY of the start, which wins over the file. config.Reload knows that the environment is older than the file once it has been read again; a process started afterwards does not.

Change: after a SIGHUP with a valid file, processes are started without GW_DISCOVERY; the same holds for one that is started again after it ended by itself.

--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -20,6 +20,8 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -51,6 +53,8 @@
 	coordinatorTimeout = 3 * time.Second        // of a call to the coordinators; the agent repeats it earlier, and takes either answer
 	eventQueueSize     = 16                     // events queued for the release agent, which repeats calls whose answer is lost
 	maxArtifactBytes   = 512 << 20              // limit on the size of a released file
+	configVariable     = "GW_CONFIG"
+	discoveryVariable  = "GW_DISCOVERY"
 	filePerm           = 0o600
 	execPerm           = 0o700
 	stateFile          = "runs.json"
@@ -83,7 +87,8 @@
 	current   *worker
 	workers   map[*worker]bool // all running processes
 	ending    bool
-	reloads   int // number of requests to reload the configuration file
+	reloads   int  // number of requests to reload the configuration file
+	reloaded  bool // the configuration file was valid at one of them: it is newer than the environment
 
 	saveMu sync.Mutex // held while the state is written
 
@@ -346,7 +351,7 @@
 	}
 	defer ready.Close()
 	cmd := exec.Command(program, "serve", "--log-level", s.cfg.Log.Level, "--log-format", s.cfg.Log.Format)
-	cmd.Env = append(os.Environ(), "GW_CONFIG="+file, fmt.Sprintf("%s=%d", serving.ListenerVariable, listenerFD), fmt.Sprintf("%s=%d", serving.ReadyVariable, readyFD))
+	cmd.Env = append(s.environment(), configVariable+"="+file, fmt.Sprintf("%s=%d", serving.ListenerVariable, listenerFD), fmt.Sprintf("%s=%d", serving.ReadyVariable, readyFD))
 	cmd.ExtraFiles = []*os.File{s.ln, notify}
 	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
 	// If the supervisor dies, the process finishes its requests and exits. A kill reaches the whole process group.
@@ -384,6 +389,17 @@
 	}
 }
 
+// environment returns the environment of a new process. Once the configuration file has been read again, its discovery counts, as it does for
+// a running process (config.Reload).
+func (s *supervisor) environment() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.reloaded {
+		return os.Environ()
+	}
+	return slices.DeleteFunc(os.Environ(), func(entry string) bool { return strings.HasPrefix(entry, discoveryVariable+"=") })
+}
+
 // track registers a process that has just been started, and stops it if the supervisor is shutting down.
 func (s *supervisor) track(cmd *exec.Cmd) *worker {
 	w := &worker{cmd: cmd, done: make(chan struct{})}
@@ -424,8 +440,10 @@
 // reload makes the door reload its configuration file. A process that is being started is signalled once it is ready, because
 // before that it may not handle signals yet and SIGHUP would end it.
 func (s *supervisor) reload() {
+	valid := s.baseIsValid()
 	s.mu.Lock()
 	s.reloads++
+	s.reloaded = s.reloaded || valid
 	w, runs := s.current, s.runs
 	s.mu.Unlock()
 	if w != nil {
@@ -433,6 +451,17 @@
 	}
 }
 
+// baseIsValid reports whether the door's own configuration file is valid. One that is not changes nothing.
+func (s *supervisor) baseIsValid() bool {
+	_, err := config.Reload(func(name string) string {
+		if name == configVariable {
+			return s.baseFile
+		}
+		return os.Getenv(name)
+	})
+	return err == nil
+}
+
 // reloadWorker makes one process reload its configuration file, after merging a released configuration over the door's own file
 // again.
 func (s *supervisor) reloadWorker(w *worker, runs release.Versions) {
--- a/internal/holding/holding_test.go
+++ b/internal/holding/holding_test.go
@@ -110,3 +110,20 @@
 	require.ErrorAs(t, err, &broken)
 	assert.Contains(t, broken.Remedy(), "deleted")
 }
+
+// Guards against a release that takes a door back to the discovery of its start after SIGHUP has moved it (review/6): the environment of
+// the start is older than the file.
+func TestNewProcessesFollowTheReloadedFile(t *testing.T) {
+	t.Setenv("GW_DISCOVERY", "127.0.0.1:9")
+	s := newSupervisor(t)
+	assert.Contains(t, s.environment(), "GW_DISCOVERY=127.0.0.1:9", "until the file has been read again")
+	valid, err := os.ReadFile(s.baseFile)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(s.baseFile, []byte("{"), filePerm))
+	s.reload()
+	assert.Contains(t, s.environment(), "GW_DISCOVERY=127.0.0.1:9", "an invalid file changes nothing")
+	require.NoError(t, os.WriteFile(s.baseFile, valid, filePerm))
+	s.reload()
+	assert.NotContains(t, s.environment(), "GW_DISCOVERY=127.0.0.1:9")
+	assert.Contains(t, s.environment(), "HOME="+os.Getenv("HOME"), "the rest stays")
+}
