Shared listener: a new process accepts once it knows the backends, as the old one serves

Cause: a process that shares the listener accepted from its first moment, and sent by the list of its configuration until discovery had answered, some ms later. What discovery has counts as told from the first moment of a new process.

Change: with a shared listener clients are accepted once discovery has answered, or has not for as long as a connection may take, and the process is not held out of service (which it is until it knows what is withheld).

TestSharedListenerIsServedOnceDiscoveryHasAnswered, red without the change (the request goes to the draining backend).

--- a/frontdoor/accept.go
+++ b/frontdoor/accept.go
@@ -49,6 +49,12 @@
 	a := &acceptor{c: c, backoff: minAcceptBackoff, queueEmptyAt: time.Now()}
 	defer c.post(acceptDone{})
 	defer c.listener.Close()
+	if c.sharedListener { // until this process knows what backends there are, the process before it serves
+		select {
+		case <-c.admitted:
+		case <-ctx.Done():
+		}
+	}
 	for a.acquireSocket(ctx) {
 		nc, err := a.acceptOne()
 		if err != nil {
--- a/frontdoor/core.go
+++ b/frontdoor/core.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -109,7 +110,9 @@
 	discoveryTried  bool          // discovery has been asked once
 	listReceived    atomic.Uint64 // clock at which discovery last sent anything, bits of its ms; 0 is never
 	sharedListener  bool          // another process may accept from the listener too
-	listenerClosing bool          // accept has been interrupted: it only empties the listener's queue
+	admitted        chan struct{} // closed once clients may be accepted from a shared listener
+	admitOnce       sync.Once
+	listenerClosing bool // accept has been interrupted: it only empties the listener's queue
 	listener        net.Listener
 	tally           tally
 	guard           guard
@@ -137,7 +140,7 @@
 
 func newCore(cfg config.Door, decider gate.Decider, log logrus.FieldLogger) *core {
 	c := &core{cfg: cfg, signals: systemSignals(), log: log, decider: decider, clock: newClock(), budget: newSocketBudget(availableSockets(cfg.Sockets)), memory: newMemoryBudget(cfg.MemoryMB), recentIDs: newRecentIDs(cfg.MemoryMB),
-		events: make(chan event, maxBatch), done: make(chan struct{}), customers: index.New[uint64](), backendIDs: index.New[string](),
+		events: make(chan event, maxBatch), admitted: make(chan struct{}), done: make(chan struct{}), customers: index.New[uint64](), backendIDs: index.New[string](),
 		zones: index.New[string](), cells: index.New[int64](),
 		requestIDs: map[string]struct{}{}, clients: map[*client]struct{}{}, backendConns: map[*backendConn]struct{}{}}
 	c.traceEnabled, c.guard = debugEnabled(log), guard{log, &c.tally}
@@ -441,6 +444,7 @@
 // beginShutdown begins the shutdown: requests that still arrive are served, each connection closes with its next answer, and every
 // accepted request is answered by one fixed deadline.
 func (c *core) beginShutdown() {
+	c.admitClients()
 	shutdown := lifecycle.NewShutdown(c.clock.now(), c.cfg.Settings.MaxWait, c.cfg.Pace.Linger)
 	c.shutdown.Store(shutdown)
 	c.shuttingDown, c.sweepAt = true, 0
--- a/frontdoor/discovery_test.go
+++ b/frontdoor/discovery_test.go
@@ -19,6 +19,9 @@
 
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
+	"github.com/swifthall/swifthall/internal/loopback/loopbacktest"
+	"github.com/swifthall/swifthall/internal/registry"
+	"github.com/swifthall/swifthall/policy"
 )
 
 // These tests run the watches of a fleet of doors against one discovery server, over pipes and in virtual time. They check how long
@@ -190,3 +193,49 @@
 		})
 	}
 }
+
+// Guards against a new process that takes clients over from the one before it and sends their requests by the list of its
+// configuration, before discovery has answered (review/6).
+func TestSharedListenerIsServedOnceDiscoveryHasAnswered(t *testing.T) {
+	drained, fresh := make(chan struct{}, 9), make(chan struct{}, 9)
+	serve := func(got chan struct{}) func(net.Conn) {
+		return func(nc net.Conn) {
+			defer nc.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+				got <- struct{}{}
+				io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+			}
+		}
+	}
+	old, next := loopbacktest.Serve(t, serve(drained)), loopbacktest.Serve(t, serve(fresh))
+	discovery := loopbacktest.Serve(t, func(nc net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+		line := fmt.Sprintf(`{"generation":43,"reset":true,"instances":[{"instanceId":"old","hostPort":%q,"lifecycle":"Terminating"},`+
+			`{"instanceId":"new","hostPort":%q,"lifecycle":"Ready"}]}`, old, next)
+		fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(line)+1, line)
+		io.Copy(io.Discard, nc)
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	nc := connect(t, ln.Addr().String())
+	_, err = io.WriteString(nc, lookRequest)
+	require.NoError(t, err)
+	td := newPolicyDoor(t)
+	td.cfg.Discovery, td.cfg.Listen = discovery, ln.Addr().String()
+	td.cfg.Known = registry.List{Whole: true, Version: 41, Backends: []registry.Entry{{ID: "old", Addr: old, State: "Ready", Weight: 1}}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	door := New(td.cfg, policy.New(td.cfg.Settings.Terms, 1), log)
+	door.UseListener(ln.(*net.TCPListener))
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- door.Serve(ctx) }()
+	assert.Equal(t, http.StatusOK, readResponse(t, nc).Status)
+	await(t, fresh, "the request")
+	assert.Empty(t, drained, "sent to a backend that drains")
+	stop()
+	require.NoError(t, await(t, ended, "the end of Serve"))
+}
--- a/frontdoor/fleet.go
+++ b/frontdoor/fleet.go
@@ -133,8 +133,14 @@
 		can = can || c.backends[i].eligible
 	}
 	c.ready.Store(can && c.discoveryTried && !c.shuttingDown && !c.outOfService)
+	if c.discoveryTried && !c.outOfService {
+		c.admitClients()
+	}
 }
 
+// admitClients lets clients be accepted, from a listener that another process may serve as well.
+func (c *core) admitClients() { c.admitOnce.Do(func() { close(c.admitted) }) }
+
 // removeBackend removes a backend that is gone and frees its index. The next backend that gets the index must inherit nothing
 // from it.
 func (c *core) removeBackend(i int) {
