Coordinators: a restored state has its numbers raised above what was lost

Cause: a restored state goes on from its own, lower numbers. Doors pass over a reply whose change is lower than what they know, and what they confirmed before counts for the new drain.

Change: the first leadership after a restore raises the numbers of changes, permits and releases by 2^32, more than lost commands can have used, and has each order confirmed anew. Numbers only grow, so nothing else changes, and doors of an older release follow as well. Restore with coordinators of this release: an older one does not know the raise.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -248,7 +248,7 @@
 	}
 	t := &term{collector: permits.NewReportCollector(), began: time.Now(), caller: permits.CallerName("leader-"+c.cfg.Name, rand.Uint64())}
 	c.fsm.read(func(s *permits.State) { t.baseMs = s.NowMs })
-	if _, err := c.commitOwn(t, permits.Leadership{Name: c.cfg.Name, API: c.cfg.API, Epoch: rand.Uint64()>>1 | 1}); err != nil {
+	if _, err := c.commitOwn(t, permits.Leadership{Name: c.cfg.Name, API: c.cfg.API, Epoch: rand.Uint64()>>1 | 1, Restored: c.restored && !c.fsm.numbersRaised()}); err != nil {
 		return
 	}
 	if c.restored && c.calendarInUse() && !c.fsm.restoreRecorded() {
@@ -521,6 +521,7 @@
 	mu       sync.Mutex
 	replica  *permits.Replica
 	restored bool        // a calendar.Restored command was applied since this process started
+	raised   bool        // and a permits.Leadership of a restored state
 	fail     func(error) // terminates the coordinator
 	log      logrus.FieldLogger
 }
@@ -538,6 +539,13 @@
 	return m.restored
 }
 
+// numbersRaised reports whether the leadership of a restored state was applied since this process started.
+func (m *stateMachine) numbersRaised() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.raised
+}
+
 // read calls do with the state while it is locked.
 func (m *stateMachine) read(do func(*permits.State)) {
 	m.mu.Lock()
@@ -555,8 +563,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if _, is := cmd.Do.(calendar.Restored); is {
+	switch do := cmd.Do.(type) {
+	case calendar.Restored:
 		m.restored = true
+	case permits.Leadership:
+		m.raised = m.raised || do.Restored
 	}
 	answer, fault := m.replica.Apply(cmd, l.Data)
 	if fault != nil {
--- a/permits/drains_test.go
+++ b/permits/drains_test.go
@@ -152,14 +152,14 @@
 
 func TestNewLeaderInvalidatesEarlierSightings(t *testing.T) {
 	s := newSite(8)
-	s.do("c2", Leadership{"c2", "", 9})
+	s.do("c2", Leadership{Name: "c2", API: "", Epoch: 9})
 	assert.EqualValues(t, 9, s.Epoch)
 	assert.Error(t, s.requestFor(1).Err)
 	for i := range 8 {
 		s.recordSighting(i, Ready, 1)
 	}
 	require.NoError(t, s.requestFor(1).Err)
-	s.do("c3", Leadership{"c3", "", 10})
+	s.do("c3", Leadership{Name: "c3", API: "", Epoch: 10})
 	assert.EqualValues(t, 9, s.Epoch)
 }
 
--- a/permits/encode_test.go
+++ b/permits/encode_test.go
@@ -30,7 +30,7 @@
 	do := rapid.SampledFrom([]any{
 		SetBudgets{Budgets: []Budget{{Kind: Door, MaxOut: 2}, {Kind: Door, Zone: EachZone, MaxOut: 1, MinGapMs: 10}, {Kind: Zone, MaxOut: 1}}},
 		Begin{unit(i), incarnation}, Drain{Door, unit(i).Name, "op", "why", float64(n), 0}, Undrain{Door, unit(i).Name, "op", "why"}, Drain{Zone, "z1", "op", "why", 0, 0}, Undrain{Zone, "z1", "op", ""},
-		Leadership{"c1", "a", 7}, release.ReportVersions{Door: unit(i).Name, Runs: release.Versions{release.Program: "x"}},
+		Leadership{Name: "c1", API: "a", Epoch: 7, Restored: true}, release.ReportVersions{Door: unit(i).Name, Runs: release.Versions{release.Program: "x"}},
 		release.ReportVersions{Door: unit(i).Name, Runs: release.Versions{release.Program: ""}, Failed: map[string]string{strings.Repeat("0", 64): "no such file"}},
 		release.Start{Plan: release.Plan{Name: "r", Changes: release.Program, Digest: strings.Repeat("0", 64), Waves: []release.Wave{{Rest: true}}}, Who: "op"},
 		release.RecordVerdict{Number: 1, Verdict: release.Verdict{Outcome: release.GoOn}}, release.Steer{Name: "r", To: release.ToBack, Who: "op"}, Forget{Door, unit(i).Name, "op", "gone"},
--- a/permits/permits.go
+++ b/permits/permits.go
@@ -64,6 +64,22 @@
 	Why    string
 }
 
+// restoredGap is more than the numbers that commands lost with other coordinators can have used.
+const restoredGap = 1 << 32
+
+// raiseNumbers raises the numbers of a restored state above all that lost commands have used, and has every order confirmed anew: doors
+// ignore changes that are older than what they know, and what they have confirmed may belong to changes that are lost.
+func (s *State) raiseNumbers() {
+	s.Change += restoredGap
+	s.Next += restoredGap
+	s.Release.Next += restoredGap
+	for _, p := range s.Permits {
+		if p.Order {
+			p.Change = s.Change
+		}
+	}
+}
+
 // New returns the state before the first command. Without budgets every permit is denied.
 func New() *State {
 	s := &State{Next: 1, Units: map[string]*UnitState{}, Permits: map[uint64]*Permit{}, Callers: map[string]*LastCommand{}, LastMs: map[string]float64{}, Release: release.New(),
@@ -124,6 +140,9 @@
 		if s.Epoch == 0 {
 			s.Epoch = d.Epoch
 		}
+		if d.Restored {
+			s.raiseNumbers()
+		}
 		for _, u := range s.Units {
 			u.AtMs = min(u.AtMs, s.NowMs-sightingTTLMs-1)
 		}
--- a/permits/types.go
+++ b/permits/types.go
@@ -108,6 +108,7 @@
 type Leadership struct {
 	Name, API string
 	Epoch     uint64 // becomes the state's epoch if it has none yet
+	Restored  bool   `json:",omitempty"` // the state may lack the latest commands: its numbers are raised above all that those have used
 }
 
 // Note adds an entry to the audit log for an action taken by other means.
