Clients: a request's time counts from its own arrival, not from what came behind it

Cause: one time was kept for all buffered input, that of the last read.

Change: the time of each read is kept for the bytes that it brought (arrivals, 32 at most, then the earlier time), and a request counts from its own first byte. The buffer that holds input before an answer may grow (its limit is as before).

--- a/frontdoor/clientanswer.go
+++ b/frontdoor/clientanswer.go
@@ -68,7 +68,7 @@
 		if err := cl.receive(&r, pool.Size); err != nil {
 			return
 		}
-		r.buffered = nil
+		r.dropBuffered()
 		r.releaseBuffer()
 	}
 }
--- a/frontdoor/clientread.go
+++ b/frontdoor/clientread.go
@@ -20,9 +20,10 @@
 	parser        http1.RequestReader
 	memory        memoryLease // of the request that the parser holds
 	input         memoryLease // of the input that is held before the pending answer
-	buf           []byte      // of fixed size; nil if nothing is buffered
+	buf           []byte      // of the pool's size, or up to maxHeldInput while an answer is pending; nil if nothing is buffered
 	buffered      []byte      // part of buf: bytes received and not parsed yet
-	receivedAt    float64     // clock at which they were received, ms
+	receivedAt    float64     // clock at which the last of them were received, ms
+	arrivals      arrivals    // when each of them was received
 	firstByteAt   float64     // clock of the first byte of the request being parsed, ms
 	answerPending bool        // an answer may not have been written yet
 	deadlineSet   bool        // a read deadline is set
@@ -40,6 +41,7 @@
 	minQueueDelay = 10 * time.Millisecond // from this time in the listener's queue on, the kernel is asked how long bytes were unread
 	maxAssumedAge = 0.5                   // part of a request's time, for one whose time in the listener's queue is unknown
 	maxDrainReads = 32                    // buffers read after a last answer
+	maxHeldInput  = pool.Size             // bytes that are held while an answer is pending, of a client that sends many requests at once
 	finalReadSize = smallMessage          // bytes read before an idle connection is closed
 
 	// maxDiscarded is the number of bytes discarded before an answer, more than the system holds for a client that has closed. Beyond
@@ -69,10 +71,16 @@
 func (r *readState) releaseMemory() {
 	r.parser.Drop()
 	r.memory.release()
-	r.buffered = nil
+	r.dropBuffered()
 	r.releaseBuffer()
 }
 
+// dropBuffered drops the input that is buffered.
+func (r *readState) dropBuffered() {
+	r.buffered = nil
+	r.arrivals.reset()
+}
+
 // releaseBuffer returns the buffer if nothing is buffered.
 func (r *readState) releaseBuffer() {
 	if len(r.buffered) == 0 && r.buf != nil {
@@ -101,7 +109,7 @@
 		return cl.parse(r)
 	case len(r.buffered) > 0 && !cl.holdsInput.Load():
 		cl.holdsInput.Store(true) // the answer may have been written just before: check again
-		if !r.input.resizeRequest(pool.Size) {
+		if !r.input.resizeRequest(len(r.buf)) {
 			cl.discard(r)
 		}
 		return true
@@ -150,18 +158,14 @@
 	return err == nil || cl.afterReadError(r, err)
 }
 
-// readAhead reads while an answer is pending. Input that arrives then is held while the buffer has room and there is memory for it, and
-// discarded beyond that.
+// readAhead reads while an answer is pending. Input that arrives then is held up to maxHeldInput while there is memory for it, so that a client
+// may send many requests at once, and discarded beyond that.
 func (cl *client) readAhead(r *readState) bool {
-	if len(r.buffered) < pool.Size && !cl.overflowed.Load() {
-		if len(r.buffered) > 0 && &r.buffered[0] != &r.buf[0] {
-			copy(r.buf, r.buffered)
-			r.buffered = r.buf[:len(r.buffered)]
-		}
-		if err := cl.receive(r, pool.Size-len(r.buffered)); err != nil {
+	if !cl.overflowed.Load() && (r.hasRoom() || !cl.writing.Load() && r.growBuffer()) {
+		if err := cl.receive(r, r.room()); err != nil {
 			return cl.afterReadError(r, err)
 		}
-		if r.input.resizeRequest(pool.Size) {
+		if r.input.resizeRequest(len(r.buf)) {
 			return true
 		}
 	}
@@ -187,12 +191,42 @@
 	return true
 }
 
+// room returns how many bytes fit behind what is buffered.
+func (r *readState) room() int {
+	if r.buf == nil {
+		return pool.Size
+	}
+	return len(r.buf) - len(r.buffered)
+}
+
+// hasRoom moves what is buffered to the front of the buffer and reports whether more fits behind it.
+func (r *readState) hasRoom() bool {
+	if len(r.buffered) > 0 && &r.buffered[0] != &r.buf[0] {
+		copy(r.buf, r.buffered)
+		r.buffered = r.buf[:len(r.buffered)]
+	}
+	return r.room() > 0
+}
+
+// growBuffer doubles a full buffer and reports whether it did: it has an upper bound, and needs memory.
+func (r *readState) growBuffer() bool {
+	size := 2 * len(r.buf)
+	if size > maxHeldInput || !r.input.resizeRequest(size) {
+		return false
+	}
+	grown := make([]byte, size)
+	copy(grown, r.buffered)
+	pool.Put(r.buf)
+	r.buf, r.buffered = grown, grown[:len(r.buffered)]
+	return true
+}
+
 // discard drops what is buffered before the pending answer, which is the connection's last then.
 func (cl *client) discard(r *readState) {
 	cl.discardedAt.store(cl.c.clock.now())
 	cl.overflowed.Store(true)
 	r.discarded += len(r.buffered)
-	r.buffered = nil
+	r.dropBuffered()
 	r.releaseBuffer()
 }
 
@@ -209,6 +243,7 @@
 	}
 	if n > 0 {
 		r.buffered, r.receivedAt = r.buf[:len(r.buffered)+n], cl.c.clock.now()-cl.unreadTime(r)
+		r.arrivals.add(n, r.receivedAt)
 	}
 	return err
 }
@@ -301,10 +336,11 @@
 // parse parses buffered input, up to one complete request, and reports whether the connection continues.
 func (cl *client) parse(r *readState) bool {
 	if !r.parser.Begun() {
-		r.firstByteAt = r.receivedAt
+		r.firstByteAt = r.arrivals.first(r.receivedAt)
 	}
 	used, whole, err := r.parser.Feed(r.buffered)
 	r.buffered = r.buffered[used:]
+	r.arrivals.consume(used)
 	if err != nil {
 		r.releaseMemory()
 		cl.rejectInput(r, err, true)
@@ -428,5 +464,6 @@
 		return false
 	}
 	r.buffered, r.receivedAt = r.buf[:n], cl.c.clock.now()
+	r.arrivals.add(n, r.receivedAt)
 	return true
 }
