Clients: what is sent at once is held up to 64 KiB before an answer, not dropped beyond 8

Cause: input before a pending answer was held in one buffer of 8 KiB, and beyond that dropped, with the whole requests in it; the answer was then the connection's last.

Beyond that it is as before: what comes is passed over, so that a client's close is seen.

--- a/frontdoor/clientread.go
+++ b/frontdoor/clientread.go
@@ -41,7 +41,7 @@
 	minQueueDelay = 10 * time.Millisecond // from this time in the listener's queue on, the kernel is asked how long bytes were unread
 	maxAssumedAge = 0.5                   // part of a request's time, for one whose time in the listener's queue is unknown
 	maxDrainReads = 32                    // buffers read after a last answer
-	maxHeldInput  = pool.Size             // bytes that are held while an answer is pending, of a client that sends many requests at once
+	maxHeldInput  = 8 * pool.Size         // bytes that are held while an answer is pending, of a client that sends many requests at once
 	finalReadSize = smallMessage          // bytes read before an idle connection is closed
 
 	// maxDiscarded is the number of bytes discarded before an answer, more than the system holds for a client that has closed. Beyond
--- a/frontdoor/pipeline_test.go
+++ b/frontdoor/pipeline_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +15,35 @@
 	"github.com/swifthall/swifthall/gate"
 )
 
+// Guards against requests that a client sends at once and that are read and never answered (review/10).
+func TestRequestsSentAtOnceAreAllAnswered(t *testing.T) {
+	for _, body := range []int{0, 700, 2500} {
+		const requests = 16
+		td := newTestDoor(t, echoBackend(closedChan()), sendOnce(nil))
+		td.start(t)
+		td.waitReady(t)
+		nc := connect(t, td.addr)
+		var all strings.Builder
+		for i := range requests {
+			text := requestWithID(fmt.Sprint("n", i))
+			if body > 0 {
+				text = strings.Replace(strings.Replace(text, "GET /look", "POST /book", 1), "\r\n\r\n", fmt.Sprintf("\r\nIdempotency-Key: k%d\r\nContent-Length: %d\r\n\r\n", i, body), 1) + strings.Repeat("x", body)
+			}
+			all.WriteString(text)
+		}
+		go io.WriteString(nc, all.String())
+		nc.SetReadDeadline(time.Now().Add(waitTimeout))
+		in := bufio.NewReader(nc)
+		for i := range requests {
+			res, err := http.ReadResponse(in, nil)
+			require.NoError(t, err, "answer %d of requests with %d bytes", i, body)
+			_, err = io.Copy(io.Discard, res.Body)
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusOK, res.StatusCode)
+		}
+	}
+}
+
 // Guards against a backend that is given more time than is left for a request, because more input came behind it while the one before it
 // was running.
 func TestTimeOfARequestCountsFromItsOwnArrival(t *testing.T) {
