Releases: a process that is started again does not end the change under way

Cause: the holder reports a process that was started again as it reports the end of a change. The agent took it for that, never decided on the process that was prepared, and had a second one prepared; the one decision that followed went to the first, and the second process waited for ever, serving.

Change: ProcessRestarted is an event of its own and leaves a change under way as it is; and the holder makes one change at a time.

TestAProcessThatIsStartedAgainLeavesAPreparedChangeUnderWay, red with the old event (2 prepared, no decision).

--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -90,7 +90,8 @@
 	reloads   int  // number of requests to reload the configuration file
 	reloaded  bool // the configuration file was valid at one of them: it is newer than the environment
 
-	saveMu sync.Mutex // held while the state is written
+	saveMu   sync.Mutex // held while the state is written
+	changing sync.Mutex // held during a change
 
 	tasks sync.WaitGroup                      // changes and keepRunning loops in progress
 	write func(path string, raw []byte) error // writes a file atomically
@@ -517,19 +518,30 @@
 			return
 		}
 		s.saveState()
-		s.reportState()
+		s.reportRestart()
 		w, pause = next, minRestartPause
 	}
 }
 
 // ---- Changes ----
 
-// reportState notifies the release agent of what runs.
+// reportState notifies the release agent that a change has ended, and of what runs.
 func (s *supervisor) reportState() {
+	runs, failed := s.state()
+	s.post(permits.VersionsChanged{Runs: runs, Failed: failed})
+}
+
+// reportRestart notifies the release agent of what runs since a process ended by itself.
+func (s *supervisor) reportRestart() {
+	runs, failed := s.state()
+	s.post(permits.ProcessRestarted{Runs: runs, Failed: failed})
+}
+
+// state returns what the door runs, and why digests were not applied.
+func (s *supervisor) state() (runs release.Versions, failed map[string]string) {
 	s.mu.Lock()
-	e := permits.VersionsChanged{Runs: maps.Clone(s.runs), Failed: maps.Clone(s.failed)}
-	s.mu.Unlock()
-	s.post(e)
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs), maps.Clone(s.failed)
 }
 
 // post queues an event for the release agent.
@@ -620,6 +632,8 @@
 // apply changes what the door runs: it starts the new process beside the old one, asks whether the release still stands, then stops
 // the old one. If its time limit has already passed, because the supervisor was suspended, the change is dropped.
 func (s *supervisor) apply(t permits.ApplyRelease) {
+	s.changing.Lock() // a decision is for one prepared process: there is one at a time
+	defer s.changing.Unlock()
 	defer s.reportState()
 	s.mu.Lock()
 	previous := s.runs
--- a/permits/release_agent.go
+++ b/permits/release_agent.go
@@ -63,14 +63,20 @@
 	// ReleasePrepared reports that the new process is ready beside the old one. Until the old one is stopped the change can be
 	// called off.
 	ReleasePrepared struct{}
-	// VersionsChanged reports which versions the door runs and which it failed to install, after an ApplyRelease or when a process
-	// ended by itself.
+	// VersionsChanged reports which versions the door runs and which it failed to install, after an ApplyRelease.
 	VersionsChanged struct {
 		Runs   release.Versions
 		Failed map[string]string
 	}
 )
 
+// ProcessRestarted reports which versions the door runs, and which it failed to install, after its process ended by itself and was started
+// again. A change that is under way goes on.
+type ProcessRestarted struct {
+	Runs   release.Versions
+	Failed map[string]string
+}
+
 // Actions of a ReleaseAgent, besides Post.
 type (
 	// ApplyRelease has the door prepare the assigned version, if that can begin before UntilMs. A ReleasePrepared follows, or a
@@ -109,6 +115,12 @@
 		a.forgetLate()
 		a.step = prepared
 		a.holder.Unconfirm()
+	case ProcessRestarted:
+		a.forgetLate()
+		a.versions, a.failed, a.dirty = maps.Clone(e.Runs), maps.Clone(e.Failed), true
+		if a.step == noChange {
+			a.target = nil
+		}
 	case VersionsChanged:
 		a.forgetLate()
 		if a.step != noChange && (a.target == nil || e.Runs[a.target.Changes] != a.target.Digest) {
--- a/permits/release_agent_test.go
+++ b/permits/release_agent_test.go
@@ -342,3 +342,21 @@
 	assert.Empty(t, c.applied)
 	assert.Equal(t, Out, s.Permits[n].Stage, "still the drain's")
 }
+
+// Guards against two processes that serve as one door: the agent took a process that was started again for the end of the change under
+// way, never decided on the process that was prepared, and had a second one prepared (review/7).
+func TestAProcessThatIsStartedAgainLeavesAPreparedChangeUnderWay(t *testing.T) {
+	s := newSite(8)
+	c := newTestReleaseAgent(s, 0)
+	c.holdPrepare = true
+	startRelease(s, "d0")
+	c.run(3000)
+	require.Len(t, c.applied, 1)
+	c.step(ProcessRestarted{release.Versions{}, nil})
+	c.run(3000)
+	assert.Len(t, c.applied, 1, "the same release is prepared again")
+	c.prepare()
+	c.run(3000)
+	assert.Equal(t, 1, c.switched+c.discarded, "the prepared process gets its decision")
+	assert.Len(t, c.applied, 1)
+}
