--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"net"
-	"os"
 	"syscall"
 	"time"
 
@@ -17,6 +16,7 @@
 	"github.com/swifthall/swifthall/config"
 	"github.com/swifthall/swifthall/gate"
 	"github.com/swifthall/swifthall/internal/fields"
+	"github.com/swifthall/swifthall/internal/procinfo"
 	"github.com/swifthall/swifthall/internal/retry"
 )
 
@@ -106,14 +106,5 @@
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
 		sockets = int(min(uint64(sockets), limit.Cur))
 	}
-	return sockets - openDescriptors() - reservedDescriptors
-}
-
-// openDescriptors returns the number of descriptors that the process has open.
-func openDescriptors() int {
-	files, err := os.ReadDir("/proc/self/fd")
-	if err != nil {
-		return 3 // stdin, stdout and stderr
-	}
-	return len(files)
+	return sockets - procinfo.OpenDescriptors() - reservedDescriptors
 }
--- a/frontdoor/resources.go
+++ b/frontdoor/resources.go
@@ -1,10 +1,6 @@
 package frontdoor
 
 import (
-	"bytes"
-	"os"
-	"strconv"
-
 	"github.com/sirupsen/logrus"
 
 	"github.com/swifthall/swifthall/internal/fields"
@@ -41,17 +37,3 @@
 	}
 	c.tally.writeIfDue(c.now, log)
 }
-
-// residentMemory returns the resident memory of the process in bytes, if the system tells it (proc_pid_statm(5)).
-func residentMemory() reading.Value[int64] {
-	statm, err := os.ReadFile("/proc/self/statm")
-	columns := bytes.Fields(statm)
-	if err != nil || len(columns) < 2 {
-		return reading.Unknown[int64]()
-	}
-	pages, err := strconv.ParseInt(string(columns[1]), 10, 64)
-	if err != nil {
-		return reading.Unknown[int64]()
-	}
-	return reading.Known(pages * int64(os.Getpagesize()))
-}
--- a/frontdoor/signals.go
+++ b/frontdoor/signals.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"github.com/swifthall/swifthall/internal/procinfo"
 	"github.com/swifthall/swifthall/internal/reading"
 	"github.com/swifthall/swifthall/internal/sockio"
 )
@@ -20,7 +21,7 @@
 
 // systemSignals returns the signals of this system.
 func systemSignals() signals {
-	return signals{systemListenQueue, sockio.LastReceived, sockio.PeerState, residentMemory}
+	return signals{systemListenQueue, sockio.LastReceived, sockio.PeerState, procinfo.ResidentMemory}
 }
 
 // systemListenQueue returns how many connections wait in a listener's queue, if the system tells.
--- a/internal/doorfleet/plans.go
+++ b/internal/doorfleet/plans.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"time"
 
@@ -16,6 +14,7 @@
 	"github.com/swifthall/swifthall/fleet"
 	"github.com/swifthall/swifthall/frontdoor"
 	"github.com/swifthall/swifthall/internal/fields"
+	"github.com/swifthall/swifthall/internal/procinfo"
 	"github.com/swifthall/swifthall/members"
 	"github.com/swifthall/swifthall/permits"
 	"github.com/swifthall/swifthall/release"
@@ -28,7 +27,8 @@
 	unreachableAfter = 2 * time.Second        // without an answer for longer, the coordinators are logged as unreachable
 	pollInterval     = 200 * time.Millisecond // between reports of the door's state to the agent
 	endReportTimeout = 700 * time.Millisecond // in which a door that has ended reports that to the coordinators
-	eventQueueSize   = 64                     // events queued for the agent, which repeats requests whose answer is lost
+	bytesPerMB       = 1 << 20
+	eventQueueSize   = 64 // events queued for the agent, which repeats requests whose answer is lost
 )
 
 // Messages of the log lines for a planned step of the door; the lines have the machine's monotonic clock at the step.
@@ -219,7 +219,7 @@
 		n := status.Counts
 		s.Counts, s.ByBackend = &release.Counts{}, map[string]release.Counts{}
 		*s.Counts = toCounts(n)
-		s.Counts.Process, s.Counts.MemoryMB = p.process, residentMB()
+		s.Counts.Process, s.Counts.MemoryMB = p.process, float64(procinfo.ResidentMemory().Or(0))/bytesPerMB
 		for _, b := range status.Backends {
 			g := permits.Sighting{Unit: permits.Unit{Kind: permits.Backend, Name: b.ID, Zone: b.Zone, Size: b.Weight}, Standing: permits.Failed, Process: uint64(max(0, b.Started))}
 			switch {
@@ -244,19 +244,6 @@
 	return release.Counts{Arrived: n.Arrived, InTime: n.InTime, Finished: n.Finished, Rejected: n.Rejected, Failed: n.Failed, LatencyMs: n.LatencyMs}
 }
 
-// residentMB returns the resident memory of this process, MiB; 0 if it can't be read.
-func residentMB() float64 {
-	raw, err := os.ReadFile("/proc/self/statm")
-	if err != nil {
-		return 0
-	}
-	var size, pages float64
-	if n, _ := fmt.Sscan(string(raw), &size, &pages); n < 2 {
-		return 0
-	}
-	return pages * float64(os.Getpagesize()) / (1 << 20)
-}
-
 // Plan returns what the door was ordered to do, for operators.
 func (p *planDriver) Plan() (of admin.Plan) {
 	p.mu.Lock()
